gate: attempts that nobody waits for are withdrawn at once

Losers of hedges were left to run out, so that after each pause a replica worked off what nobody waited for, and what somebody waited for queued behind it. Change: the loser of a part, and all attempts of a request that is over, are withdrawn; a replica's silence is added up over such attempts.

--- a/source/core/core.c
+++ b/source/core/core.c
@@ -326,7 +326,6 @@
 		return;
 	case RR_TIMER_GATE_LOOK:
 	case RR_TIMER_GATE_HEDGE:
-	case RR_TIMER_GATE_LINGER:
 	case RR_TIMER_GATE_UNLISTED:
 		rr_invariant("own-timers", false);
 		return;
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -13,19 +13,6 @@
 #define LEAST_HEDGE_US (2 * 1000)
 /* Until a hedge that could not be sent is looked at again. */
 #define HEDGE_CHECK_US (4 * 1000)
-/*
- * An answer that nobody waits for may come for so long: a kept connection is
- * worth more than the replica's work.  Longer than replicas pause; one that
- * is silent for longer seems gone.
- */
-#define LINGER_US (400 * 1000)
-#define LINGER_FACTOR 8
-/*
- * The same where the caller left: half a second after that no replica may
- * still be at work for it.
- */
-#define LEFT_LINGER_US (250 * 1000)
-
 void rr_free_attempt(gpointer data)
 {
 	struct rr_gate_attempt *attempt = data;
@@ -39,6 +26,8 @@
 {
 	g_hash_table_steal(gate->attempts, &attempt->id);
 	g_queue_unlink(&attempt->endpoint->live, &attempt->endpoint_link);
+	if (!attempt->endpoint->live.length)
+		rr_track_closed(&attempt->endpoint->track, gate->now_us);
 	if (!attempt->run)
 		return;
 	g_queue_unlink(&attempt->run->live, &attempt->run_link);
@@ -54,6 +43,7 @@
 	       RR_FIELD_I64("age_us", gate->now_us - attempt->sent_us),
 	       RR_FIELD_STRING("reason", reason));
 	rr_count(ctx, RR_N_WITHDRAWN, 1);
+	rr_track_given_up(&attempt->endpoint->track, gate->now_us);
 	gate->actions.withdraw(gate->actions.data, attempt->id);
 	end_attempt(gate, attempt);
 	rr_free_attempt(attempt);
@@ -102,6 +92,8 @@
 	attempt->endpoint_link.data = attempt;
 	attempt->run_link.data = attempt;
 	g_hash_table_insert(gate->attempts, &attempt->id, attempt);
+	if (!endpoint->live.length)
+		rr_track_open(&endpoint->track, gate->now_us);
 	g_queue_push_tail_link(&endpoint->live, &attempt->endpoint_link);
 	g_queue_push_tail_link(&run->live, &attempt->run_link);
 	part->tried[part->n_tried++] = endpoint->number;
@@ -137,29 +129,6 @@
 	gate->actions.send(gate->actions.data, &send);
 }
 
-/* Make room at one of a service's replicas by ending what nobody waits for. */
-static bool make_room(struct rr_context *ctx, struct rr_gate *gate,
-		      const struct rr_gate_service *service)
-{
-	for (guint i = 0; i < service->endpoints->len; i++) {
-		struct rr_endpoint *endpoint =
-			g_ptr_array_index(service->endpoints, i);
-
-		if (endpoint->draining ||
-		    rr_is_suspected(&endpoint->track, gate->now_us))
-			continue;
-		for (GList *l = endpoint->live.head; l; l = l->next) {
-			struct rr_gate_attempt *attempt = l->data;
-
-			if (attempt->run || !attempt->idempotent)
-				continue;
-			withdraw(ctx, gate, attempt, "room");
-			return true;
-		}
-	}
-	return false;
-}
-
 static void wait_for_room(struct rr_gate_run *run, size_t index)
 {
 	struct rr_gate_part *part = &run->parts[index];
@@ -199,8 +168,6 @@
 	if (extra && part->service->extras.tokens < 1)
 		return false;
 	choice = rr_choose_endpoint(ctx, gate, run, part, &endpoint);
-	if (choice == RR_CHOICE_FULL && make_room(ctx, gate, part->service))
-		choice = rr_choose_endpoint(ctx, gate, run, part, &endpoint);
 	if (choice == RR_CHOICE_FULL && !part->n_live)
 		wait_for_room(run, index);
 	if (choice != RR_CHOSEN)
@@ -269,24 +236,27 @@
 			  RR_TIMER_GATE_HEDGE, id);
 }
 
-static int64_t linger_bound_us(const struct rr_gate_attempt *attempt)
+/*
+ * The part has its answer: attempts still under way for it are ended.
+ * Guards against replicas that work off, after a pause or a slow spell, what
+ * nobody waits for any more, while what somebody waits for queues behind it.
+ */
+static void withdraw_losers(struct rr_context *ctx, struct rr_gate *gate,
+			    struct rr_gate_run *run, size_t index)
 {
-	int64_t typical_us = rr_sketch_quantile(&attempt->record->times, 0.5);
+	GList *next;
 
-	return MAX(LINGER_US, LINGER_FACTOR * typical_us);
-}
+	for (GList *l = run->live.head; l; l = next) {
+		struct rr_gate_attempt *attempt = l->data;
 
-void rr_fire_linger(struct rr_context *ctx, struct rr_gate *gate, uint64_t id)
-{
-	struct rr_gate_attempt *attempt =
-		g_hash_table_lookup(gate->attempts, &id);
-
-	if (!attempt || attempt->run)
-		return;
-	if (gate->now_us - attempt->sent_us >= linger_bound_us(attempt))
-		rr_track_loss(&attempt->endpoint->track, gate->now_us,
-			      RR_LOSS_SILENT);
-	withdraw(ctx, gate, attempt, "nobody-waits");
+		next = l->next;
+		if (attempt->part != index || !attempt->idempotent)
+			continue;
+		rr_track_overdue(&attempt->endpoint->track, gate->now_us,
+				 gate->now_us - attempt->sent_us,
+				 rr_typical_us(run->record, run->route));
+		withdraw(ctx, gate, attempt, "lost-to-another");
+	}
 }
 
 void rr_leave_attempts(struct rr_context *ctx, struct rr_gate *gate,
@@ -296,20 +266,18 @@
 
 	while ((link = run->live.head)) {
 		struct rr_gate_attempt *attempt = link->data;
-		int64_t until_us = attempt->sent_us + linger_bound_us(attempt);
 
-		g_queue_unlink(&run->live, link);
-		run->parts[attempt->part].n_live--;
-		attempt->run = NULL;
-		if (run->left)
-			until_us = MIN(until_us, run->left_us + LEFT_LINGER_US);
+		if (attempt->idempotent) {
+			withdraw(ctx, gate, attempt, "request-over");
+			continue;
+		}
 		/*
 		 * What may run once at most is never broken off: its end is
 		 * worth knowing, and the replica stops at its deadline.
 		 */
-		if (attempt->idempotent)
-			set_timer(gate, MAX(until_us, gate->now_us),
-				  RR_TIMER_GATE_LINGER, attempt->id);
+		g_queue_unlink(&run->live, link);
+		run->parts[attempt->part].n_live--;
+		attempt->run = NULL;
 	}
 }
 
@@ -324,7 +292,7 @@
 	switch (reply->outcome) {
 	case RR_GATE_ANSWERED:
 		if (reply->status >= 500) {
-			rr_track_seen(&endpoint->track);
+			rr_track_seen(&endpoint->track, gate->now_us);
 			rr_track_loss(&endpoint->track, gate->now_us,
 				      RR_LOSS_BROKEN);
 			return;
@@ -403,6 +371,8 @@
 
 	if (part->status != RR_PART_OPEN)
 		return;
+	if (good)
+		withdraw_losers(ctx, gate, run, index);
 	if (good && run->route->mode == RR_ROUTE_GATHER) {
 		rr_take_part(ctx, gate, run, part, reply);
 		return;
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -173,7 +173,7 @@
 		return;
 	}
 	/* Seen by its own sign of life: it is worth a try. */
-	rr_track_seen(&endpoint->track);
+	rr_track_seen(&endpoint->track, now_us);
 	if (is_new && !endpoint->draining)
 		gate->actions.open(gate->actions.data, endpoint->id,
 				   endpoint->address);
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -83,7 +83,6 @@
 	int64_t cut_us; /* leaving later misses the latency objective */
 	int64_t deadline_us; /* as the caller told it; 0: none */
 	bool left;	     /* nothing new is sent for it */
-	int64_t left_us;     /* when its caller closed */
 	struct rr_gate_part *parts;
 	size_t n_parts;
 	size_t n_in;
@@ -169,8 +168,7 @@
 bool rr_try_part(struct rr_context *ctx, struct rr_gate *gate,
 		 struct rr_gate_run *run, size_t part, const char *why);
 void rr_fire_hedge(struct rr_context *ctx, struct rr_gate *gate, uint64_t id);
-void rr_fire_linger(struct rr_context *ctx, struct rr_gate *gate, uint64_t id);
-/* The request is over: its attempts run on for a moment or are withdrawn. */
+/* The request is over, and with it its attempts. */
 void rr_leave_attempts(struct rr_context *ctx, struct rr_gate *gate,
 		       struct rr_gate_run *run);
 void rr_free_attempt(gpointer data);
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -444,7 +444,6 @@
 	if (!run || run->left)
 		return;
 	run->left = true;
-	run->left_us = now_us;
 	rr_log(ctx, RR_LOG_DECISION, "caller-left",
 	       RR_FIELD_STRING("request", run->request_id),
 	       RR_FIELD_I64("after_us", now_us - run->started_us));
@@ -464,8 +463,7 @@
 	if (!run)
 		return;
 	if (!run->left)
-		run->left_us = now_us;
-	run->left = true;
+		run->left = true;
 	rr_log(ctx, RR_LOG_DECISION, "caller-gone",
 	       RR_FIELD_STRING("request", run->request_id),
 	       RR_FIELD_I64("after_us", now_us - run->started_us));
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -110,9 +110,6 @@
 		case RR_TIMER_GATE_HEDGE:
 			rr_fire_hedge(ctx, gate, timer.id);
 			break;
-		case RR_TIMER_GATE_LINGER:
-			rr_fire_linger(ctx, gate, timer.id);
-			break;
 		case RR_TIMER_GATE_UNLISTED:
 			rr_expire_unlisted(ctx, gate, timer.id);
 			break;
--- a/source/core/timer.h
+++ b/source/core/timer.h
@@ -25,7 +25,6 @@
 	RR_TIMER_CONFIG_ASK,	  /* id: number of the ask */
 	RR_TIMER_GATE_LOOK,	  /* id: gateway request */
 	RR_TIMER_GATE_HEDGE,	  /* id: gateway attempt */
-	RR_TIMER_GATE_LINGER,	  /* id: gateway attempt */
 	RR_TIMER_GATE_UNLISTED,	  /* id: endpoint's number */
 };
 
--- a/source/core/track.c
+++ b/source/core/track.c
@@ -22,6 +22,11 @@
  */
 #define FIRST_SUSPICION_US (400 * 1000)
 #define MOST_SUSPICION_US (2 * G_USEC_PER_SEC)
+/*
+ * Silence that is no pause any more.  Attempts are given up long before that,
+ * so it is added up over those that follow each other.
+ */
+#define SILENCE_US (400 * 1000)
 /* A full replica is left alone for about one work item. */
 #define SHED_US (20 * 1000)
 
@@ -46,7 +51,7 @@
 		mix_slowness(track, now_us,
 			     (double)took_us / (double)typical_us);
 	track->loss_rate *= 1 - LOSS_WEIGHT;
-	rr_track_seen(track);
+	rr_track_seen(track, now_us);
 }
 
 void rr_track_overdue(struct rr_track *track, int64_t now_us, int64_t age_us,
@@ -76,14 +81,40 @@
 	track->suspected_until_us = now_us + MIN(wait_us, MOST_SUSPICION_US);
 }
 
+void rr_track_open(struct rr_track *track, int64_t now_us)
+{
+	track->open_since_us = now_us;
+}
+
+static int64_t silent_for_us(const struct rr_track *track, int64_t now_us)
+{
+	return track->silent_us +
+	       (track->open_since_us ? now_us - track->open_since_us : 0);
+}
+
+void rr_track_closed(struct rr_track *track, int64_t now_us)
+{
+	track->silent_us = silent_for_us(track, now_us);
+	track->open_since_us = 0;
+}
+
+void rr_track_given_up(struct rr_track *track, int64_t now_us)
+{
+	if (silent_for_us(track, now_us) >= SILENCE_US)
+		rr_track_loss(track, now_us, RR_LOSS_SILENT);
+}
+
 void rr_track_shed(struct rr_track *track, int64_t now_us)
 {
 	track->shed_until_us = now_us + SHED_US;
-	rr_track_seen(track);
+	rr_track_seen(track, now_us);
 }
 
-void rr_track_seen(struct rr_track *track)
+void rr_track_seen(struct rr_track *track, int64_t now_us)
 {
+	track->silent_us = 0;
+	if (track->open_since_us)
+		track->open_since_us = now_us;
 	track->silences_in_row = 0;
 	track->suspected_until_us = 0;
 }
--- a/source/core/track.h
+++ b/source/core/track.h
@@ -17,6 +17,12 @@
 	int64_t sampled_us; /* when that was last told; 0: never */
 	/* Share of attempts without a usable answer. */
 	double loss_rate;
+	/*
+	 * How long it has been silent: time with an attempt open, since its
+	 * last sign of life.
+	 */
+	int64_t silent_us;
+	int64_t open_since_us; /* 0: no attempt is open */
 	uint32_t silences_in_row;
 	int64_t suspected_until_us;
 	int64_t shed_until_us;
@@ -36,10 +42,15 @@
 void rr_track_overdue(struct rr_track *track, int64_t now_us, int64_t age_us,
 		      int64_t typical_us);
 void rr_track_loss(struct rr_track *track, int64_t now_us, enum rr_loss loss);
+/* Its first open attempt begins, or its last one ends. */
+void rr_track_open(struct rr_track *track, int64_t now_us);
+void rr_track_closed(struct rr_track *track, int64_t now_us);
+/* An attempt was given up: was the replica silent for longer than a pause? */
+void rr_track_given_up(struct rr_track *track, int64_t now_us);
 /* It refused for want of room, with proof. */
 void rr_track_shed(struct rr_track *track, int64_t now_us);
 /* Seen anew after it seemed gone, by another sign than an answer. */
-void rr_track_seen(struct rr_track *track);
+void rr_track_seen(struct rr_track *track, int64_t now_us);
 
 /*
  * How slow it is believed to be, 1 as usual.  What was seen fades with time:
