--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -20,7 +20,7 @@
 /* Beyond what a slow store (60 times its usual 4 ms) needs. */
 #define CALL_TIMEOUT_MS 1500
 /* After news, so that a burst of changes costs one watch, not one each. */
-#define MERGE_US (120 * 1000)
+#define MERGE_US (400 * 1000)
 /* First and longest wait after a failure; drawn between half and all. */
 #define FIRST_BACKOFF_US (200 * 1000)
 #define MOST_BACKOFF_US (1500 * 1000)
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -5,7 +5,7 @@
 #include "core/gate-private.h"
 
 /* An attempt slower than this share of all is hedged while tokens last. */
-#define HEDGE_QUANTILE 0.88
+#define HEDGE_QUANTILE 0.93
 /* Until times are known: this many guessed times. */
 #define HEDGE_GUESS_FACTOR 3
 /* The price when hardly a token is left, in usual times. */
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -10,7 +10,7 @@
 #include "core/pick.h"
 
 /* What the way to another availability zone adds, there and back. */
-#define FAR_US 3000.0
+#define FAR_US 5000.0
 /*
  * Until anything was measured, a part of the latency objective: most work
  * takes a tenth of what callers are promised.
