gate: silent zones and replicas are probed by connections; cut off is not ready

Change: a zone whose replicas all fall silent is suspected as one; probes are bare connections; an instance that hears no other zone and cannot serve a route without them says that it is not ready.

--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -109,6 +109,11 @@
 	void (*answer)(void *data, const struct rr_gate_answer *answer);
 	/* Be ready to send to a replica: a connection spares the first wait. */
 	void (*open)(void *data, const char *endpoint, const char *address);
+	/*
+	 * Find out whether a replica that was silent can be reached: by a new
+	 * connection.  rr_gate_probed() tells.
+	 */
+	void (*probe)(void *data, const char *endpoint, const char *address);
 	/* A replica takes no new work: connections that are idle may go. */
 	void (*forget)(void *data, const char *endpoint);
 	void *data;
@@ -171,13 +176,21 @@
 void rr_gate_reply(struct rr_context *ctx, struct rr_gate *gate, int64_t now_us,
 		   const struct rr_gate_reply *reply);
 
+/* The outcome of a probe. */
+void rr_gate_probed(struct rr_context *ctx, struct rr_gate *gate,
+		    int64_t now_us, const char *endpoint, bool reached);
+
 void rr_gate_tick(struct rr_context *ctx, struct rr_gate *gate, int64_t now_us);
 /* When rr_gate_tick() is due; INT64_MAX for never. */
 int64_t rr_gate_wake_us(const struct rr_gate *gate);
 
 /* Requests that have no answer yet. */
 size_t rr_gate_open_requests(const struct rr_gate *gate);
-/* Whether routes and a replica of each service they name are known. */
+/*
+ * Whether callers are served well here: routes and replicas are known, and
+ * this zone is not cut off from the others so that requests fail which
+ * elsewhere would not.  Those that come all the same get what can be had.
+ */
 bool rr_gate_serves(const struct rr_gate *gate, const char **reason);
 /* Connections this instance may have to a replica. */
 uint32_t rr_gate_connection_share(const struct rr_gate *gate,
--- a/source/core/core.c
+++ b/source/core/core.c
@@ -326,6 +326,8 @@
 		return;
 	case RR_TIMER_GATE_LOOK:
 	case RR_TIMER_GATE_HEDGE:
+	case RR_TIMER_GATE_PROBE:
+	case RR_TIMER_GATE_ZONE:
 	case RR_TIMER_GATE_UNLISTED:
 		rr_invariant("own-timers", false);
 		return;
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -39,8 +39,13 @@
  * of ten seconds, and entries lapse when the store is away.
  */
 #define SHRINK_US (12 * G_USEC_PER_SEC)
-/* Instances that start together have all entered by then. */
-#define FIRST_COUNT_US (3 * G_USEC_PER_SEC)
+/*
+ * Instances that start together have all entered by then.  Where so many
+ * entries stand already, it is a restart among others, and they count at
+ * once.
+ */
+#define FIRST_COUNT_US (2 * G_USEC_PER_SEC)
+#define STANDING_ENTRIES 3
 
 /* One of the two things that calls go on for. */
 struct line {
@@ -229,9 +234,11 @@
 {
 	uint32_t count;
 
-	if (!feed->has_read || feed->now_us < feed->count_from_us)
+	if (!feed->has_read)
 		return;
 	count = count_instances(feed);
+	if (feed->now_us < feed->count_from_us && count < STANDING_ENTRIES)
+		return;
 	if (count >= feed->told) {
 		if (count > feed->told)
 			tell_count(feed, count);
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -26,8 +26,7 @@
 {
 	g_hash_table_steal(gate->attempts, &attempt->id);
 	g_queue_unlink(&attempt->endpoint->live, &attempt->endpoint_link);
-	if (!attempt->endpoint->live.length)
-		rr_track_closed(&attempt->endpoint->track, gate->now_us);
+	rr_note_ended(gate, attempt->endpoint);
 	if (!attempt->run)
 		return;
 	g_queue_unlink(&attempt->run->live, &attempt->run_link);
@@ -43,9 +42,9 @@
 	       RR_FIELD_I64("age_us", gate->now_us - attempt->sent_us),
 	       RR_FIELD_STRING("reason", reason));
 	rr_count(ctx, RR_N_WITHDRAWN, 1);
-	rr_track_given_up(&attempt->endpoint->track, gate->now_us);
 	gate->actions.withdraw(gate->actions.data, attempt->id);
 	end_attempt(gate, attempt);
+	rr_note_given_up(ctx, gate, attempt->endpoint);
 	rr_free_attempt(attempt);
 }
 
@@ -92,8 +91,7 @@
 	attempt->endpoint_link.data = attempt;
 	attempt->run_link.data = attempt;
 	g_hash_table_insert(gate->attempts, &attempt->id, attempt);
-	if (!endpoint->live.length)
-		rr_track_open(&endpoint->track, gate->now_us);
+	rr_note_begun(gate, endpoint);
 	g_queue_push_tail_link(&endpoint->live, &attempt->endpoint_link);
 	g_queue_push_tail_link(&run->live, &attempt->run_link);
 	part->tried[part->n_tried++] = endpoint->number;
@@ -102,7 +100,6 @@
 	part->n_live++;
 	part->last_sent_us = gate->now_us;
 	run->n_run++;
-	rr_track_probe(&endpoint->track, gate->now_us);
 	rr_count(ctx, RR_N_ATTEMPTS, 1);
 	rr_log(ctx, RR_LOG_DECISION, "sent",
 	       RR_FIELD_STRING("request", run->request_id),
@@ -292,17 +289,18 @@
 	switch (reply->outcome) {
 	case RR_GATE_ANSWERED:
 		if (reply->status >= 500) {
-			rr_track_seen(&endpoint->track, gate->now_us);
-			rr_track_loss(&endpoint->track, gate->now_us,
-				      RR_LOSS_BROKEN);
+			rr_note_alive(ctx, gate, endpoint);
+			rr_note_loss(ctx, gate, endpoint, RR_LOSS_BROKEN);
 			return;
 		}
+		rr_note_alive(ctx, gate, endpoint);
 		rr_track_answer(
 			&endpoint->track, gate->now_us, took_us,
 			rr_sketch_quantile(&attempt->record->times, 0.5));
 		rr_add_time(&attempt->record->times, took_us);
 		return;
 	case RR_GATE_REFUSED:
+		rr_note_alive(ctx, gate, endpoint);
 		if (reply->other_instance)
 			rr_retire_endpoint(ctx, gate, endpoint,
 					   "other-instance");
@@ -312,11 +310,11 @@
 	case RR_GATE_UNSENT:
 	case RR_GATE_BROKEN:
 	case RR_GATE_SILENT:
-		rr_track_loss(&endpoint->track, gate->now_us,
-			      reply->unreachable ||
-					      reply->outcome == RR_GATE_SILENT ?
-				      RR_LOSS_SILENT :
-				      RR_LOSS_BROKEN);
+		rr_note_loss(ctx, gate, endpoint,
+			     reply->unreachable ||
+					     reply->outcome == RR_GATE_SILENT ?
+				     RR_LOSS_SILENT :
+				     RR_LOSS_BROKEN);
 		return;
 	}
 }
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -61,19 +61,20 @@
 	return false;
 }
 
-/* Whether it may be sent new work at all. */
-static bool takes_work(const struct rr_gate *gate,
-		       const struct rr_endpoint *endpoint)
+bool rr_takes_work(const struct rr_gate *gate,
+		   const struct rr_endpoint *endpoint)
 {
 	return !endpoint->draining &&
-	       !rr_is_suspected(&endpoint->track, gate->now_us);
+	       !rr_is_suspected(&endpoint->track, gate->now_us) &&
+	       !rr_is_suspected(&endpoint->zone->track, gate->now_us);
 }
 
 bool rr_service_reachable(const struct rr_gate *gate,
 			  const struct rr_gate_service *service)
 {
 	for (guint i = 0; i < service->endpoints->len; i++) {
-		if (takes_work(gate, g_ptr_array_index(service->endpoints, i)))
+		if (rr_takes_work(gate,
+				  g_ptr_array_index(service->endpoints, i)))
 			return true;
 	}
 	return false;
@@ -113,7 +114,7 @@
 	wait_us *= 1 + LOSS_PRICE * endpoint->track.loss_rate;
 	if (endpoint->cold_until_us > gate->now_us)
 		wait_us *= COLD_FACTOR;
-	if (!endpoint->near)
+	if (!endpoint->zone->near)
 		wait_us += FAR_US;
 	return wait_us;
 }
@@ -164,7 +165,7 @@
 			g_ptr_array_index(service->endpoints, i);
 		enum tier tier;
 
-		if (!takes_work(gate, endpoint) || was_tried(part, endpoint))
+		if (!rr_takes_work(gate, endpoint) || was_tried(part, endpoint))
 			continue;
 		if (endpoint->live.length >= room) {
 			full = true;
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -113,7 +113,7 @@
 	endpoint->number = ++gate->next_id;
 	endpoint->id = g_strdup(listing->id);
 	endpoint->address = g_strdup(listing->address);
-	endpoint->near = !g_strcmp0(listing->zone, gate->zone);
+	endpoint->zone = rr_gate_zone_of(gate, listing->zone);
 	endpoint->service = rr_gate_service_of(gate, listing->service);
 	rr_init_track(&endpoint->track);
 	g_queue_init(&endpoint->live);
@@ -173,7 +173,7 @@
 		return;
 	}
 	/* Seen by its own sign of life: it is worth a try. */
-	rr_track_seen(&endpoint->track, now_us);
+	rr_note_alive(ctx, gate, endpoint);
 	if (is_new && !endpoint->draining)
 		gate->actions.open(gate->actions.data, endpoint->id,
 				   endpoint->address);
@@ -235,6 +235,10 @@
 		*reason = "no-endpoints";
 		return false;
 	}
+	if (gate->isolated) {
+		*reason = "cut-off";
+		return false;
+	}
 	for (size_t i = 0; i < rr_count_routes(gate->table); i++) {
 		const struct rr_route *route = rr_route_at(gate->table, i);
 
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -18,6 +18,21 @@
 struct rr_gate_service;
 struct rr_gate_attempt;
 
+/*
+ * An availability zone as its replicas are seen from here.  Replicas fail one
+ * by one, but a cut silences all of a zone at once: that shows in a fraction
+ * of the time that each of them would need.
+ */
+struct rr_gate_zone {
+	uint64_t number; /* names it in timers */
+	char *name;
+	bool near; /* this instance's own */
+	struct rr_track track;
+	uint32_t n_live;     /* attempts under way there */
+	uint32_t unanswered; /* given up since the last sign of life */
+	bool silent;	     /* suspected; told to the log */
+};
+
 /* One lifetime of a replica. */
 struct rr_endpoint {
 	int refs;
@@ -25,7 +40,8 @@
 	char *id;
 	char *address;
 	struct rr_gate_service *service;
-	bool near;     /* in this instance's availability zone */
+	struct rr_gate_zone *zone;
+	bool probing;  /* a probe is due or under way */
 	bool listed;   /* in the list of replicas */
 	bool draining; /* or replaced: takes no new work, for good */
 	int64_t unlisted_us;
@@ -124,6 +140,8 @@
 	struct rr_timers *timers;
 	uint64_t next_id;
 	GHashTable *services;  /* name -> struct rr_gate_service */
+	GPtrArray *zones;      /* struct rr_gate_zone */
+	bool isolated;	       /* cut off from the other zones, see gate-zone.c */
 	GHashTable *endpoints; /* id -> struct rr_endpoint, listed or of late */
 	GHashTable *records;   /* route's name -> struct rr_route_record */
 	GHashTable *runs;      /* id -> struct rr_gate_run */
@@ -142,6 +160,27 @@
 void rr_expire_unlisted(struct rr_context *ctx, struct rr_gate *gate,
 			uint64_t number);
 
+/* gate-zone.c */
+struct rr_gate_zone *rr_gate_zone_of(struct rr_gate *gate, const char *name);
+void rr_free_gate_zone(gpointer data);
+/* An attempt to a replica begins, ends, or was given up unanswered. */
+void rr_note_begun(struct rr_gate *gate, struct rr_endpoint *endpoint);
+void rr_note_ended(struct rr_gate *gate, struct rr_endpoint *endpoint);
+void rr_note_given_up(struct rr_context *ctx, struct rr_gate *gate,
+		      struct rr_endpoint *endpoint);
+/* The replica gave any sign of life. */
+void rr_note_alive(struct rr_context *ctx, struct rr_gate *gate,
+		   struct rr_endpoint *endpoint);
+/* An attempt was lost; a silent replica is probed from then on. */
+void rr_note_loss(struct rr_context *ctx, struct rr_gate *gate,
+		  struct rr_endpoint *endpoint, enum rr_loss loss);
+void rr_fire_probe(struct rr_context *ctx, struct rr_gate *gate,
+		   uint64_t number);
+void rr_fire_zone_probe(struct rr_context *ctx, struct rr_gate *gate,
+			uint64_t number);
+/* Look anew at whether this instance is cut off. */
+void rr_judge_isolation(struct rr_context *ctx, struct rr_gate *gate);
+
 /* gate-choose.c */
 enum rr_choice {
 	RR_CHOSEN,
@@ -154,7 +193,10 @@
 				  const struct rr_gate_run *run,
 				  const struct rr_gate_part *part,
 				  struct rr_endpoint **chosen);
-/* Whether a part's service has a replica that answers. */
+/* Whether it may be sent new work at all. */
+bool rr_takes_work(const struct rr_gate *gate,
+		   const struct rr_endpoint *endpoint);
+/* Whether a service has a replica that answers. */
 bool rr_service_reachable(const struct rr_gate *gate,
 			  const struct rr_gate_service *service);
 int64_t rr_typical_us(const struct rr_route_record *record,
--- /dev/null
+++ b/source/core/gate-zone.c
@@ -0,0 +1,317 @@
+/*
+ * gate-zone.c - replicas and availability zones that have fallen silent.
+ *
+ * What is silent is left alone and probed by new connections, so that no
+ * request has to find out; an instance that hears nothing from any other
+ * zone, and cannot serve without them, says that it is not ready: callers
+ * who can reach another zone are better off there.
+ */
+#include "core/gate-private.h"
+
+#include <string.h>
+
+/*
+ * Silence that is no pause any more (those of today last up to 250 ms).
+ * Attempts are given up long before, so it is added up over those that
+ * follow each other.
+ */
+#define SILENCE_US (400 * 1000)
+/*
+ * A zone's replicas do not pause together: many attempts without any answer
+ * for shorter than that show a cut.
+ */
+#define ZONE_SILENCE_US (250 * 1000)
+#define ZONE_UNANSWERED 6
+/* Between probes; each costs a packet where nobody is there. */
+#define PROBE_US (300 * 1000)
+
+struct rr_gate_zone *rr_gate_zone_of(struct rr_gate *gate, const char *name)
+{
+	struct rr_gate_zone *zone;
+
+	for (guint i = 0; i < gate->zones->len; i++) {
+		zone = g_ptr_array_index(gate->zones, i);
+		if (!strcmp(zone->name, name))
+			return zone;
+	}
+	zone = g_new0(struct rr_gate_zone, 1);
+	zone->number = ++gate->next_id;
+	zone->name = g_strdup(name);
+	zone->near = !g_strcmp0(name, gate->zone);
+	rr_init_track(&zone->track);
+	g_ptr_array_add(gate->zones, zone);
+	return zone;
+}
+
+void rr_free_gate_zone(gpointer data)
+{
+	struct rr_gate_zone *zone = data;
+
+	g_free(zone->name);
+	g_free(zone);
+}
+
+void rr_note_begun(struct rr_gate *gate, struct rr_endpoint *endpoint)
+{
+	if (!endpoint->live.length)
+		rr_track_open(&endpoint->track, gate->now_us);
+	if (!endpoint->zone->n_live++)
+		rr_track_open(&endpoint->zone->track, gate->now_us);
+}
+
+void rr_note_ended(struct rr_gate *gate, struct rr_endpoint *endpoint)
+{
+	if (!endpoint->live.length)
+		rr_track_closed(&endpoint->track, gate->now_us);
+	if (!--endpoint->zone->n_live)
+		rr_track_closed(&endpoint->zone->track, gate->now_us);
+}
+
+static void set_probe(struct rr_gate *gate, struct rr_endpoint *endpoint)
+{
+	if (endpoint->probing)
+		return;
+	endpoint->probing = true;
+	rr_set_timer(gate->timers, gate->now_us + PROBE_US, RR_TIMER_GATE_PROBE,
+		     endpoint->number, 0);
+}
+
+static void silence_zone(struct rr_context *ctx, struct rr_gate *gate,
+			 struct rr_gate_zone *zone)
+{
+	rr_track_loss(&zone->track, gate->now_us, RR_LOSS_SILENT);
+	if (zone->silent)
+		return;
+	zone->silent = true;
+	rr_log(ctx, RR_LOG_WARNING, "zone-silent",
+	       RR_FIELD_STRING("zone", zone->name),
+	       RR_FIELD_U64("unanswered", zone->unanswered),
+	       RR_FIELD_I64("silent_us", rr_track_silent_us(&zone->track,
+							    gate->now_us)));
+	rr_set_timer(gate->timers, gate->now_us + PROBE_US, RR_TIMER_GATE_ZONE,
+		     zone->number, 0);
+	rr_judge_isolation(ctx, gate);
+}
+
+static void judge_zone(struct rr_context *ctx, struct rr_gate *gate,
+		       struct rr_gate_zone *zone)
+{
+	zone->unanswered++;
+	if (zone->unanswered >= ZONE_UNANSWERED &&
+	    rr_track_silent_us(&zone->track, gate->now_us) >= ZONE_SILENCE_US)
+		silence_zone(ctx, gate, zone);
+}
+
+static void suspect(struct rr_context *ctx, struct rr_gate *gate,
+		    struct rr_endpoint *endpoint, const char *reason)
+{
+	bool already = rr_is_suspected(&endpoint->track, gate->now_us);
+
+	rr_track_loss(&endpoint->track, gate->now_us, RR_LOSS_SILENT);
+	if (already)
+		return;
+	rr_log(ctx, RR_LOG_INFO, "endpoint-suspected",
+	       RR_FIELD_STRING("endpoint", endpoint->id),
+	       RR_FIELD_STRING("service", endpoint->service->name),
+	       RR_FIELD_STRING("reason", reason),
+	       RR_FIELD_I64("for_us", endpoint->track.suspected_until_us -
+					      gate->now_us));
+	set_probe(gate, endpoint);
+}
+
+void rr_note_given_up(struct rr_context *ctx, struct rr_gate *gate,
+		      struct rr_endpoint *endpoint)
+{
+	if (rr_track_silent_us(&endpoint->track, gate->now_us) >= SILENCE_US)
+		suspect(ctx, gate, endpoint, "silent");
+	judge_zone(ctx, gate, endpoint->zone);
+}
+
+void rr_note_loss(struct rr_context *ctx, struct rr_gate *gate,
+		  struct rr_endpoint *endpoint, enum rr_loss loss)
+{
+	if (loss == RR_LOSS_BROKEN) {
+		rr_track_loss(&endpoint->track, gate->now_us, loss);
+		return;
+	}
+	suspect(ctx, gate, endpoint, "unreachable");
+	judge_zone(ctx, gate, endpoint->zone);
+}
+
+static void zone_alive(struct rr_context *ctx, struct rr_gate *gate,
+		       struct rr_gate_zone *zone)
+{
+	rr_track_seen(&zone->track, gate->now_us);
+	zone->unanswered = 0;
+	if (!zone->silent)
+		return;
+	zone->silent = false;
+	rr_log(ctx, RR_LOG_WARNING, "zone-heard",
+	       RR_FIELD_STRING("zone", zone->name));
+	rr_judge_isolation(ctx, gate);
+}
+
+void rr_note_alive(struct rr_context *ctx, struct rr_gate *gate,
+		   struct rr_endpoint *endpoint)
+{
+	rr_track_seen(&endpoint->track, gate->now_us);
+	zone_alive(ctx, gate, endpoint->zone);
+}
+
+static struct rr_endpoint *find_endpoint(const struct rr_gate *gate,
+					 uint64_t number)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gate->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (((struct rr_endpoint *)value)->number == number)
+			return value;
+	}
+	return NULL;
+}
+
+void rr_fire_probe(struct rr_context *ctx, struct rr_gate *gate,
+		   uint64_t number)
+{
+	struct rr_endpoint *endpoint = find_endpoint(gate, number);
+
+	if (!endpoint)
+		return;
+	endpoint->probing = false;
+	if (endpoint->draining || !endpoint->track.silences_in_row)
+		return;
+	/* A silent zone is probed as one. */
+	if (endpoint->zone->silent) {
+		set_probe(gate, endpoint);
+		return;
+	}
+	endpoint->probing = true;
+	gate->actions.probe(gate->actions.data, endpoint->id,
+			    endpoint->address);
+}
+
+/* Any replica of a zone, drawn at random. */
+static struct rr_endpoint *draw_of_zone(struct rr_context *ctx,
+					const struct rr_gate *gate,
+					const struct rr_gate_zone *zone)
+{
+	struct rr_endpoint *drawn = NULL;
+	uint32_t seen = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gate->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct rr_endpoint *endpoint = value;
+
+		if (endpoint->zone != zone || endpoint->draining)
+			continue;
+		if (!rr_random_below(ctx, ++seen))
+			drawn = endpoint;
+	}
+	return drawn;
+}
+
+void rr_fire_zone_probe(struct rr_context *ctx, struct rr_gate *gate,
+			uint64_t number)
+{
+	struct rr_gate_zone *zone = NULL;
+	struct rr_endpoint *endpoint;
+
+	for (guint i = 0; i < gate->zones->len; i++) {
+		struct rr_gate_zone *each = g_ptr_array_index(gate->zones, i);
+
+		if (each->number == number)
+			zone = each;
+	}
+	if (!zone || !zone->silent)
+		return;
+	/* Left alone until it is heard: the probes find out. */
+	rr_track_loss(&zone->track, gate->now_us, RR_LOSS_SILENT);
+	endpoint = draw_of_zone(ctx, gate, zone);
+	if (endpoint)
+		gate->actions.probe(gate->actions.data, endpoint->id,
+				    endpoint->address);
+	rr_set_timer(gate->timers, gate->now_us + PROBE_US, RR_TIMER_GATE_ZONE,
+		     number, 0);
+}
+
+void rr_gate_probed(struct rr_context *ctx, struct rr_gate *gate,
+		    int64_t now_us, const char *id, bool reached)
+{
+	struct rr_endpoint *endpoint = g_hash_table_lookup(gate->endpoints, id);
+
+	gate->now_us = now_us;
+	if (!endpoint)
+		return;
+	endpoint->probing = false;
+	if (reached) {
+		rr_track_reached(&endpoint->track);
+		zone_alive(ctx, gate, endpoint->zone);
+		rr_pump_service(ctx, gate, endpoint->service);
+		return;
+	}
+	if (endpoint->track.silences_in_row && !endpoint->draining) {
+		rr_track_loss(&endpoint->track, now_us, RR_LOSS_SILENT);
+		set_probe(gate, endpoint);
+	}
+}
+
+/* Whether the replicas that can be reached are enough for a route. */
+static bool can_serve(const struct rr_gate *gate, const struct rr_route *route)
+{
+	size_t least = route->mode == RR_ROUTE_GATHER ?
+			       rr_least_parts(route->n_parts,
+					      route->least_share) :
+			       1;
+	size_t reachable = 0;
+
+	for (size_t i = 0; i < route->n_parts; i++) {
+		const struct rr_gate_service *service = g_hash_table_lookup(
+			gate->services, route->parts[i].service);
+
+		if (service && rr_service_reachable(gate, service))
+			reachable++;
+	}
+	return reachable >= least;
+}
+
+static bool hears_no_other_zone(const struct rr_gate *gate)
+{
+	bool any = false;
+
+	for (guint i = 0; i < gate->zones->len; i++) {
+		const struct rr_gate_zone *zone =
+			g_ptr_array_index(gate->zones, i);
+
+		if (zone->near)
+			continue;
+		if (!zone->silent)
+			return false;
+		any = true;
+	}
+	return any;
+}
+
+static bool lacks_a_route(const struct rr_gate *gate)
+{
+	for (size_t i = 0; gate->table && i < rr_count_routes(gate->table);
+	     i++) {
+		if (!can_serve(gate, rr_route_at(gate->table, i)))
+			return true;
+	}
+	return false;
+}
+
+void rr_judge_isolation(struct rr_context *ctx, struct rr_gate *gate)
+{
+	bool isolated = hears_no_other_zone(gate) && lacks_a_route(gate);
+
+	if (isolated == gate->isolated)
+		return;
+	gate->isolated = isolated;
+	rr_log(ctx, RR_LOG_WARNING, isolated ? "cut-off" : "not-cut-off",
+	       RR_FIELD_U64("zones", gate->zones->len));
+}
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -33,6 +33,7 @@
 	gate->extra_slack = options->extra_slack;
 	gate->instances = ASSUMED_INSTANCES;
 	gate->timers = rr_new_timers();
+	gate->zones = g_ptr_array_new_with_free_func(rr_free_gate_zone);
 	gate->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       rr_free_gate_service);
 	gate->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -54,6 +55,7 @@
 	g_hash_table_unref(gate->runs);
 	g_hash_table_unref(gate->endpoints);
 	g_hash_table_unref(gate->services);
+	g_ptr_array_unref(gate->zones);
 	g_hash_table_unref(gate->records);
 	rr_drop_route_table(gate->table);
 	rr_drop_timers(gate->timers);
@@ -76,6 +78,7 @@
 	}
 	rr_drop_route_table(gate->table);
 	gate->table = rr_keep_route_table(table);
+	rr_judge_isolation(ctx, gate);
 	rr_count(ctx, RR_N_CONFIG_CHANGES, 1);
 	rr_set_gauge(ctx, RR_G_CONFIG_REVISION, new);
 	rr_log(ctx, RR_LOG_INFO, "routes-in-force",
@@ -110,6 +113,12 @@
 		case RR_TIMER_GATE_HEDGE:
 			rr_fire_hedge(ctx, gate, timer.id);
 			break;
+		case RR_TIMER_GATE_PROBE:
+			rr_fire_probe(ctx, gate, timer.id);
+			break;
+		case RR_TIMER_GATE_ZONE:
+			rr_fire_zone_probe(ctx, gate, timer.id);
+			break;
 		case RR_TIMER_GATE_UNLISTED:
 			rr_expire_unlisted(ctx, gate, timer.id);
 			break;
--- a/source/core/timer.h
+++ b/source/core/timer.h
@@ -25,6 +25,8 @@
 	RR_TIMER_CONFIG_ASK,	  /* id: number of the ask */
 	RR_TIMER_GATE_LOOK,	  /* id: gateway request */
 	RR_TIMER_GATE_HEDGE,	  /* id: gateway attempt */
+	RR_TIMER_GATE_PROBE,	  /* id: endpoint's number */
+	RR_TIMER_GATE_ZONE,	  /* id: zone's number */
 	RR_TIMER_GATE_UNLISTED,	  /* id: endpoint's number */
 };
 
--- a/source/core/track.c
+++ b/source/core/track.c
@@ -17,16 +17,11 @@
 /* What was seen is worth half after this: twice a replica's usual pause. */
 #define FADE_HALF_US (2 * G_USEC_PER_SEC)
 /*
- * How long a silent replica is left alone: first a little more than a pause,
- * then doubling, so that one that is back is found within two seconds.
+ * How long a silent replica is left alone, unless a probe reaches it before:
+ * first a little more than a pause, then doubling.
  */
 #define FIRST_SUSPICION_US (400 * 1000)
-#define MOST_SUSPICION_US (2 * G_USEC_PER_SEC)
-/*
- * Silence that is no pause any more.  Attempts are given up long before that,
- * so it is added up over those that follow each other.
- */
-#define SILENCE_US (400 * 1000)
+#define MOST_SUSPICION_US (3 * G_USEC_PER_SEC)
 /* A full replica is left alone for about one work item. */
 #define SHED_US (20 * 1000)
 
@@ -86,7 +81,7 @@
 	track->open_since_us = now_us;
 }
 
-static int64_t silent_for_us(const struct rr_track *track, int64_t now_us)
+int64_t rr_track_silent_us(const struct rr_track *track, int64_t now_us)
 {
 	return track->silent_us +
 	       (track->open_since_us ? now_us - track->open_since_us : 0);
@@ -94,16 +89,10 @@
 
 void rr_track_closed(struct rr_track *track, int64_t now_us)
 {
-	track->silent_us = silent_for_us(track, now_us);
+	track->silent_us = rr_track_silent_us(track, now_us);
 	track->open_since_us = 0;
 }
 
-void rr_track_given_up(struct rr_track *track, int64_t now_us)
-{
-	if (silent_for_us(track, now_us) >= SILENCE_US)
-		rr_track_loss(track, now_us, RR_LOSS_SILENT);
-}
-
 void rr_track_shed(struct rr_track *track, int64_t now_us)
 {
 	track->shed_until_us = now_us + SHED_US;
@@ -133,8 +122,8 @@
 	return track->suspected_until_us > now_us;
 }
 
-void rr_track_probe(struct rr_track *track, int64_t now_us)
+void rr_track_reached(struct rr_track *track)
 {
-	if (track->silences_in_row)
-		track->suspected_until_us = now_us + FIRST_SUSPICION_US;
+	track->suspected_until_us = 0;
+	track->silent_us = 0;
 }
--- a/source/core/track.h
+++ b/source/core/track.h
@@ -45,8 +45,8 @@
 /* Its first open attempt begins, or its last one ends. */
 void rr_track_open(struct rr_track *track, int64_t now_us);
 void rr_track_closed(struct rr_track *track, int64_t now_us);
-/* An attempt was given up: was the replica silent for longer than a pause? */
-void rr_track_given_up(struct rr_track *track, int64_t now_us);
+/* How long it has been silent with an attempt open. */
+int64_t rr_track_silent_us(const struct rr_track *track, int64_t now_us);
 /* It refused for want of room, with proof. */
 void rr_track_shed(struct rr_track *track, int64_t now_us);
 /* Seen anew after it seemed gone, by another sign than an answer. */
@@ -60,9 +60,9 @@
 /* Whether it seems gone: nothing is expected of it until it is tried anew. */
 bool rr_is_suspected(const struct rr_track *track, int64_t now_us);
 /*
- * It is about to be tried though it seemed gone: one attempt at a time, until
- * that is answered.
+ * It was reached by a probe: it may be tried again.  Suspected once more
+ * before it answers, it is left alone for longer.
  */
-void rr_track_probe(struct rr_track *track, int64_t now_us);
+void rr_track_reached(struct rr_track *track);
 
 #endif
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -317,6 +317,14 @@
 	rr_open_replica(gateway->replicas, now_us(), endpoint, address);
 }
 
+static void probe_endpoint(void *data, const char *endpoint,
+			   const char *address)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_probe_replica(gateway->replicas, now_us(), endpoint, address);
+}
+
 static void forget_endpoint(void *data, const char *endpoint)
 {
 	struct rr_gateway *gateway = data;
@@ -451,6 +459,15 @@
 	settle(gateway);
 }
 
+static void take_probe(void *data, const char *endpoint, bool reached)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_gate_probed(gateway->ctx, gateway->gate, now_us(), endpoint,
+		       reached);
+	settle(gateway);
+}
+
 /* The store. */
 
 static void make_call(void *data, const struct rr_feed_call *call)
@@ -580,6 +597,7 @@
 			.withdraw = withdraw_attempt,
 			.answer = give_answer,
 			.open = open_endpoint,
+			.probe = probe_endpoint,
 			.forget = forget_endpoint,
 			.data = gateway,
 		},
@@ -608,6 +626,7 @@
 		.seal = gateway->names->seal,
 		.not_run = gateway->names->not_run,
 		.replied = take_reply,
+		.probed = take_probe,
 		.data = gateway,
 	};
 	struct rr_replica_port_options store = {
--- a/source/net/replica-port.c
+++ b/source/net/replica-port.c
@@ -57,6 +57,7 @@
 	int64_t give_up_us;
 	bool idempotent;
 	bool no_body;
+	bool probe;  /* its connecting is waited for */
 	bool soiled; /* not to be used again after this answer */
 	uint32_t n_foreign;
 	char *request_id;
@@ -66,9 +67,8 @@
 
 /* A reply given from inside a send: it is handed out at the next tick. */
 struct owed {
-	uint64_t attempt;
-	enum rr_gate_outcome outcome;
-	bool unreachable;
+	uint64_t attempt; /* 0: a probe that failed */
+	char *endpoint;
 };
 
 struct rr_replica_port {
@@ -78,6 +78,7 @@
 	char *seal;
 	char *not_run;
 	void (*replied)(void *data, const struct rr_gate_reply *reply);
+	void (*probed)(void *data, const char *endpoint, bool reached);
 	void *data;
 	int64_t now_us;
 	GHashTable *replicas; /* endpoint -> struct replica */
@@ -86,6 +87,14 @@
 	GQueue owed;	      /* struct owed */
 };
 
+static void free_owed(gpointer data)
+{
+	struct owed *owed = data;
+
+	g_free(owed->endpoint);
+	g_free(owed);
+}
+
 static void free_replica(gpointer data)
 {
 	struct replica *replica = data;
@@ -107,6 +116,7 @@
 	port->seal = g_strdup(options->seal);
 	port->not_run = g_strdup(options->not_run);
 	port->replied = options->replied;
+	port->probed = options->probed;
 	port->data = options->data;
 	port->replicas = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       free_replica);
@@ -160,7 +170,7 @@
 		while (replica->idle.head)
 			free_conn(replica->idle.head->data);
 	}
-	g_queue_clear_full(&port->owed, g_free);
+	g_queue_clear_full(&port->owed, free_owed);
 	g_hash_table_unref(port->attempts);
 	g_hash_table_unref(port->replicas);
 	g_free(port->request_id);
@@ -194,16 +204,28 @@
 		.unreachable = conn->state == CONN_CONNECTING,
 	};
 
+	char *probed = conn->probe ? g_strdup(conn->replica->endpoint) : NULL;
+
 	if (conn->attempt)
 		rr_log(port->ctx, RR_LOG_DECISION, "connection-broken",
 		       RR_FIELD_U64("attempt", conn->attempt),
 		       RR_FIELD_STRING("endpoint", conn->replica->endpoint),
 		       RR_FIELD_STRING("reason", reason));
 	free_conn(conn);
+	if (probed)
+		port->probed(port->data, probed, false);
+	g_free(probed);
 	if (reply.attempt)
 		port->replied(port->data, &reply);
 }
 
+/* A probe's connection stands. */
+static void tell_reached(struct conn *conn)
+{
+	conn->probe = false;
+	conn->port->probed(conn->port->data, conn->replica->endpoint, true);
+}
+
 static int64_t keep_us_of(const struct rr_http_message *message)
 {
 	const char *value = rr_http_value(message, "Keep-Alive");
@@ -378,6 +400,8 @@
 
 	if (!conn->attempt) {
 		start_idle(conn, KEEP_GUESS_US);
+		if (conn->probe)
+			tell_reached(conn);
 		return;
 	}
 	start_busy(conn);
@@ -481,8 +505,14 @@
 	struct owed *owed = g_new0(struct owed, 1);
 
 	owed->attempt = attempt;
-	owed->outcome = RR_GATE_UNSENT;
-	owed->unreachable = true;
+	g_queue_push_tail(&port->owed, owed);
+}
+
+static void owe_probe(struct rr_replica_port *port, const char *endpoint)
+{
+	struct owed *owed = g_new0(struct owed, 1);
+
+	owed->endpoint = g_strdup(endpoint);
 	g_queue_push_tail(&port->owed, owed);
 }
 
@@ -555,6 +585,20 @@
 		connect_to(port, replica);
 }
 
+void rr_probe_replica(struct rr_replica_port *port, int64_t now_us,
+		      const char *endpoint, const char *address)
+{
+	struct replica *replica = replica_of(port, endpoint, address);
+	struct conn *conn;
+
+	port->now_us = now_us;
+	conn = connect_to(port, replica);
+	if (conn)
+		conn->probe = true;
+	else
+		owe_probe(port, endpoint);
+}
+
 void rr_forget_replica(struct rr_replica_port *port, const char *endpoint)
 {
 	struct replica *replica =
@@ -583,12 +627,15 @@
 	while ((owed = g_queue_pop_head(&port->owed))) {
 		struct rr_gate_reply reply = {
 			.attempt = owed->attempt,
-			.outcome = owed->outcome,
-			.unreachable = owed->unreachable,
+			.outcome = RR_GATE_UNSENT,
+			.unreachable = true,
 		};
 
-		g_free(owed);
-		port->replied(port->data, &reply);
+		if (owed->endpoint)
+			port->probed(port->data, owed->endpoint, false);
+		else
+			port->replied(port->data, &reply);
+		free_owed(owed);
 	}
 }
 
--- a/source/net/replica-port.h
+++ b/source/net/replica-port.h
@@ -29,6 +29,8 @@
 	const char *not_run;
 	/* message in the reply is a struct rr_http_message. */
 	void (*replied)(void *data, const struct rr_gate_reply *reply);
+	/* The outcome of rr_probe_replica(); NULL where none is made. */
+	void (*probed)(void *data, const char *endpoint, bool reached);
 	void *data;
 };
 
@@ -60,6 +62,12 @@
 /* Have one idle connection to a replica, unless there is any already. */
 void rr_open_replica(struct rr_replica_port *port, int64_t now_us,
 		     const char *endpoint, const char *address);
+/*
+ * Make one more connection to a replica, whatever there is; it is kept.  The
+ * outcome comes later, never from inside.
+ */
+void rr_probe_replica(struct rr_replica_port *port, int64_t now_us,
+		      const char *endpoint, const char *address);
 /* Close idle connections of a replica; those in use close when done. */
 void rr_forget_replica(struct rr_replica_port *port, const char *endpoint);
 
