gate: work waits in the instance, not at the replicas

Cause: with a zone cut, shards of which one replica is left get more work than it can do; it queued at the replica, where twelve wait, and all came late. Change: the searches' adaptive limit becomes a leaf that the gate uses too; a leaf wait-queue orders parts: those that can be in time, then by priority, oldest first until the queue is overrun, newest first from then on.

--- a/source/core/follow.c
+++ b/source/core/follow.c
@@ -107,8 +107,9 @@
 						rr_keep_replica(replica));
 			replica->shard = shard;
 			replica->owners_view = 0;
-			if (replica->limit < 1)
-				rr_start_limit(replica);
+			if (replica->limit.value < 1)
+				rr_start_limit(&replica->limit,
+					       rr_slot_share(replica));
 		}
 	}
 }
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -11,6 +11,8 @@
 /* The price when hardly a token is left, in usual times. */
 #define DEAR_FACTOR 8
 #define LEAST_HEDGE_US (2 * 1000)
+/* A refusal for want of room halves the limit, as loss does elsewhere. */
+#define SHED_SHRINK 0.5
 /* Until a hedge that could not be sent is looked at again. */
 #define HEDGE_CHECK_US (4 * 1000)
 void rr_free_attempt(gpointer data)
@@ -87,6 +89,7 @@
 	attempt->record = run->record;
 	attempt->sent_us = gate->now_us;
 	attempt->idempotent = run->route->idempotent;
+	attempt->in_flight = endpoint->live.length + 1;
 	attempt->extra = part->n_arrived > 0;
 	attempt->endpoint_link.data = attempt;
 	attempt->run_link.data = attempt;
@@ -126,18 +129,22 @@
 	gate->actions.send(gate->actions.data, &send);
 }
 
-static void wait_for_room(struct rr_gate_run *run, size_t index)
+static void wait_for_room(const struct rr_gate *gate, struct rr_gate_run *run,
+			  size_t index)
 {
 	struct rr_gate_part *part = &run->parts[index];
-	struct rr_gate_wait *wait;
+	struct rr_waiter waiter = {
+		.run = run->id,
+		.part = (uint32_t)index,
+		.priority = run->route->priority,
+		.since_us = gate->now_us,
+		.cut_us = run->cut_us,
+	};
 
 	if (part->waiting)
 		return;
-	wait = g_new0(struct rr_gate_wait, 1);
-	wait->run = run->id;
-	wait->part = index;
 	part->waiting = true;
-	g_queue_push_tail(&part->service->waiting, wait);
+	rr_push_waiter(&part->service->waiting, &waiter);
 }
 
 static bool may_try(const struct rr_gate_run *run,
@@ -166,7 +173,7 @@
 		return false;
 	choice = rr_choose_endpoint(ctx, gate, run, part, &endpoint);
 	if (choice == RR_CHOICE_FULL && !part->n_live)
-		wait_for_room(run, index);
+		wait_for_room(gate, run, index);
 	if (choice != RR_CHOSEN)
 		return false;
 	if (extra)
@@ -191,15 +198,16 @@
 void rr_pump_service(struct rr_context *ctx, struct rr_gate *gate,
 		     struct rr_gate_service *service)
 {
-	guint n = service->waiting.length;
+	struct rr_waiter waiter;
+	guint n = service->waiting.waiters->len;
 
-	while (n--) {
-		struct rr_gate_wait *wait = g_queue_pop_head(&service->waiting);
-		struct rr_gate_run *run = rr_find_run(gate, wait->run);
+	while (n-- && rr_service_has_room(gate, service) &&
+	       rr_pop_waiter(&service->waiting, gate->now_us,
+			     service->typical_us, &waiter)) {
+		struct rr_gate_run *run = rr_find_run(gate, waiter.run);
 
 		if (run)
-			end_wait(ctx, gate, run, wait->part);
-		g_free(wait);
+			end_wait(ctx, gate, run, waiter.part);
 	}
 }
 
@@ -278,6 +286,31 @@
 	}
 }
 
+/* An answer of a sound replica took so long. */
+static void take_time(struct rr_gate *gate,
+		      const struct rr_gate_attempt *attempt, int64_t took_us)
+{
+	struct rr_endpoint *endpoint = attempt->endpoint;
+	struct rr_limit_bounds bounds = rr_endpoint_bounds(gate, endpoint);
+	int64_t typical_us =
+		rr_sketch_quantile(&attempt->record->times, 0.5);
+
+	rr_track_answer(&endpoint->track, gate->now_us, took_us, typical_us);
+	rr_add_time(&attempt->record->times, took_us);
+	if (!typical_us)
+		return;
+	attempt->endpoint->service->typical_us = typical_us;
+	rr_adapt_limit(&endpoint->limit, &bounds,
+		       (double)took_us / (double)typical_us, 1,
+		       attempt->in_flight);
+}
+
+static void take_shed(struct rr_gate *gate, struct rr_endpoint *endpoint)
+{
+	rr_track_shed(&endpoint->track, gate->now_us);
+	rr_shrink_limit(&endpoint->limit, SHED_SHRINK);
+}
+
 /* What a reply tells of the replica. */
 static void track_reply(struct rr_context *ctx, struct rr_gate *gate,
 			const struct rr_gate_attempt *attempt,
@@ -294,10 +327,7 @@
 			return;
 		}
 		rr_note_alive(ctx, gate, endpoint);
-		rr_track_answer(
-			&endpoint->track, gate->now_us, took_us,
-			rr_sketch_quantile(&attempt->record->times, 0.5));
-		rr_add_time(&attempt->record->times, took_us);
+		take_time(gate, attempt, took_us);
 		return;
 	case RR_GATE_REFUSED:
 		rr_note_alive(ctx, gate, endpoint);
@@ -305,7 +335,7 @@
 			rr_retire_endpoint(ctx, gate, endpoint,
 					   "other-instance");
 		else
-			rr_track_shed(&endpoint->track, gate->now_us);
+			take_shed(gate, endpoint);
 		return;
 	case RR_GATE_UNSENT:
 	case RR_GATE_BROKEN:
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -148,6 +148,42 @@
 			 g_ptr_array_index(array, second), typical_us);
 }
 
+struct rr_limit_bounds rr_endpoint_bounds(const struct rr_gate *gate,
+					  const struct rr_endpoint *endpoint)
+{
+	uint32_t connections =
+		rr_gate_connection_share(gate, endpoint->service->name);
+	struct rr_limit_bounds bounds = {
+		.share = (endpoint->slots + gate->instances - 1) /
+			 gate->instances,
+		.highest = MIN(connections, endpoint->slots),
+	};
+
+	return bounds;
+}
+
+static bool has_room(const struct rr_gate *gate,
+		     const struct rr_endpoint *endpoint)
+{
+	struct rr_limit_bounds bounds = rr_endpoint_bounds(gate, endpoint);
+
+	return endpoint->live.length <
+	       rr_limit_now(&endpoint->limit, bounds.highest);
+}
+
+bool rr_service_has_room(const struct rr_gate *gate,
+			 const struct rr_gate_service *service)
+{
+	for (guint i = 0; i < service->endpoints->len; i++) {
+		const struct rr_endpoint *endpoint =
+			g_ptr_array_index(service->endpoints, i);
+
+		if (rr_takes_work(gate, endpoint) && has_room(gate, endpoint))
+			return true;
+	}
+	return false;
+}
+
 enum rr_choice rr_choose_endpoint(struct rr_context *ctx, struct rr_gate *gate,
 				  const struct rr_gate_run *run,
 				  const struct rr_gate_part *part,
@@ -155,7 +191,6 @@
 {
 	const struct rr_gate_service *service = part->service;
 	int64_t typical_us = rr_typical_us(run->record, run->route);
-	uint32_t room = rr_gate_connection_share(gate, service->name);
 	GPtrArray *candidates = g_ptr_array_new();
 	enum tier best = N_TIERS;
 	bool full = false;
@@ -167,7 +202,7 @@
 
 		if (!rr_takes_work(gate, endpoint) || was_tried(part, endpoint))
 			continue;
-		if (endpoint->live.length >= room) {
+		if (!has_room(gate, endpoint)) {
 			full = true;
 			continue;
 		}
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -40,7 +40,7 @@
 {
 	struct rr_gate_service *service = data;
 
-	g_queue_clear_full(&service->waiting, g_free);
+	rr_clear_wait_queue(&service->waiting);
 	g_ptr_array_unref(service->endpoints);
 	g_free(service->name);
 	g_free(service);
@@ -69,7 +69,7 @@
 	service = g_new0(struct rr_gate_service, 1);
 	service->name = g_strdup(name);
 	service->endpoints = g_ptr_array_new();
-	g_queue_init(&service->waiting);
+	rr_init_wait_queue(&service->waiting);
 	set_extras(gate, service);
 	g_hash_table_insert(gate->services, service->name, service);
 	return service;
@@ -159,6 +159,9 @@
 	}
 	endpoint->listed = true;
 	endpoint->slots = MAX(listing->slots, 1);
+	if (is_new)
+		rr_start_limit(&endpoint->limit,
+			       rr_endpoint_bounds(gate, endpoint).share);
 	endpoint->cold_until_us = now_us + (int64_t)listing->cold_ms * 1000;
 	if (is_new)
 		rr_log(ctx, RR_LOG_INFO, "endpoint-listed",
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -7,8 +7,10 @@
 #include <glib.h>
 
 #include "core/budget.h"
+#include "core/limit.h"
 #include "core/timer.h"
 #include "core/track.h"
+#include "core/wait-queue.h"
 #include "ragwort/counters.h"
 #include "ragwort/gate.h"
 #include "ragwort/gather.h"
@@ -48,6 +50,7 @@
 	int64_t cold_until_us;
 	uint32_t slots;
 	struct rr_track track;
+	struct rr_limit limit; /* of open attempts, in usual times */
 	GQueue live; /* struct rr_gate_attempt, the oldest first */
 };
 
@@ -56,7 +59,8 @@
 	char *name;
 	GPtrArray *endpoints; /* struct rr_endpoint, not referenced */
 	struct rr_budget extras;
-	GQueue waiting; /* struct rr_gate_wait: parts that found no room */
+	int64_t typical_us; /* of its last attempt's kind of work */
+	struct rr_wait_queue waiting; /* parts that found no room */
 };
 
 /* What lasts of a route through the versions that name it. */
@@ -117,18 +121,13 @@
 	struct rr_endpoint *endpoint; /* referenced */
 	struct rr_route_record *record;
 	int64_t sent_us;
+	uint32_t in_flight; /* at its replica when it was sent, with it */
 	bool idempotent;
 	bool extra;
 	GList endpoint_link; /* in the endpoint's live ones */
 	GList run_link;	     /* in the request's */
 };
 
-/* A part that waits for room at a replica of its service. */
-struct rr_gate_wait {
-	uint64_t run;
-	size_t part;
-};
-
 struct rr_gate {
 	int64_t now_us;
 	char *zone;
@@ -188,6 +187,9 @@
 	RR_CHOICE_NONE, /* all seem gone, or were tried */
 };
 
+/* How many attempts this instance may have open at a replica. */
+struct rr_limit_bounds rr_endpoint_bounds(const struct rr_gate *gate,
+					  const struct rr_endpoint *endpoint);
 /* A replica for one more attempt of a part. */
 enum rr_choice rr_choose_endpoint(struct rr_context *ctx, struct rr_gate *gate,
 				  const struct rr_gate_run *run,
@@ -196,6 +198,9 @@
 /* Whether it may be sent new work at all. */
 bool rr_takes_work(const struct rr_gate *gate,
 		   const struct rr_endpoint *endpoint);
+/* Whether a replica that takes work has room for an attempt. */
+bool rr_service_has_room(const struct rr_gate *gate,
+			 const struct rr_gate_service *service);
 /* Whether a service has a replica that answers. */
 bool rr_service_reachable(const struct rr_gate *gate,
 			  const struct rr_gate_service *service);
--- /dev/null
+++ b/source/core/replica-limit.c
@@ -0,0 +1,75 @@
+/*
+ * replica-limit.c - an owner's limit at a replica of the searches.
+ *
+ * It never passes twice the slots nor this owner's part of the connection
+ * cap.
+ */
+#include "core/core-private.h"
+
+/* Attempts in flight may pass the slots by this, for those on their way. */
+#define SLOTS_IN_FLIGHT 2
+/* Replies until a replica that is new or was cold gets more than one. */
+#define WARM_REPLIES 4
+
+static uint32_t owner_count(const struct rr_replica *replica)
+{
+	return replica->n_owners ? (uint32_t)replica->n_owners : 1;
+}
+
+uint32_t rr_slot_share(const struct rr_replica *replica)
+{
+	uint32_t owners = owner_count(replica);
+	uint32_t slots = 1;
+
+	if (replica->shard)
+		slots = replica->service->map->service->slots;
+	return (slots + owners - 1) / owners;
+}
+
+/* This owner's part of the connections, at least one. */
+static uint32_t connection_share(const struct rr_replica *replica)
+{
+	const struct rr_service_config *config = replica->service->map->service;
+	uint32_t free =
+		config->connections > config->connection_reserve ?
+			config->connections - config->connection_reserve :
+			1;
+
+	return MAX(1, free / owner_count(replica));
+}
+
+static uint32_t highest_limit(const struct rr_replica *replica)
+{
+	const struct rr_service_config *config = replica->service->map->service;
+
+	return MAX(1, MIN(SLOTS_IN_FLIGHT * config->slots,
+			  connection_share(replica)));
+}
+
+uint32_t rr_replica_limit(const struct rr_core *core,
+			  const struct rr_replica *replica)
+{
+	uint32_t highest;
+
+	if (!replica->shard)
+		return 1;
+	highest = highest_limit(replica);
+	if (core->switches.no_adaptive_limit)
+		return MIN(highest, replica->service->map->service->slots);
+	if (replica->state == RR_UPSTREAM_COLD ||
+	    replica->samples < WARM_REPLIES)
+		return 1;
+	return rr_limit_now(&replica->limit, highest);
+}
+
+void rr_adapt_replica_limit(struct rr_replica *replica, int64_t took_us,
+			    uint32_t in_flight)
+{
+	struct rr_limit_bounds bounds;
+
+	if (!replica->shard)
+		return;
+	bounds.share = rr_slot_share(replica);
+	bounds.highest = highest_limit(replica);
+	rr_adapt_limit(&replica->limit, &bounds, (double)took_us, 0, in_flight);
+}
--- a/source/core/replica-private.h
+++ b/source/core/replica-private.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "core/budget.h"
+#include "core/limit.h"
 #include "ragwort/attempt.h"
 #include "ragwort/config.h"
 #include "ragwort/context.h"
@@ -35,9 +36,7 @@
 
 	/* Own estimate of the time of an attempt, exponentially weighted. */
 	double latency_us;
-	double free_us; /* of attempts sent within this owner's slots */
-	double busy_us; /* of attempts sent at the limit */
-	double limit;	/* adaptive: attempts in flight */
+	struct rr_limit limit; /* of attempts in flight */
 	int64_t shed_until_us;
 	int64_t set_aside_until_us;
 	uint32_t times_set_aside;
@@ -163,15 +162,13 @@
 size_t rr_shard_by_name(const struct rr_service_map *map, const char *name,
 			size_t guess);
 
-/* limit.c */
+/* replica-limit.c */
 /* This owner's part of the replica's slots, rounded up. */
 uint32_t rr_slot_share(const struct rr_replica *replica);
-void rr_start_limit(struct rr_replica *replica);
 uint32_t rr_replica_limit(const struct rr_core *core,
 			  const struct rr_replica *replica);
 /* A reply came; `in_flight` counts the attempts when it was sent. */
-void rr_adapt_limit(struct rr_replica *replica, int64_t took_us,
-		    uint32_t in_flight);
-void rr_shrink_limit(struct rr_replica *replica, double factor);
+void rr_adapt_replica_limit(struct rr_replica *replica, int64_t took_us,
+			    uint32_t in_flight);
 
 #endif
--- a/source/core/replica.c
+++ b/source/core/replica.c
@@ -133,7 +133,7 @@
 	replica->samples = 0;
 	replica->losses_in_row = 0;
 	replica->set_aside_until_us = 0;
-	rr_start_limit(replica);
+	rr_start_limit(&replica->limit, rr_slot_share(replica));
 }
 
 /* A drain ends by the replica's own health, told twice after the news. */
@@ -213,7 +213,7 @@
 	replica->last_good_us = core->now_us;
 	replica->losses_in_row = 0;
 	mix_latency(replica, (double)MAX(1, took_us));
-	rr_adapt_limit(replica, took_us, in_flight);
+	rr_adapt_replica_limit(replica, took_us, in_flight);
 	rr_add_time(&replica->service->times, took_us);
 	rr_judge_outlier(ctx, core, replica);
 }
@@ -235,7 +235,7 @@
 		  struct rr_replica *replica)
 {
 	replica->losses_in_row++;
-	rr_shrink_limit(replica, SHED_SHRINK);
+	rr_shrink_limit(&replica->limit, SHED_SHRINK);
 	rr_judge_outlier(ctx, core, replica);
 }
 
@@ -247,7 +247,7 @@
 	replica->shed_until_us =
 		MAX(replica->shed_until_us,
 		    core->now_us + (int64_t)retry_after_ms * 1000);
-	rr_shrink_limit(replica, SHED_SHRINK);
+	rr_shrink_limit(&replica->limit, SHED_SHRINK);
 	rr_set_timer(core->timers, replica->shed_until_us, RR_TIMER_PUMP,
 		     replica->number, 0);
 }
@@ -301,7 +301,7 @@
 			replica->owned = true;
 	}
 	if (replica->owned && !was_owned)
-		rr_start_limit(replica);
+		rr_start_limit(&replica->limit, rr_slot_share(replica));
 	if (was_owned && !replica->owned)
 		forget_state(replica);
 }
--- /dev/null
+++ b/source/core/wait-queue.c
@@ -0,0 +1,81 @@
+/*
+ * wait-queue.c - the order in which waiting work is served.
+ */
+#include "core/wait-queue.h"
+
+/*
+ * Waiting for more than this part of the time until its cut shows that the
+ * work behind will be late: what remains has to hold the work itself, and a
+ * second try.
+ */
+#define OVERRUN_PART 0.35
+
+void rr_init_wait_queue(struct rr_wait_queue *queue)
+{
+	queue->waiters = g_array_new(FALSE, FALSE, sizeof(struct rr_waiter));
+}
+
+void rr_clear_wait_queue(struct rr_wait_queue *queue)
+{
+	g_array_unref(queue->waiters);
+	queue->waiters = NULL;
+}
+
+void rr_push_waiter(struct rr_wait_queue *queue, const struct rr_waiter *waiter)
+{
+	g_array_append_val(queue->waiters, *waiter);
+}
+
+static const struct rr_waiter *waiter_at(const struct rr_wait_queue *queue,
+					 guint i)
+{
+	return &g_array_index(queue->waiters, struct rr_waiter, i);
+}
+
+static bool has_waited_long(const struct rr_waiter *waiter, int64_t now_us)
+{
+	double allowed_us = (double)(waiter->cut_us - waiter->since_us);
+
+	return (double)(now_us - waiter->since_us) > OVERRUN_PART * allowed_us;
+}
+
+bool rr_is_overrun(const struct rr_wait_queue *queue, int64_t now_us)
+{
+	for (guint i = 0; i < queue->waiters->len; i++) {
+		if (has_waited_long(waiter_at(queue, i), now_us))
+			return true;
+	}
+	return false;
+}
+
+/* Whether `a`, which is newer, goes before `b`. */
+static bool goes_before(const struct rr_waiter *a, const struct rr_waiter *b,
+			int64_t in_time_us, bool newest_first)
+{
+	bool a_in_time = a->cut_us >= in_time_us;
+	bool b_in_time = b->cut_us >= in_time_us;
+
+	if (a_in_time != b_in_time)
+		return a_in_time;
+	if (a->priority != b->priority)
+		return a->priority < b->priority;
+	return newest_first;
+}
+
+bool rr_pop_waiter(struct rr_wait_queue *queue, int64_t now_us,
+		   int64_t typical_us, struct rr_waiter *waiter)
+{
+	bool newest_first = rr_is_overrun(queue, now_us);
+	guint best = 0;
+
+	if (!queue->waiters->len)
+		return false;
+	for (guint i = 1; i < queue->waiters->len; i++) {
+		if (goes_before(waiter_at(queue, i), waiter_at(queue, best),
+				now_us + typical_us, newest_first))
+			best = i;
+	}
+	*waiter = *waiter_at(queue, best);
+	g_array_remove_index(queue->waiters, best);
+	return true;
+}
