--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -342,27 +342,48 @@
 					      objective_us / WRITE_PART));
 }
 
-/* Whether a request can be served by the replicas that answer now. */
-static bool is_servable(const struct rr_gate *gate,
-			const struct rr_gate_run *run)
+/* Whether more work comes for a service than its replicas can do. */
+static bool is_overrun(const struct rr_gate *gate,
+		       const struct rr_gate_service *service)
+{
+	return !rr_service_has_room(gate, service) &&
+	       rr_is_overrun(&service->waiting, gate->now_us);
+}
+
+/*
+ * Why a request cannot be served by the replicas that answer now; NULL if it
+ * can.  A search that would most likely lack too many parts is turned away
+ * whole: the work for its other parts would be done in vain.
+ */
+static const char *why_unservable(const struct rr_gate *gate,
+				  const struct rr_gate_run *run)
 {
 	size_t reachable = 0;
+	size_t overrun = 0;
 
 	for (size_t i = 0; i < run->n_parts; i++) {
-		if (rr_service_reachable(gate, run->parts[i].service))
-			reachable++;
+		const struct rr_gate_service *service = run->parts[i].service;
+
+		if (!rr_service_reachable(gate, service))
+			continue;
+		reachable++;
+		if (is_overrun(gate, service))
+			overrun++;
 	}
-	return reachable >= run->least;
+	if (reachable < run->least)
+		return "no-replica";
+	return reachable - overrun < run->least ? "overrun" : NULL;
 }
 
 static void start_run(struct rr_context *ctx, struct rr_gate *gate,
 		      struct rr_gate_run *run)
 {
+	const char *reason = why_unservable(gate, run);
 	uint64_t id = run->id;
 
-	if (!is_servable(gate, run)) {
+	if (reason) {
 		rr_count(ctx, RR_N_REFUSED_EARLY, 1);
-		rr_answer_own(ctx, gate, run, 503, "no-replica");
+		rr_answer_own(ctx, gate, run, 503, reason);
 		return;
 	}
 	rr_set_timer(gate->timers, run->cut_us, RR_TIMER_GATE_LOOK, id, 0);
