--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -323,7 +323,7 @@
 	case RR_GATE_ANSWERED:
 		if (reply->status >= 500) {
 			rr_note_alive(ctx, gate, endpoint);
-			rr_note_loss(ctx, gate, endpoint, RR_LOSS_BROKEN);
+			rr_note_lost(ctx, gate, endpoint, RR_LOSS_BROKEN);
 			return;
 		}
 		rr_note_alive(ctx, gate, endpoint);
@@ -340,7 +340,7 @@
 	case RR_GATE_UNSENT:
 	case RR_GATE_BROKEN:
 	case RR_GATE_SILENT:
-		rr_note_loss(ctx, gate, endpoint,
+		rr_note_lost(ctx, gate, endpoint,
 			     reply->unreachable ||
 					     reply->outcome == RR_GATE_SILENT ?
 				     RR_LOSS_SILENT :
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -111,7 +111,9 @@
 
 	wait_us *= rr_track_slowness(&endpoint->track, gate->now_us);
 	wait_us *= 1 + BUSY_WEIGHT * endpoint->live.length;
-	wait_us *= 1 + LOSS_PRICE * endpoint->track.loss_rate;
+	wait_us *= 1 + LOSS_PRICE *
+				   rr_track_losses(&endpoint->track,
+						   gate->now_us);
 	if (endpoint->cold_until_us > gate->now_us)
 		wait_us *= COLD_FACTOR;
 	if (!endpoint->zone->near)
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -171,7 +171,7 @@
 void rr_note_alive(struct rr_context *ctx, struct rr_gate *gate,
 		   struct rr_endpoint *endpoint);
 /* An attempt was lost; a silent replica is probed from then on. */
-void rr_note_loss(struct rr_context *ctx, struct rr_gate *gate,
+void rr_note_lost(struct rr_context *ctx, struct rr_gate *gate,
 		  struct rr_endpoint *endpoint, enum rr_loss loss);
 void rr_fire_probe(struct rr_context *ctx, struct rr_gate *gate,
 		   uint64_t number);
--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -93,12 +93,33 @@
 	rr_judge_isolation(ctx, gate);
 }
 
+/* Whether each replica of a zone is suspected by itself. */
+static bool are_all_suspected(const struct rr_gate *gate,
+			      const struct rr_gate_zone *zone)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gate->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rr_endpoint *endpoint = value;
+
+		if (endpoint->zone == zone && !endpoint->draining &&
+		    !rr_is_suspected(&endpoint->track, gate->now_us))
+			return false;
+	}
+	return true;
+}
+
 static void judge_zone(struct rr_context *ctx, struct rr_gate *gate,
 		       struct rr_gate_zone *zone)
 {
+	bool silent = rr_track_silent_us(&zone->track, gate->now_us) >=
+		      ZONE_SILENCE_US;
+
 	zone->unanswered++;
-	if (zone->unanswered >= ZONE_UNANSWERED &&
-	    rr_track_silent_us(&zone->track, gate->now_us) >= ZONE_SILENCE_US)
+	if ((silent && zone->unanswered >= ZONE_UNANSWERED) ||
+	    are_all_suspected(gate, zone))
 		silence_zone(ctx, gate, zone);
 }
 
@@ -127,7 +148,7 @@
 	judge_zone(ctx, gate, endpoint->zone);
 }
 
-void rr_note_loss(struct rr_context *ctx, struct rr_gate *gate,
+void rr_note_lost(struct rr_context *ctx, struct rr_gate *gate,
 		  struct rr_endpoint *endpoint, enum rr_loss loss)
 {
 	if (loss == RR_LOSS_BROKEN) {
@@ -229,7 +250,7 @@
 	if (!zone || !zone->silent)
 		return;
 	/* Left alone until it is heard: the probes find out. */
-	rr_track_loss(&zone->track, gate->now_us, RR_LOSS_SILENT);
+	rr_track_unreached(&zone->track, gate->now_us);
 	endpoint = draw_of_zone(ctx, gate, zone);
 	if (endpoint)
 		gate->actions.probe(gate->actions.data, endpoint->id,
@@ -254,7 +275,7 @@
 		return;
 	}
 	if (endpoint->track.silences_in_row && !endpoint->draining) {
-		rr_track_loss(&endpoint->track, now_us, RR_LOSS_SILENT);
+		rr_track_unreached(&endpoint->track, now_us);
 		set_probe(gate, endpoint);
 	}
 }
--- a/source/core/track.c
+++ b/source/core/track.c
@@ -39,13 +39,21 @@
 	track->sampled_us = now_us;
 }
 
+static void mix_losses(struct rr_track *track, int64_t now_us, double sample)
+{
+	double old = rr_track_losses(track, now_us);
+
+	track->loss_rate = old + LOSS_WEIGHT * (sample - old);
+	track->loss_told_us = now_us;
+}
+
 void rr_track_answer(struct rr_track *track, int64_t now_us, int64_t took_us,
 		     int64_t typical_us)
 {
 	if (typical_us > 0)
 		mix_slowness(track, now_us,
 			     (double)took_us / (double)typical_us);
-	track->loss_rate *= 1 - LOSS_WEIGHT;
+	mix_losses(track, now_us, 0);
 	rr_track_seen(track, now_us);
 }
 
@@ -62,12 +70,11 @@
 		mix_slowness(track, now_us, sample);
 }
 
-void rr_track_loss(struct rr_track *track, int64_t now_us, enum rr_loss loss)
+void rr_track_unreached(struct rr_track *track, int64_t now_us)
 {
 	int64_t wait_us = FIRST_SUSPICION_US;
 
-	track->loss_rate += LOSS_WEIGHT * (1 - track->loss_rate);
-	if (loss != RR_LOSS_SILENT || track->suspected_until_us > now_us)
+	if (track->suspected_until_us > now_us)
 		return;
 	for (uint32_t i = 0;
 	     i < track->silences_in_row && wait_us < MOST_SUSPICION_US; i++)
@@ -76,6 +83,13 @@
 	track->suspected_until_us = now_us + MIN(wait_us, MOST_SUSPICION_US);
 }
 
+void rr_track_loss(struct rr_track *track, int64_t now_us, enum rr_loss loss)
+{
+	mix_losses(track, now_us, 1);
+	if (loss == RR_LOSS_SILENT)
+		rr_track_unreached(track, now_us);
+}
+
 void rr_track_open(struct rr_track *track, int64_t now_us)
 {
 	track->open_since_us = now_us;
@@ -108,13 +122,22 @@
 	track->suspected_until_us = 0;
 }
 
-double rr_track_slowness(const struct rr_track *track, int64_t now_us)
+/* What is left of something seen that long ago. */
+static double fade(int64_t age_us)
 {
-	double age_us = (double)(now_us - track->sampled_us);
+	return exp2(-(double)age_us / FADE_HALF_US);
+}
 
+double rr_track_slowness(const struct rr_track *track, int64_t now_us)
+{
 	if (!track->sampled_us)
 		return 1;
-	return 1 + (track->slowness - 1) * exp2(-age_us / FADE_HALF_US);
+	return 1 + (track->slowness - 1) * fade(now_us - track->sampled_us);
+}
+
+double rr_track_losses(const struct rr_track *track, int64_t now_us)
+{
+	return track->loss_rate * fade(now_us - track->loss_told_us);
 }
 
 bool rr_is_suspected(const struct rr_track *track, int64_t now_us)
--- a/source/core/track.h
+++ b/source/core/track.h
@@ -15,8 +15,9 @@
 	/* Time of its answers against the usual time of the same work. */
 	double slowness;
 	int64_t sampled_us; /* when that was last told; 0: never */
-	/* Share of attempts without a usable answer. */
+	/* Share of attempts without a usable answer, when last told. */
 	double loss_rate;
+	int64_t loss_told_us;
 	/*
 	 * How long it has been silent: time with an attempt open, since its
 	 * last sign of life.
@@ -42,6 +43,8 @@
 void rr_track_overdue(struct rr_track *track, int64_t now_us, int64_t age_us,
 		      int64_t typical_us);
 void rr_track_loss(struct rr_track *track, int64_t now_us, enum rr_loss loss);
+/* A probe did not reach it either. */
+void rr_track_unreached(struct rr_track *track, int64_t now_us);
 /* Its first open attempt begins, or its last one ends. */
 void rr_track_open(struct rr_track *track, int64_t now_us);
 void rr_track_closed(struct rr_track *track, int64_t now_us);
@@ -57,6 +60,8 @@
  * nothing else would tell that a replica, which is no longer asked, is well.
  */
 double rr_track_slowness(const struct rr_track *track, int64_t now_us);
+/* The share of attempts that it loses; what was seen fades as above. */
+double rr_track_losses(const struct rr_track *track, int64_t now_us);
 /* Whether it seems gone: nothing is expected of it until it is tried anew. */
 bool rr_is_suspected(const struct rr_track *track, int64_t now_us);
 /*
--- /dev/null
+++ b/tests/support/gate-scene.c
@@ -0,0 +1,301 @@
+/*
+ * gate-scene.c - a gate driven by hand.
+ */
+#include "support/gate-scene.h"
+
+#include <string.h>
+
+static void free_sent(gpointer data)
+{
+	struct test_sent *sent = data;
+
+	g_free(sent->endpoint);
+	g_free(sent);
+}
+
+static void free_answer(gpointer data)
+{
+	struct test_answer *answer = data;
+
+	g_free(answer->reason);
+	g_free(answer->seals);
+	g_free(answer);
+}
+
+static void note_send(void *data, const struct rr_gate_send *send)
+{
+	struct gate_scene *scene = data;
+	struct test_sent *sent = g_new0(struct test_sent, 1);
+
+	sent->attempt = send->attempt;
+	sent->request = send->request;
+	sent->endpoint = g_strdup(send->endpoint);
+	sent->deadline_ms = send->deadline_ms;
+	sent->at_us = scene->now_us;
+	g_ptr_array_add(scene->sent, sent);
+}
+
+static void note_withdraw(void *data, uint64_t attempt)
+{
+	struct gate_scene *scene = data;
+
+	for (guint i = 0; i < scene->sent->len; i++) {
+		if (test_sent_at(scene, i)->attempt == attempt)
+			test_sent_at(scene, i)->withdrawn = true;
+	}
+}
+
+static void note_answer(void *data, const struct rr_gate_answer *answer)
+{
+	struct gate_scene *scene = data;
+	struct test_answer *kept = g_new0(struct test_answer, 1);
+
+	kept->request = answer->request;
+	kept->kind = answer->kind;
+	kept->status = answer->status;
+	kept->reason = g_strdup(answer->reason);
+	kept->retry_after_ms = answer->retry_after_ms;
+	kept->seals = g_strdup(answer->seals);
+	kept->missing = answer->missing;
+	kept->length = answer->length;
+	kept->at_us = scene->now_us;
+	g_ptr_array_add(scene->answers, kept);
+}
+
+static void note_open(void *data, const char *endpoint, const char *address)
+{
+	struct gate_scene *scene = data;
+
+	g_ptr_array_add(scene->opened, g_strdup(endpoint));
+}
+
+static void note_probe(void *data, const char *endpoint, const char *address)
+{
+	struct gate_scene *scene = data;
+
+	g_ptr_array_add(scene->probes, g_strdup(endpoint));
+}
+
+static void note_forget(void *data, const char *endpoint)
+{
+	struct gate_scene *scene = data;
+
+	g_ptr_array_add(scene->forgotten, g_strdup(endpoint));
+}
+
+struct gate_scene *test_new_scene(uint32_t seed)
+{
+	struct gate_scene *scene = g_new0(struct gate_scene, 1);
+	struct rr_context_options context = { .seed = seed };
+	struct rr_gate_options options = {
+		.zone = "a",
+		.actions = {
+			.send = note_send,
+			.withdraw = note_withdraw,
+			.answer = note_answer,
+			.open = note_open,
+			.probe = note_probe,
+			.forget = note_forget,
+			.data = scene,
+		},
+		.extra_ratio = 0.2,
+		.extra_slack = 50,
+	};
+
+	scene->now_us = 1000 * TEST_MS;
+	scene->sent = g_ptr_array_new_with_free_func(free_sent);
+	scene->answers = g_ptr_array_new_with_free_func(free_answer);
+	scene->probes = g_ptr_array_new_with_free_func(g_free);
+	scene->opened = g_ptr_array_new_with_free_func(g_free);
+	scene->forgotten = g_ptr_array_new_with_free_func(g_free);
+	scene->ctx = rr_new_context(&context);
+	scene->gate = rr_new_gate(scene->ctx, &options);
+	rr_gate_set_instances(scene->ctx, scene->gate, 10);
+	return scene;
+}
+
+void test_drop_scene(struct gate_scene *scene)
+{
+	rr_drop_gate(scene->gate);
+	rr_drop_context(scene->ctx);
+	g_ptr_array_unref(scene->sent);
+	g_ptr_array_unref(scene->answers);
+	g_ptr_array_unref(scene->probes);
+	g_ptr_array_unref(scene->opened);
+	g_ptr_array_unref(scene->forgotten);
+	g_free(scene);
+}
+
+static void add_service(struct rr_route_table *table, const char *name)
+{
+	struct rr_route_service *service = g_new0(struct rr_route_service, 1);
+
+	service->name = g_strdup(name);
+	service->max_connections = 26;
+	rr_add_route_service(table, service);
+}
+
+static struct rr_route *make_route(struct rr_route_table *table,
+				   const struct test_route *spec)
+{
+	struct rr_route *route = g_new0(struct rr_route, 1);
+	size_t n = 0;
+
+	while (spec->services[n])
+		n++;
+	route->name = g_strdup(spec->name);
+	route->host = g_strdup("h");
+	route->prefix = g_strdup(spec->prefix);
+	route->mode = spec->gather ? RR_ROUTE_GATHER : RR_ROUTE_FORWARD;
+	route->idempotent = !spec->once;
+	route->max_attempts = spec->max_attempts;
+	route->objective_ms = spec->objective_ms;
+	route->timeout_ms = spec->timeout_ms;
+	route->least_share = spec->least_share;
+	route->priority = spec->priority;
+	route->top_k = 4;
+	route->parts = g_new0(struct rr_route_part, n);
+	route->n_parts = n;
+	for (size_t i = 0; i < n; i++) {
+		route->parts[i].service = g_strdup(spec->services[i]);
+		route->parts[i].weight = spec->weights ? spec->weights[i] : 1;
+		add_service(table, spec->services[i]);
+	}
+	return route;
+}
+
+bool test_set_routes(struct gate_scene *scene, uint64_t version,
+		     const struct test_route *routes, size_t n)
+{
+	struct rr_route_table *table = rr_new_route_table(version);
+	bool taken;
+
+	for (size_t i = 0; i < n; i++)
+		g_assert_true(
+			rr_add_route(table, make_route(table, &routes[i])));
+	taken = rr_gate_set_routes(scene->ctx, scene->gate, scene->now_us,
+				   table);
+	rr_drop_route_table(table);
+	return taken;
+}
+
+static void list(struct gate_scene *scene, const char *id, const char *service,
+		 const char *zone, bool draining)
+{
+	struct rr_listing listing = {
+		.id = id,
+		.service = service,
+		.address = "127.0.0.1:1",
+		.zone = zone,
+		.slots = 2,
+		.draining = draining,
+	};
+
+	rr_gate_list(scene->ctx, scene->gate, scene->now_us, &listing);
+}
+
+void test_list(struct gate_scene *scene, const char *id, const char *service,
+	       const char *zone)
+{
+	list(scene, id, service, zone, false);
+}
+
+void test_list_draining(struct gate_scene *scene, const char *id,
+			const char *service, const char *zone)
+{
+	list(scene, id, service, zone, true);
+}
+
+uint64_t test_take(struct gate_scene *scene, const char *path,
+		   int64_t deadline_ms)
+{
+	struct rr_gate_ask ask = {
+		.host = "h",
+		.path = path,
+		.path_length = strlen(path),
+		.request_id = "id",
+		.deadline_ms = deadline_ms,
+		.caller_rtt_us = 2000,
+	};
+
+	return rr_gate_take(scene->ctx, scene->gate, scene->now_us, &ask);
+}
+
+void test_pass(struct gate_scene *scene, int64_t us)
+{
+	int64_t end_us = scene->now_us + us;
+
+	while (rr_gate_wake_us(scene->gate) <= end_us) {
+		scene->now_us =
+			MAX(scene->now_us, rr_gate_wake_us(scene->gate));
+		rr_gate_tick(scene->ctx, scene->gate, scene->now_us);
+	}
+	scene->now_us = end_us;
+}
+
+struct test_sent *test_sent_at(struct gate_scene *scene, guint i)
+{
+	g_assert_cmpuint(i, <, scene->sent->len);
+	return g_ptr_array_index(scene->sent, i);
+}
+
+static bool is_open(const struct test_sent *sent)
+{
+	return !sent->withdrawn && !sent->replied;
+}
+
+guint test_count_open(struct gate_scene *scene)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < scene->sent->len; i++)
+		n += is_open(test_sent_at(scene, i));
+	return n;
+}
+
+struct test_sent *test_open_at(struct gate_scene *scene, const char *endpoint)
+{
+	for (guint i = 0; i < scene->sent->len; i++) {
+		struct test_sent *sent = test_sent_at(scene, i);
+
+		if (is_open(sent) && !strcmp(sent->endpoint, endpoint))
+			return sent;
+	}
+	return NULL;
+}
+
+void test_reply(struct gate_scene *scene, struct test_sent *sent,
+		enum rr_gate_outcome outcome, uint16_t status)
+{
+	uint8_t body[32];
+	char seal[32];
+	struct rr_gate_reply reply = {
+		.attempt = sent->attempt,
+		.outcome = outcome,
+		.status = status,
+		.seal = seal,
+		.body = body,
+		.length = sizeof(body),
+		.other_instance = status == 421,
+	};
+
+	memset(body, 'r', sizeof(body));
+	g_snprintf(seal, sizeof(seal), "seal-%s", sent->endpoint);
+	sent->replied = true;
+	rr_gate_reply(scene->ctx, scene->gate, scene->now_us, &reply);
+}
+
+void test_reply_all(struct gate_scene *scene)
+{
+	for (guint i = 0; i < scene->sent->len; i++) {
+		if (is_open(test_sent_at(scene, i)))
+			test_reply(scene, test_sent_at(scene, i),
+				   RR_GATE_ANSWERED, 200);
+	}
+}
+
+struct test_answer *test_last_answer(struct gate_scene *scene)
+{
+	g_assert_cmpuint(scene->answers->len, >, 0);
+	return g_ptr_array_index(scene->answers, scene->answers->len - 1);
+}
--- /dev/null
+++ b/tests/support/gate-scene.h
@@ -0,0 +1,90 @@
+/*
+ * gate-scene.h - a gate with its actions written down, driven by hand.
+ */
+#ifndef TESTS_SUPPORT_GATE_SCENE_H
+#define TESTS_SUPPORT_GATE_SCENE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ragwort/gate.h"
+
+#define TEST_MS ((int64_t)1000)
+
+struct test_sent {
+	uint64_t attempt;
+	uint64_t request;
+	char *endpoint;
+	int64_t deadline_ms;
+	int64_t at_us;
+	bool withdrawn;
+	bool replied;
+};
+
+struct test_answer {
+	uint64_t request;
+	enum rr_gate_answer_kind kind;
+	uint16_t status;
+	char *reason;
+	uint32_t retry_after_ms;
+	char *seals;
+	size_t missing;
+	size_t length;
+	int64_t at_us;
+};
+
+struct gate_scene {
+	struct rr_context *ctx;
+	struct rr_gate *gate;
+	int64_t now_us;
+	GPtrArray *sent;    /* struct test_sent */
+	GPtrArray *answers; /* struct test_answer */
+	GPtrArray *probes;  /* char *, endpoints */
+	GPtrArray *opened;
+	GPtrArray *forgotten;
+};
+
+/* In zone "a", ten instances, extras 0.2 and 50. */
+struct gate_scene *test_new_scene(uint32_t seed);
+void test_drop_scene(struct gate_scene *scene);
+
+/* A route of one service, or of several. */
+struct test_route {
+	const char *name;
+	const char *prefix;
+	const char *const *services; /* NULL-terminated */
+	bool gather;
+	bool once; /* not idempotent */
+	uint32_t max_attempts;
+	uint32_t objective_ms;
+	uint32_t timeout_ms;
+	double least_share;
+	const double *weights; /* NULL: all the same */
+	uint32_t priority;
+};
+
+/* Put a table with these routes of host "h" in force; connections 26 each. */
+bool test_set_routes(struct gate_scene *scene, uint64_t version,
+		     const struct test_route *routes, size_t n);
+/* List "SERVICE.ZONE" or any id; ready, warm, two slots. */
+void test_list(struct gate_scene *scene, const char *id, const char *service,
+	       const char *zone);
+void test_list_draining(struct gate_scene *scene, const char *id,
+			const char *service, const char *zone);
+uint64_t test_take(struct gate_scene *scene, const char *path,
+		   int64_t deadline_ms);
+/* Let time pass, with ticks when they are due. */
+void test_pass(struct gate_scene *scene, int64_t us);
+
+struct test_sent *test_sent_at(struct gate_scene *scene, guint i);
+/* The open attempts, counted; the first one that is open at an endpoint. */
+guint test_count_open(struct gate_scene *scene);
+struct test_sent *test_open_at(struct gate_scene *scene, const char *endpoint);
+void test_reply(struct gate_scene *scene, struct test_sent *sent,
+		enum rr_gate_outcome outcome, uint16_t status);
+/* Answer all open attempts well. */
+void test_reply_all(struct gate_scene *scene);
+struct test_answer *test_last_answer(struct gate_scene *scene);
+
+#endif
