--- /dev/null
+++ b/tests/test-feed.c
@@ -0,0 +1,525 @@
+/*
+ * test-feed.c - following the store in virtual time: outages, lost answers,
+ * forgotten history, silent connections.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <string.h>
+
+#include "ragwort/feed.h"
+
+#define MS ((int64_t)1000)
+
+struct call {
+	uint64_t id;
+	enum rr_feed_call_kind kind;
+	char *after_key;
+	uint64_t after_revision;
+	uint32_t wait_ms;
+	uint64_t lease;
+	bool over;
+};
+
+struct scene {
+	struct rr_context *ctx;
+	struct rr_feed *feed;
+	int64_t now_us;
+	GPtrArray *calls; /* struct call */
+	GString *news;	  /* "+id", "-id", "routes N", "instances N" */
+};
+
+static void free_call(gpointer data)
+{
+	struct call *call = data;
+
+	g_free(call->after_key);
+	g_free(call);
+}
+
+static void note_call(void *data, const struct rr_feed_call *call)
+{
+	struct scene *scene = data;
+	struct call *kept = g_new0(struct call, 1);
+
+	kept->id = call->id;
+	kept->kind = call->kind;
+	kept->after_key = g_strdup(call->after_key);
+	kept->after_revision = call->after_revision;
+	kept->wait_ms = call->wait_ms;
+	kept->lease = call->lease;
+	g_ptr_array_add(scene->calls, kept);
+}
+
+static void note_cancel(void *data, uint64_t id)
+{
+	struct scene *scene = data;
+
+	for (guint i = 0; i < scene->calls->len; i++) {
+		struct call *call = g_ptr_array_index(scene->calls, i);
+
+		if (call->id == id)
+			call->over = true;
+	}
+}
+
+static void note_routes(void *data, struct rr_route_table *table)
+{
+	struct scene *scene = data;
+
+	g_string_append_printf(scene->news, "routes %u ",
+			       (unsigned)rr_route_table_version(table));
+}
+
+static void note_listed(void *data, const struct rr_listing *listing)
+{
+	struct scene *scene = data;
+
+	g_string_append_printf(scene->news, "+%s ", listing->id);
+}
+
+static void note_unlisted(void *data, const char *id)
+{
+	struct scene *scene = data;
+
+	g_string_append_printf(scene->news, "-%s ", id);
+}
+
+static void note_instances(void *data, uint32_t instances)
+{
+	struct scene *scene = data;
+
+	g_string_append_printf(scene->news, "instances %u ", instances);
+}
+
+static struct scene *new_scene(void)
+{
+	struct scene *scene = g_new0(struct scene, 1);
+	struct rr_feed_actions actions = {
+		.call = note_call,
+		.cancel = note_cancel,
+		.routes = note_routes,
+		.listed = note_listed,
+		.unlisted = note_unlisted,
+		.instances = note_instances,
+		.data = scene,
+	};
+
+	scene->now_us = 50000 * MS;
+	scene->ctx = rr_new_context(NULL);
+	scene->calls = g_ptr_array_new_with_free_func(free_call);
+	scene->news = g_string_new(NULL);
+	scene->feed = rr_new_feed(scene->ctx, &actions, scene->now_us);
+	rr_feed_tick(scene->ctx, scene->feed, scene->now_us);
+	return scene;
+}
+
+static void drop_scene(struct scene *scene)
+{
+	rr_drop_feed(scene->feed);
+	rr_drop_context(scene->ctx);
+	g_ptr_array_unref(scene->calls);
+	g_string_free(scene->news, TRUE);
+	g_free(scene);
+}
+
+static void pass(struct scene *scene, int64_t us)
+{
+	int64_t end_us = scene->now_us + us;
+
+	while (rr_feed_wake_us(scene->feed) <= end_us) {
+		scene->now_us =
+			MAX(scene->now_us, rr_feed_wake_us(scene->feed));
+		rr_feed_tick(scene->ctx, scene->feed, scene->now_us);
+	}
+	scene->now_us = end_us;
+}
+
+/* The open call of a kind; NULL if there is none. */
+static struct call *find_call(struct scene *scene, enum rr_feed_call_kind kind)
+{
+	for (guint i = 0; i < scene->calls->len; i++) {
+		struct call *call = g_ptr_array_index(scene->calls, i);
+
+		if (!call->over && call->kind == kind)
+			return call;
+	}
+	return NULL;
+}
+
+static guint count_calls(struct scene *scene, enum rr_feed_call_kind kind)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < scene->calls->len; i++) {
+		struct call *call = g_ptr_array_index(scene->calls, i);
+
+		n += call->kind == kind;
+	}
+	return n;
+}
+
+static struct rr_feed_item *make_item(const char *what, uint64_t revision)
+{
+	struct rr_feed_item *item = g_new0(struct rr_feed_item, 1);
+
+	item->removed = what[0] == '-';
+	if (item->removed)
+		what++;
+	item->key = g_strdup(what);
+	item->revision = revision;
+	if (g_str_has_prefix(what, "routes")) {
+		item->kind = RR_FEED_ROUTES;
+		item->key[6] = '\0';
+		item->routes =
+			rr_new_route_table(g_ascii_strtoull(what + 6, NULL, 10));
+	} else if (g_str_has_prefix(what, "inst")) {
+		item->kind = RR_FEED_INSTANCE;
+		item->id = g_strdup(what);
+	} else if (!g_str_has_prefix(what, "other")) {
+		item->kind = RR_FEED_REPLICA;
+		item->id = g_strdup(what);
+	}
+	if (item->kind == RR_FEED_REPLICA && !item->removed) {
+		item->replica = g_new0(struct rr_listing, 1);
+		item->replica->id = g_strdup(what);
+	}
+	return item;
+}
+
+/* `items` is "name@revision" separated by blanks; "-name" is removed. */
+static void answer(struct scene *scene, struct call *call,
+		   enum rr_feed_status status, const char *items,
+		   uint64_t revision, bool more)
+{
+	struct rr_feed_reply reply = {
+		.call = call->id,
+		.status = status,
+		.items = g_ptr_array_new_with_free_func(rr_free_feed_item),
+		.revision = revision,
+		.more = more,
+		.lease = 77,
+	};
+	char **words = g_strsplit(items ? items : "", " ", -1);
+
+	for (size_t i = 0; words[i]; i++) {
+		char *at = strchr(words[i], '@');
+
+		if (!at)
+			continue;
+		*at = '\0';
+		g_ptr_array_add(reply.items,
+				make_item(words[i], g_ascii_strtoull(
+							    at + 1, NULL, 10)));
+	}
+	call->over = true;
+	rr_feed_reply(scene->ctx, scene->feed, scene->now_us, &reply);
+	rr_feed_tick(scene->ctx, scene->feed, scene->now_us);
+	g_ptr_array_unref(reply.items);
+	g_strfreev(words);
+}
+
+static void answer_ok(struct scene *scene, enum rr_feed_call_kind kind,
+		      const char *items, uint64_t revision)
+{
+	struct call *call = find_call(scene, kind);
+
+	assert_non_null(call);
+	answer(scene, call, RR_FEED_OK, items, revision, false);
+}
+
+static void assert_news(struct scene *scene, const char *news)
+{
+	assert_string_equal(scene->news->str, news);
+	g_string_truncate(scene->news, 0);
+}
+
+/* Read everything and enter; a watch is open afterwards. */
+static struct scene *settled_scene(void)
+{
+	struct scene *scene = new_scene();
+
+	answer_ok(scene, RR_FEED_RANGE,
+		  "routes3@10 r1@11 r2@12 inst1@13 inst2@14 inst3@15", 20);
+	answer_ok(scene, RR_FEED_GRANT, NULL, 0);
+	answer_ok(scene, RR_FEED_ENTER, NULL, 0);
+	assert_news(scene, "routes 3 +r1 +r2 instances 3 ");
+	return scene;
+}
+
+static void test_first_reading(void **state)
+{
+	struct scene *scene = new_scene();
+
+	assert_false(rr_feed_has_read(scene->feed));
+	answer(scene, find_call(scene, RR_FEED_RANGE), RR_FEED_OK,
+	       "routes3@10 r1@11", 20, true);
+	assert_false(rr_feed_has_read(scene->feed));
+	assert_string_equal(find_call(scene, RR_FEED_RANGE)->after_key, "r1");
+	/* The second page is read later, but changes count from the first. */
+	answer_ok(scene, RR_FEED_RANGE, "r2@25", 26);
+	assert_true(rr_feed_has_read(scene->feed));
+	assert_int_equal(find_call(scene, RR_FEED_WATCH)->after_revision, 20);
+	assert_news(scene, "routes 3 +r1 +r2 ");
+	drop_scene(scene);
+}
+
+static void test_changes(void **state)
+{
+	struct scene *scene = settled_scene();
+
+	answer_ok(scene, RR_FEED_WATCH, "r3@21 -r1@22 routes4@23", 23);
+	assert_news(scene, "+r3 -r1 routes 4 ");
+	pass(scene, 1000 * MS);
+	assert_int_equal(find_call(scene, RR_FEED_WATCH)->after_revision, 23);
+	drop_scene(scene);
+}
+
+/* A watch tells again what the second page of the range had already. */
+static void test_old_news_counts_for_nothing(void **state)
+{
+	struct scene *scene = new_scene();
+
+	answer(scene, find_call(scene, RR_FEED_RANGE), RR_FEED_OK, "r1@11", 20,
+	       true);
+	answer_ok(scene, RR_FEED_RANGE, "r2@25", 26);
+	assert_news(scene, "+r1 +r2 ");
+	answer_ok(scene, RR_FEED_WATCH, "r2@21 -r2@23 r2@25", 26);
+	assert_news(scene, "");
+	drop_scene(scene);
+}
+
+/* The count of paid calls: a burst of changes is one watch, not one each. */
+static void test_bursts_are_merged(void **state)
+{
+	struct scene *scene = settled_scene();
+	guint before = count_calls(scene, RR_FEED_WATCH);
+
+	answer_ok(scene, RR_FEED_WATCH, "r3@21", 21);
+	pass(scene, 300 * MS);
+	assert_null(find_call(scene, RR_FEED_WATCH));
+	pass(scene, 200 * MS);
+	assert_non_null(find_call(scene, RR_FEED_WATCH));
+	assert_int_equal(count_calls(scene, RR_FEED_WATCH), before + 1);
+	drop_scene(scene);
+}
+
+/* Nothing new for minutes: a long watch each time, nothing else is read. */
+static void test_quiet_minutes(void **state)
+{
+	struct scene *scene = settled_scene();
+
+	for (int i = 0; i < 240; i++) {
+		struct call *keep;
+
+		pass(scene, 1000 * MS);
+		keep = find_call(scene, RR_FEED_KEEP);
+		if (keep)
+			answer(scene, keep, RR_FEED_OK, NULL, 0, false);
+		if (i % 25 == 24)
+			answer_ok(scene, RR_FEED_WATCH, NULL, 30);
+	}
+	assert_true(count_calls(scene, RR_FEED_WATCH) <= 11);
+	assert_int_equal(count_calls(scene, RR_FEED_RANGE), 1);
+	assert_in_range(count_calls(scene, RR_FEED_KEEP), 100, 170);
+	drop_scene(scene);
+}
+
+/*
+ * Story: the store drops its history while a watch is cut.  What changed in
+ * the gap is found by reading everything again: a replica that left is gone.
+ */
+static void test_forgotten_history(void **state)
+{
+	struct scene *scene = settled_scene();
+	struct call *watch = find_call(scene, RR_FEED_WATCH);
+
+	answer(scene, watch, RR_FEED_FORGOTTEN, NULL, 0, false);
+	answer_ok(scene, RR_FEED_RANGE, "routes5@40 r2@12 r4@41", 50);
+	assert_news(scene, "routes 5 +r4 -r1 ");
+	assert_int_equal(find_call(scene, RR_FEED_WATCH)->after_revision, 50);
+	drop_scene(scene);
+}
+
+/* A range that breaks off between its pages begins anew, losing nobody. */
+static void test_range_breaks_off(void **state)
+{
+	struct scene *scene = settled_scene();
+
+	answer(scene, find_call(scene, RR_FEED_WATCH), RR_FEED_FORGOTTEN, NULL,
+	       0, false);
+	answer(scene, find_call(scene, RR_FEED_RANGE), RR_FEED_OK, "r1@11", 50,
+	       true);
+	answer(scene, find_call(scene, RR_FEED_RANGE), RR_FEED_FAILED, NULL, 0,
+	       false);
+	assert_news(scene, "");
+	pass(scene, 3000 * MS);
+	assert_null(find_call(scene, RR_FEED_RANGE)->after_key);
+	answer_ok(scene, RR_FEED_RANGE, "routes3@10 r1@11 r2@12", 60);
+	assert_news(scene, "");
+	drop_scene(scene);
+}
+
+/*
+ * Story: the store turns this machine away for some seconds, in silence.  The
+ * watch that was asked meanwhile will never be answered, though the store is
+ * back.  The renewal shows both the loss and the return; a change is in force
+ * within three seconds of the return.
+ */
+static void test_a_watch_that_will_not_be_answered(void **state)
+{
+	struct scene *scene = settled_scene();
+	struct call *watch = find_call(scene, RR_FEED_WATCH);
+
+	pass(scene, 1600 * MS);
+	answer(scene, find_call(scene, RR_FEED_KEEP), RR_FEED_FAILED, NULL, 0,
+	       false);
+	assert_false(rr_feed_is_reached(scene->feed));
+	assert_false(watch->over);
+	pass(scene, 2000 * MS);
+	answer_ok(scene, RR_FEED_KEEP, NULL, 0);
+	assert_true(rr_feed_is_reached(scene->feed));
+	assert_true(watch->over);
+	assert_non_null(find_call(scene, RR_FEED_WATCH));
+	answer_ok(scene, RR_FEED_WATCH, "routes9@70", 70);
+	assert_news(scene, "routes 9 ");
+	drop_scene(scene);
+}
+
+/* While it is away, calls are few, and never at the same moments. */
+static void test_backoff(void **state)
+{
+	struct scene *scene = settled_scene();
+	guint before;
+
+	answer(scene, find_call(scene, RR_FEED_WATCH), RR_FEED_FAILED, NULL, 0,
+	       false);
+	before = scene->calls->len;
+	for (int i = 0; i < 600; i++) {
+		pass(scene, 100 * MS);
+		for (guint j = 0; j < scene->calls->len; j++) {
+			struct call *call =
+				g_ptr_array_index(scene->calls, j);
+
+			if (!call->over)
+				answer(scene, call, RR_FEED_FAILED, NULL, 0,
+				       false);
+		}
+	}
+	assert_in_range(scene->calls->len - before, 60, 140);
+	assert_true(rr_feed_has_read(scene->feed));
+	assert_news(scene, "");
+	drop_scene(scene);
+}
+
+/* Leases may lapse with the store: the entry is made anew. */
+static void test_entry_is_made_anew(void **state)
+{
+	struct scene *scene = settled_scene();
+
+	pass(scene, 1600 * MS);
+	answer(scene, find_call(scene, RR_FEED_KEEP), RR_FEED_NO_LEASE, NULL, 0,
+	       false);
+	pass(scene, 1600 * MS);
+	answer_ok(scene, RR_FEED_GRANT, NULL, 0);
+	answer_ok(scene, RR_FEED_ENTER, NULL, 0);
+	pass(scene, 1600 * MS);
+	assert_int_equal(find_call(scene, RR_FEED_KEEP)->lease, 77);
+	drop_scene(scene);
+}
+
+/*
+ * Budgets and connections are shared by the count: it grows at once and
+ * shrinks only when a window has passed, or a restart of many would let the
+ * others spend what these have spent already.
+ */
+static void test_count_of_instances(void **state)
+{
+	struct scene *scene = new_scene();
+
+	answer_ok(scene, RR_FEED_RANGE, "inst1@1 inst2@2 inst3@3 inst4@4", 9);
+	assert_news(scene, "instances 4 ");
+	answer_ok(scene, RR_FEED_WATCH, "inst5@10", 10);
+	assert_news(scene, "instances 5 ");
+	pass(scene, 1000 * MS);
+	answer_ok(scene, RR_FEED_WATCH, "-inst1@11 -inst2@12", 12);
+	pass(scene, 9000 * MS);
+	assert_news(scene, "");
+	answer_ok(scene, RR_FEED_WATCH, "inst1@13", 13);
+	pass(scene, 13000 * MS);
+	assert_news(scene, "instances 4 ");
+	drop_scene(scene);
+}
+
+static void test_first_of_all_waits_for_others(void **state)
+{
+	struct scene *scene = new_scene();
+
+	answer_ok(scene, RR_FEED_RANGE, "inst1@1", 9);
+	assert_news(scene, "");
+	answer_ok(scene, RR_FEED_WATCH, "inst2@10", 10);
+	assert_news(scene, "");
+	pass(scene, 2100 * MS);
+	assert_news(scene, "instances 2 ");
+	drop_scene(scene);
+}
+
+static void test_leaving(void **state)
+{
+	struct scene *scene = settled_scene();
+
+	rr_feed_leave(scene->ctx, scene->feed, scene->now_us);
+	assert_int_equal(find_call(scene, RR_FEED_LEAVE)->lease, 77);
+	pass(scene, 5000 * MS);
+	assert_int_equal(count_calls(scene, RR_FEED_KEEP), 0);
+	/* Changes are still followed while the last requests are served. */
+	answer_ok(scene, RR_FEED_WATCH, "-r1@30", 30);
+	assert_news(scene, "-r1 ");
+	drop_scene(scene);
+}
+
+static void test_unreadable_items_change_nothing(void **state)
+{
+	struct scene *scene = settled_scene();
+	struct call *watch = find_call(scene, RR_FEED_WATCH);
+	struct rr_feed_item *item = make_item("r9", 31);
+	struct rr_feed_reply reply = {
+		.call = watch->id,
+		.items = g_ptr_array_new_with_free_func(rr_free_feed_item),
+		.revision = 31,
+	};
+
+	g_free((char *)item->replica->id);
+	g_clear_pointer(&item->replica, g_free);
+	g_ptr_array_add(reply.items, item);
+	rr_feed_reply(scene->ctx, scene->feed, scene->now_us, &reply);
+	assert_news(scene, "");
+	g_ptr_array_unref(reply.items);
+	drop_scene(scene);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_first_reading),
+		cmocka_unit_test(test_changes),
+		cmocka_unit_test(test_old_news_counts_for_nothing),
+		cmocka_unit_test(test_bursts_are_merged),
+		cmocka_unit_test(test_quiet_minutes),
+		cmocka_unit_test(test_forgotten_history),
+		cmocka_unit_test(test_range_breaks_off),
+		cmocka_unit_test(test_a_watch_that_will_not_be_answered),
+		cmocka_unit_test(test_backoff),
+		cmocka_unit_test(test_entry_is_made_anew),
+		cmocka_unit_test(test_count_of_instances),
+		cmocka_unit_test(test_first_of_all_waits_for_others),
+		cmocka_unit_test(test_leaving),
+		cmocka_unit_test(test_unreadable_items_change_nothing),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test-platform-formats.c
@@ -0,0 +1,301 @@
+/*
+ * test-platform-formats.c - the users' platform's formats, both ways.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <string.h>
+
+#include "platform/platform.h"
+
+static const char config[] =
+	"{\"version\":7,\"routes\":["
+	"{\"name\":\"r1\",\"host\":\"Pupu.example\",\"prefix\":\"/b/\","
+	"\"routeType\":\"idempotent\",\"timeoutMs\":600,\"targetLatencyMs\":40,"
+	"\"priority\":2,\"shardServices\":[\"x\",\"y\",\"z\"],"
+	"\"maxAttempts\":2,\"topK\":5,\"minShardRatio\":0.75},"
+	"{\"name\":\"r2\",\"host\":\"pupu.example\",\"prefix\":\"/t/\","
+	"\"routeType\":\"non_idempotent\",\"timeoutMs\":4000,"
+	"\"service\":\"k\",\"maxAttempts\":3},"
+	"{\"name\":\"r3\",\"host\":\"pupu.example\",\"prefix\":\"/s/\","
+	"\"routeType\":\"idempotent\",\"trafficSplit\":["
+	"{\"service\":\"k\",\"weight\":0.75},{\"service\":\"x\",\"weight\":"
+	"0.25}]}],"
+	"\"services\":[{\"name\":\"x\",\"maxConnections\":26}],"
+	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
+	"\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"news\":[1]}";
+
+static const struct rr_route *find(const struct rr_route_table *table,
+				   const char *path)
+{
+	return rr_find_route(table, "pupu.example", path, strlen(path));
+}
+
+static void test_routes(void **state)
+{
+	const char *fault;
+	struct rr_route_table *table = rr_decode_routes(config, &fault);
+	const struct rr_route *route;
+
+	assert_non_null(table);
+	assert_int_equal(rr_route_table_version(table), 7);
+	route = find(table, "/b/1");
+	assert_string_equal(route->name, "r1");
+	assert_int_equal(route->mode, RR_ROUTE_GATHER);
+	assert_true(route->idempotent);
+	assert_int_equal(route->n_parts, 3);
+	assert_string_equal(route->parts[2].service, "z");
+	assert_int_equal(route->top_k, 5);
+	assert_true(route->least_share == 0.75);
+	assert_int_equal(route->objective_ms, 40);
+	assert_int_equal(route->timeout_ms, 600);
+	assert_int_equal(route->priority, 2);
+	route = find(table, "/t/1");
+	assert_int_equal(route->mode, RR_ROUTE_FORWARD);
+	assert_false(route->idempotent);
+	assert_int_equal(route->max_attempts, 3);
+	assert_string_equal(route->parts[0].service, "k");
+	route = find(table, "/s/1");
+	assert_int_equal(route->n_parts, 2);
+	assert_true(route->parts[0].weight == 0.75);
+	assert_int_equal(rr_find_route_service(table, "x")->max_connections,
+			 26);
+	assert_int_equal(rr_table_caller_limits(table)->idle_timeout_ms,
+			 15000);
+	rr_drop_route_table(table);
+}
+
+static void test_faulty_routes(void **state)
+{
+	static const char *const texts[] = {
+		"",
+		"[]",
+		"{\"routes\":[]}",
+		"{\"version\":1}",
+		"{\"version\":1,\"routes\":[{}]}",
+		"{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+		"\"prefix\":\"/a/\"}]}",
+		"{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+		"\"prefix\":\"/a/\",\"shardServices\":[\"x\",3]}]}",
+		"{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+		"\"prefix\":\"a\",\"service\":\"x\"}]}",
+	};
+	const char *fault;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		assert_null(rr_decode_routes(texts[i], &fault));
+		assert_non_null(fault);
+	}
+}
+
+static void test_listing(void **state)
+{
+	struct rr_feed_item *owner = g_new0(struct rr_feed_item, 1);
+
+	owner->replica = rr_decode_listing(
+		"i-1",
+		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+		"\"version\":\"v1\",\"slots\":2,\"state\":\"draining\","
+		"\"coldRemainingMs\":900,\"sequence\":4}");
+	assert_non_null(owner->replica);
+	assert_string_equal(owner->replica->id, "i-1");
+	assert_string_equal(owner->replica->address, "10.0.0.1:80");
+	assert_true(owner->replica->draining);
+	assert_int_equal(owner->replica->slots, 2);
+	assert_int_equal(owner->replica->cold_ms, 900);
+	rr_free_feed_item(owner);
+	assert_null(rr_decode_listing("i", "{\"service\":\"s\"}"));
+	assert_null(rr_decode_listing("i", "nonsense"));
+}
+
+static void assert_call(const struct rr_feed_call *call, const char *start,
+			const char *body)
+{
+	const struct rr_platform_entry entry = { .instance = "front-1",
+						 .zone = "z" };
+	GString *bytes = rr_encode_feed_call(call, "10.0.0.9:80", &entry);
+	char *end = strstr(bytes->str, "\r\n\r\n");
+
+	assert_non_null(end);
+	assert_true(g_str_has_prefix(bytes->str, start));
+	assert_non_null(strstr(bytes->str, "\r\nHost: 10.0.0.9:80\r\n"));
+	assert_string_equal(end + 4, body);
+	g_string_free(bytes, TRUE);
+}
+
+static void test_calls(void **state)
+{
+	const struct rr_feed_call range = { .kind = RR_FEED_RANGE };
+	const struct rr_feed_call page = { .kind = RR_FEED_RANGE,
+					   .after_key = "servers/i 1" };
+	const struct rr_feed_call watch = { .kind = RR_FEED_WATCH,
+					    .after_revision = 411,
+					    .wait_ms = 20000 };
+	const struct rr_feed_call grant = { .kind = RR_FEED_GRANT,
+					    .ttl_ms = 3000 };
+	const struct rr_feed_call keep = { .kind = RR_FEED_KEEP,
+					   .lease = 77120 };
+	const struct rr_feed_call leave = { .kind = RR_FEED_LEAVE,
+					    .lease = 77120 };
+
+	assert_call(&range, "GET /v1/kv-range?prefix= HTTP/1.1\r\n", "");
+	assert_call(&page,
+		    "GET /v1/kv-range?prefix=&after=servers/i%201 HTTP/1.1\r\n",
+		    "");
+	assert_call(&watch,
+		    "GET /v1/kv-watch?prefix=&after=411&waitMs=20000 "
+		    "HTTP/1.1\r\n",
+		    "");
+	assert_call(&grant, "POST /v1/kv-lease HTTP/1.1\r\n",
+		    "{\"ttlMs\":3000}");
+	assert_call(&keep, "POST /v1/kv-keep/77120 HTTP/1.1\r\n", "{}");
+	assert_call(&leave, "DELETE /v1/kv-lease-end/77120 HTTP/1.1\r\n", "");
+}
+
+static void test_entry(void **state)
+{
+	const struct rr_feed_call enter = { .kind = RR_FEED_ENTER,
+					    .lease = 5 };
+	const struct rr_platform_entry entry = { .instance = "front-1",
+						 .zone = "z" };
+	GString *bytes = rr_encode_feed_call(&enter, "s:1", &entry);
+
+	assert_true(g_str_has_prefix(bytes->str, "POST /v1/kv-txn HTTP/1.1"));
+	assert_non_null(strstr(bytes->str,
+			       "\"key\":\"ragwort/instances/front-1\""));
+	assert_non_null(strstr(bytes->str, "\"lease\":5}"));
+	g_string_free(bytes, TRUE);
+}
+
+static struct rr_feed_reply decode(enum rr_feed_call_kind kind, uint16_t status,
+				   const char *body)
+{
+	struct rr_feed_reply reply = { 0 };
+
+	rr_decode_feed_reply(kind, status, (const uint8_t *)body, strlen(body),
+			     &reply);
+	return reply;
+}
+
+static void drop(struct rr_feed_reply *reply)
+{
+	if (reply->items)
+		g_ptr_array_unref(reply->items);
+	reply->items = NULL;
+}
+
+static void test_range_reply(void **state)
+{
+	char *coded = g_base64_encode((const guchar *)config, strlen(config));
+	char *body = g_strdup_printf(
+		"{\"items\":[{\"key\":\"op/config\",\"value\":\"%s\","
+		"\"revision\":3,\"created\":3,\"lease\":0},"
+		"{\"key\":\"servers/i-1\",\"value\":\"eyJzZXJ2aWNlIjoicyIsImFkZH"
+		"Jlc3MiOiJhOjEifQ==\",\"revision\":9},"
+		"{\"key\":\"ragwort/instances/n1\",\"value\":\"e30=\","
+		"\"revision\":10},{\"key\":\"op/else\",\"value\":\"\","
+		"\"revision\":11}],"
+		"\"hasMore\":true,\"storeRevision\":530}",
+		coded);
+	struct rr_feed_reply reply = decode(RR_FEED_RANGE, 200, body);
+	struct rr_feed_item *item;
+
+	assert_int_equal(reply.status, RR_FEED_OK);
+	assert_int_equal(reply.revision, 530);
+	assert_true(reply.more);
+	assert_int_equal(reply.items->len, 4);
+	item = g_ptr_array_index(reply.items, 0);
+	assert_int_equal(item->kind, RR_FEED_ROUTES);
+	assert_int_equal(rr_route_table_version(item->routes), 7);
+	item = g_ptr_array_index(reply.items, 1);
+	assert_int_equal(item->kind, RR_FEED_REPLICA);
+	assert_string_equal(item->replica->id, "i-1");
+	item = g_ptr_array_index(reply.items, 2);
+	assert_int_equal(item->kind, RR_FEED_INSTANCE);
+	assert_string_equal(item->id, "n1");
+	item = g_ptr_array_index(reply.items, 3);
+	assert_int_equal(item->kind, RR_FEED_OTHER);
+	drop(&reply);
+	g_free(body);
+	g_free(coded);
+}
+
+static void test_watch_reply(void **state)
+{
+	struct rr_feed_reply reply = decode(
+		RR_FEED_WATCH, 200,
+		"{\"events\":[{\"key\":\"servers/i-1\",\"revision\":413,"
+		"\"removed\":true}],\"storeRevision\":413}");
+	struct rr_feed_item *item = g_ptr_array_index(reply.items, 0);
+
+	assert_true(item->removed);
+	assert_int_equal(item->revision, 413);
+	assert_int_equal(reply.revision, 413);
+	drop(&reply);
+}
+
+static void test_other_replies(void **state)
+{
+	struct rr_feed_reply reply;
+
+	reply = decode(RR_FEED_GRANT, 200, "{\"lease\":77120,\"ttlMs\":3000}");
+	assert_int_equal(reply.status, RR_FEED_OK);
+	assert_int_equal(reply.lease, 77120);
+	reply = decode(RR_FEED_KEEP, 404, "{}");
+	assert_int_equal(reply.status, RR_FEED_NO_LEASE);
+	reply = decode(RR_FEED_ENTER, 404, "{}");
+	assert_int_equal(reply.status, RR_FEED_NO_LEASE);
+	reply = decode(RR_FEED_WATCH, 410, "");
+	assert_int_equal(reply.status, RR_FEED_FORGOTTEN);
+}
+
+/* Whatever is no such answer changes nothing and is tried again. */
+static void test_failures(void **state)
+{
+	static const struct {
+		enum rr_feed_call_kind kind;
+		uint16_t status;
+		const char *body;
+	} cases[] = {
+		{ RR_FEED_RANGE, 503, "" },
+		{ RR_FEED_RANGE, 429, "{}" },
+		{ RR_FEED_RANGE, 200, "" },
+		{ RR_FEED_RANGE, 200, "{\"items\":[]}" },
+		{ RR_FEED_RANGE, 200, "{\"items\":[3],\"storeRevision\":3}" },
+		{ RR_FEED_WATCH, 200, "{\"items\":[],\"storeRevision\":3}" },
+		{ RR_FEED_WATCH, 404, "" },
+		{ RR_FEED_GRANT, 200, "{}" },
+		{ RR_FEED_KEEP, 429, "" },
+		{ RR_FEED_ENTER, 412, "{}" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct rr_feed_reply reply = decode(
+			cases[i].kind, cases[i].status, cases[i].body);
+
+		if (reply.status != RR_FEED_FAILED)
+			fail_msg("case %zu: %d", i, reply.status);
+		drop(&reply);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_routes),
+		cmocka_unit_test(test_faulty_routes),
+		cmocka_unit_test(test_listing),
+		cmocka_unit_test(test_calls),
+		cmocka_unit_test(test_entry),
+		cmocka_unit_test(test_range_reply),
+		cmocka_unit_test(test_watch_reply),
+		cmocka_unit_test(test_other_replies),
+		cmocka_unit_test(test_failures),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
