--- a/include/ragwort/feed.h
+++ b/include/ragwort/feed.h
@@ -70,8 +70,8 @@
 struct rr_feed_reply {
 	uint64_t call;
 	enum rr_feed_status status;
-	GPtrArray *items; /* struct rr_feed_item; NULL: none */
-	bool more;	  /* range: another page follows */
+	GPtrArray *items;  /* struct rr_feed_item; NULL: none */
+	bool more;	   /* range: another page follows */
 	uint64_t revision; /* range, watch: of the store */
 	uint64_t lease;	   /* grant */
 };
--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -30,8 +30,8 @@
 	const char *service;
 	const char *address; /* IP:PORT */
 	const char *zone;
-	uint32_t slots; /* requests it works on at once */
-	bool draining;	/* takes no new work */
+	uint32_t slots;	  /* requests it works on at once */
+	bool draining;	  /* takes no new work */
 	uint32_t cold_ms; /* it stays slow for that long */
 };
 
@@ -41,8 +41,8 @@
 	const char *path; /* with the query */
 	size_t path_length;
 	const char *request_id; /* NULL: it has none */
-	int64_t deadline_ms;	/* what the caller will wait; below 0: not told */
-	int64_t caller_rtt_us;	/* measured on its connection; 0: unknown */
+	int64_t deadline_ms; /* what the caller will wait; below 0: not told */
+	int64_t caller_rtt_us; /* measured on its connection; 0: unknown */
 };
 
 /* One request at one replica. */
@@ -92,12 +92,12 @@
 struct rr_gate_answer {
 	uint64_t request;
 	enum rr_gate_answer_kind kind;
-	uint16_t status;	/* own and gathered */
-	const char *reason;	/* static; why, for an own answer */
+	uint16_t status;	 /* own and gathered */
+	const char *reason;	 /* static; why, for an own answer */
 	uint32_t retry_after_ms; /* 0: not told */
-	const void *message;	/* forwarded */
-	const char *seals;	/* gathered: signatures, separated by commas */
-	size_t missing;		/* parts that are left out */
+	const void *message;	 /* forwarded */
+	const char *seals;	 /* gathered: signatures, separated by commas */
+	size_t missing;		 /* parts that are left out */
 	const uint8_t *body;
 	size_t length;
 };
@@ -168,8 +168,8 @@
  * The caller closed its side: nothing new is sent for it.  What is under way
  * is answered if that takes no longer than a moment, then withdrawn.
  */
-void rr_gate_leave(struct rr_context *ctx, struct rr_gate *gate,
-		   int64_t now_us, uint64_t request);
+void rr_gate_leave(struct rr_context *ctx, struct rr_gate *gate, int64_t now_us,
+		   uint64_t request);
 /* The caller's connection is gone: no answer can be given any more. */
 void rr_gate_abandon(struct rr_context *ctx, struct rr_gate *gate,
 		     int64_t now_us, uint64_t request);
--- a/include/ragwort/route.h
+++ b/include/ragwort/route.h
@@ -42,7 +42,8 @@
 /* What is said of a service that routes name. */
 struct rr_route_service {
 	char *name;
-	uint32_t max_connections; /* of a replica, from all callers; 0: unknown */
+	uint32_t
+		max_connections; /* of a replica, from all callers; 0: unknown */
 };
 
 /* What a caller may send and how long it may take; 0: no bound. */
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -181,9 +181,9 @@
 	line->backoff_us = line->backoff_us ?
 				   MIN(2 * line->backoff_us, MOST_BACKOFF_US) :
 				   FIRST_BACKOFF_US;
-	line->due_us = feed->now_us +
-		       (int64_t)((0.5 + 0.5 * rr_random_unit(ctx)) *
-				 (double)line->backoff_us);
+	line->due_us =
+		feed->now_us + (int64_t)((0.5 + 0.5 * rr_random_unit(ctx)) *
+					 (double)line->backoff_us);
 }
 
 static void note_reached(struct rr_context *ctx, struct rr_feed *feed,
@@ -388,10 +388,9 @@
 	}
 	rr_count(ctx, RR_N_STORE_FAILURES, 1);
 	rr_log(ctx, RR_LOG_INFO, "read-failed",
-	       RR_FIELD_STRING("reason",
-			       reply->status == RR_FEED_FORGOTTEN ?
-				       "history-forgotten" :
-				       "no-answer"),
+	       RR_FIELD_STRING("reason", reply->status == RR_FEED_FORGOTTEN ?
+						 "history-forgotten" :
+						 "no-answer"),
 	       RR_FIELD_BOOL("range", feed->ranging),
 	       RR_FIELD_U64("revision", feed->revision));
 	if (reply->status == RR_FEED_FORGOTTEN) {
@@ -472,8 +471,7 @@
 	feed->now_us = now_us;
 	if (!feed->reading.call && feed->reading.due_us <= now_us)
 		read_on(ctx, feed);
-	if (!feed->entry.call && feed->entry.due_us <= now_us &&
-	    !feed->leaving)
+	if (!feed->entry.call && feed->entry.due_us <= now_us && !feed->leaving)
 		renew(ctx, feed);
 	look_at_count(feed);
 }
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -292,8 +292,7 @@
 {
 	struct rr_endpoint *endpoint = attempt->endpoint;
 	struct rr_limit_bounds bounds = rr_endpoint_bounds(gate, endpoint);
-	int64_t typical_us =
-		rr_sketch_quantile(&attempt->record->times, 0.5);
+	int64_t typical_us = rr_sketch_quantile(&attempt->record->times, 0.5);
 
 	rr_track_answer(&endpoint->track, gate->now_us, took_us, typical_us);
 	rr_add_time(&attempt->record->times, took_us);
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -34,8 +34,8 @@
 
 enum tier {
 	TIER_GOOD,
-	TIER_STALLED,	/* pauses, sheds or is stuck */
-	TIER_UNLISTED,	/* its entry has just gone */
+	TIER_STALLED,  /* pauses, sheds or is stuck */
+	TIER_UNLISTED, /* its entry has just gone */
 	N_TIERS,
 };
 
@@ -111,9 +111,8 @@
 
 	wait_us *= rr_track_slowness(&endpoint->track, gate->now_us);
 	wait_us *= 1 + BUSY_WEIGHT * endpoint->live.length;
-	wait_us *= 1 + LOSS_PRICE *
-				   rr_track_losses(&endpoint->track,
-						   gate->now_us);
+	wait_us *= 1 +
+		   LOSS_PRICE * rr_track_losses(&endpoint->track, gate->now_us);
 	if (endpoint->cold_until_us > gate->now_us)
 		wait_us *= COLD_FACTOR;
 	if (!endpoint->zone->near)
@@ -144,8 +143,8 @@
 	if (array->len == 1)
 		return g_ptr_array_index(array, 0);
 	first = rr_random_below(ctx, array->len);
-	second = (first + 1 + rr_random_below(ctx, array->len - 1)) %
-		 array->len;
+	second =
+		(first + 1 + rr_random_below(ctx, array->len - 1)) % array->len;
 	return better_of(ctx, gate, g_ptr_array_index(array, first),
 			 g_ptr_array_index(array, second), typical_us);
 }
@@ -216,9 +215,8 @@
 		best = tier;
 		g_ptr_array_add(candidates, endpoint);
 	}
-	*chosen = candidates->len ?
-			  pick_of(ctx, gate, candidates, typical_us) :
-			  NULL;
+	*chosen = candidates->len ? pick_of(ctx, gate, candidates, typical_us) :
+				    NULL;
 	g_ptr_array_unref(candidates);
 	if (*chosen)
 		return RR_CHOSEN;
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -51,7 +51,7 @@
 	uint32_t slots;
 	struct rr_track track;
 	struct rr_limit limit; /* of open attempts, in usual times */
-	GQueue live; /* struct rr_gate_attempt, the oldest first */
+	GQueue live;	       /* struct rr_gate_attempt, the oldest first */
 };
 
 /* What replicas and routes of one service share. */
@@ -59,7 +59,7 @@
 	char *name;
 	GPtrArray *endpoints; /* struct rr_endpoint, not referenced */
 	struct rr_budget extras;
-	int64_t typical_us; /* of its last attempt's kind of work */
+	int64_t typical_us;	      /* of its last attempt's kind of work */
 	struct rr_wait_queue waiting; /* parts that found no room */
 };
 
@@ -83,11 +83,11 @@
 struct rr_gate_part {
 	struct rr_gate_service *service;
 	enum rr_part_status status;
-	bool waiting;		/* in the service's queue */
-	uint8_t n_tried;	/* replicas that it went to */
-	uint8_t n_arrived;	/* of these, that it reached: one is not extra */
-	uint8_t n_run;		/* of these, where it may have run */
-	uint8_t n_live;		/* attempts under way */
+	bool waiting;	   /* in the service's queue */
+	uint8_t n_tried;   /* replicas that it went to */
+	uint8_t n_arrived; /* of these, that it reached: one is not extra */
+	uint8_t n_run;	   /* of these, where it may have run */
+	uint8_t n_live;	   /* attempts under way */
 	uint64_t tried[RR_MOST_TRIED]; /* numbers of these replicas */
 	int64_t last_sent_us;
 };
@@ -99,8 +99,8 @@
 	const struct rr_route *route;
 	struct rr_route_record *record;
 	int64_t started_us;
-	int64_t end_us; /* deadline or the route's timeout */
-	int64_t cut_us; /* leaving later misses the latency objective */
+	int64_t end_us;	     /* deadline or the route's timeout */
+	int64_t cut_us;	     /* leaving later misses the latency objective */
 	int64_t deadline_us; /* as the caller told it; 0: none */
 	bool left;	     /* nothing new is sent for it */
 	struct rr_gate_part *parts;
@@ -138,9 +138,9 @@
 	struct rr_route_table *table;
 	struct rr_timers *timers;
 	uint64_t next_id;
-	GHashTable *services;  /* name -> struct rr_gate_service */
-	GPtrArray *zones;      /* struct rr_gate_zone */
-	bool isolated;	       /* cut off from the other zones, see gate-zone.c */
+	GHashTable *services; /* name -> struct rr_gate_service */
+	GPtrArray *zones;     /* struct rr_gate_zone */
+	bool isolated; /* cut off from the other zones, see gate-zone.c */
 	GHashTable *endpoints; /* id -> struct rr_endpoint, listed or of late */
 	GHashTable *records;   /* route's name -> struct rr_route_record */
 	GHashTable *runs;      /* id -> struct rr_gate_run */
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -57,8 +57,8 @@
 
 static uint32_t draw_retry_ms(struct rr_context *ctx, int64_t left_us)
 {
-	double part = RETRY_FROM +
-		      (RETRY_TO - RETRY_FROM) * rr_random_unit(ctx);
+	double part =
+		RETRY_FROM + (RETRY_TO - RETRY_FROM) * rr_random_unit(ctx);
 
 	return MAX(1, (uint32_t)(part * (double)left_us / 1000));
 }
@@ -320,14 +320,14 @@
 		      const struct rr_gate_ask *ask)
 {
 	int64_t objective_us = (int64_t)run->route->objective_ms * 1000;
-	int64_t rtt_us = ask->caller_rtt_us > 0 ? ask->caller_rtt_us :
-						  GUESSED_RTT_US;
+	int64_t rtt_us =
+		ask->caller_rtt_us > 0 ? ask->caller_rtt_us : GUESSED_RTT_US;
 
 	run->started_us = gate->now_us;
 	run->end_us = INT64_MAX;
 	if (run->route->timeout_ms)
-		run->end_us = gate->now_us +
-			      (int64_t)run->route->timeout_ms * 1000;
+		run->end_us =
+			gate->now_us + (int64_t)run->route->timeout_ms * 1000;
 	if (ask->deadline_ms >= 0) {
 		run->deadline_us = gate->now_us + ask->deadline_ms * 1000;
 		run->end_us = MIN(run->end_us, run->deadline_us);
@@ -336,10 +336,10 @@
 	}
 	run->cut_us = run->end_us;
 	if (objective_us)
-		run->cut_us = MIN(run->cut_us,
-				  gate->now_us + objective_us - rtt_us -
-					  MAX(LEAST_WRITE_US,
-					      objective_us / WRITE_PART));
+		run->cut_us = MIN(
+			run->cut_us,
+			gate->now_us + objective_us - rtt_us -
+				MAX(LEAST_WRITE_US, objective_us / WRITE_PART));
 }
 
 /* Whether more work comes for a service than its replicas can do. */
@@ -456,8 +456,8 @@
 	return id;
 }
 
-void rr_gate_leave(struct rr_context *ctx, struct rr_gate *gate,
-		   int64_t now_us, uint64_t request)
+void rr_gate_leave(struct rr_context *ctx, struct rr_gate *gate, int64_t now_us,
+		   uint64_t request)
 {
 	struct rr_gate_run *run = rr_find_run(gate, request);
 
--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -86,8 +86,8 @@
 	rr_log(ctx, RR_LOG_WARNING, "zone-silent",
 	       RR_FIELD_STRING("zone", zone->name),
 	       RR_FIELD_U64("unanswered", zone->unanswered),
-	       RR_FIELD_I64("silent_us", rr_track_silent_us(&zone->track,
-							    gate->now_us)));
+	       RR_FIELD_I64("silent_us",
+			    rr_track_silent_us(&zone->track, gate->now_us)));
 	rr_set_timer(gate->timers, gate->now_us + PROBE_US, RR_TIMER_GATE_ZONE,
 		     zone->number, 0);
 	rr_judge_isolation(ctx, gate);
@@ -135,8 +135,8 @@
 	       RR_FIELD_STRING("endpoint", endpoint->id),
 	       RR_FIELD_STRING("service", endpoint->service->name),
 	       RR_FIELD_STRING("reason", reason),
-	       RR_FIELD_I64("for_us", endpoint->track.suspected_until_us -
-					      gate->now_us));
+	       RR_FIELD_I64("for_us",
+			    endpoint->track.suspected_until_us - gate->now_us));
 	set_probe(gate, endpoint);
 }
 
@@ -283,10 +283,10 @@
 /* Whether the replicas that can be reached are enough for a route. */
 static bool can_serve(const struct rr_gate *gate, const struct rr_route *route)
 {
-	size_t least = route->mode == RR_ROUTE_GATHER ?
-			       rr_least_parts(route->n_parts,
-					      route->least_share) :
-			       1;
+	size_t least =
+		route->mode == RR_ROUTE_GATHER ?
+			rr_least_parts(route->n_parts, route->least_share) :
+			1;
 	size_t reachable = 0;
 
 	for (size_t i = 0; i < route->n_parts; i++) {
--- a/source/core/hedge.c
+++ b/source/core/hedge.c
@@ -42,10 +42,10 @@
 	double dear =
 		DEAR_MEDIANS * (double)rr_sketch_quantile(&service->times, 0.5);
 
-	return rr_hedge_price_us(&service->hedges,
-				 rr_sketch_quantile(&service->times,
-						    HEDGE_QUANTILE),
-				 (int64_t)dear);
+	return rr_hedge_price_us(
+		&service->hedges,
+		rr_sketch_quantile(&service->times, HEDGE_QUANTILE),
+		(int64_t)dear);
 }
 
 static bool may_hedge(const struct rr_query *query, const struct rr_task *task)
--- a/source/core/lifecycle.c
+++ b/source/core/lifecycle.c
@@ -27,8 +27,8 @@
 				    size_t connections)
 {
 	int64_t since_us = now_us - lifecycle->stop_us;
-	int64_t end_us = (int64_t)lifecycle->stop_timeout_ms * 1000 -
-			 LAST_MOMENT_US;
+	int64_t end_us =
+		(int64_t)lifecycle->stop_timeout_ms * 1000 - LAST_MOMENT_US;
 
 	if (since_us >= end_us)
 		return RR_STOP_EXIT;
--- a/source/core/wait-queue.h
+++ b/source/core/wait-queue.h
@@ -12,7 +12,7 @@
 #include <stdint.h>
 
 struct rr_waiter {
-	uint64_t run;  /* the request, and which of its parts */
+	uint64_t run; /* the request, and which of its parts */
 	uint32_t part;
 	uint32_t priority; /* 0 is the highest */
 	int64_t since_us;
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -63,7 +63,7 @@
 	struct rr_replica_port *replicas;
 	struct rr_replica_port *store;
 	struct rr_lifecycle lifecycle;
-	GHashTable *requests; /* gate's id -> struct open_request */
+	GHashTable *requests;	     /* gate's id -> struct open_request */
 	struct open_request *taking; /* being taken: its id is not known yet */
 	GHashTable *calls;	     /* id -> struct open_call */
 	int64_t flush_us;	     /* 0: no line waits */
@@ -87,8 +87,7 @@
 
 /* Readiness. */
 
-static bool takes_callers(const struct rr_gateway *gateway,
-			  const char **reason)
+static bool takes_callers(const struct rr_gateway *gateway, const char **reason)
 {
 	bool serves = rr_gate_serves(gateway->gate, reason);
 
@@ -144,8 +143,7 @@
 		return;
 	gateway->stop_check_us = now_us() + STOP_CHECK_US;
 	step = rr_next_stop_step(&gateway->lifecycle, now_us(),
-				 rr_gate_open_requests(gateway->gate),
-				 callers);
+				 rr_gate_open_requests(gateway->gate), callers);
 	if (step == RR_STOP_CLOSE_IDLE)
 		rr_close_idle_callers(gateway->callers);
 	if (step == RR_STOP_EXIT)
@@ -187,8 +185,7 @@
 static struct open_request *find_open(const struct rr_gateway *gateway,
 				      uint64_t id)
 {
-	struct open_request *open =
-		g_hash_table_lookup(gateway->requests, &id);
+	struct open_request *open = g_hash_table_lookup(gateway->requests, &id);
 
 	return open ? open : gateway->taking;
 }
@@ -206,13 +203,11 @@
 	gsize shared = open->head->len;
 
 	g_string_append_printf(open->head, "%s: %s\r\n",
-			       gateway->names->expect_endpoint,
-			       send->endpoint);
+			       gateway->names->expect_endpoint, send->endpoint);
 	if (send->deadline_ms >= 0)
-		g_string_append_printf(open->head,
-				       "%s: %" G_GINT64_FORMAT "\r\n",
-				       gateway->names->deadline,
-				       send->deadline_ms);
+		g_string_append_printf(
+			open->head, "%s: %" G_GINT64_FORMAT "\r\n",
+			gateway->names->deadline, send->deadline_ms);
 	g_string_append(open->head, "\r\n");
 	request.head = open->head->str;
 	request.head_length = open->head->len;
@@ -309,8 +304,7 @@
 	}
 }
 
-static void open_endpoint(void *data, const char *endpoint,
-			  const char *address)
+static void open_endpoint(void *data, const char *endpoint, const char *address)
 {
 	struct rr_gateway *gateway = data;
 
@@ -364,7 +358,8 @@
 		.host = host,
 		.path = message->target,
 		.path_length = message->target_length,
-		.request_id = rr_http_value(message, gateway->names->request_id),
+		.request_id =
+			rr_http_value(message, gateway->names->request_id),
 		.deadline_ms = read_deadline(message, gateway->names->deadline),
 		.caller_rtt_us = rr_caller_rtt_us(caller),
 	};
@@ -699,8 +694,8 @@
 	gateway->names = rr_platform_names();
 	gateway->loop = g_main_loop_new(NULL, FALSE);
 	gateway->lifecycle.stop_timeout_ms = settings->stop_timeout_ms;
-	gateway->requests = g_hash_table_new_full(
-		g_int64_hash, g_int64_equal, g_free, free_open_request);
+	gateway->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  g_free, free_open_request);
 	gateway->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, g_free);
 	gateway->poller = rr_new_poller(error);
--- a/source/gateway/main.c
+++ b/source/gateway/main.c
@@ -85,8 +85,8 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_file *file = arg_file0(NULL, "settings", "FILE",
-					  "the gateway's start file");
+	struct arg_file *file =
+		arg_file0(NULL, "settings", "FILE", "the gateway's start file");
 	struct arg_lit *check =
 		arg_lit0(NULL, "check", "check the start file and exit");
 	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
@@ -95,8 +95,8 @@
 	struct arg_end *end = arg_end(10);
 	void *table[] = { file, check, help, version, end };
 	int faults = arg_parse(argc, argv, table);
-	const char *name = file->count ? file->filename[0] :
-					 g_getenv(FILE_VARIABLE);
+	const char *name =
+		file->count ? file->filename[0] : g_getenv(FILE_VARIABLE);
 	struct rr_gateway_settings *settings;
 	enum exit_code code = EXIT_OK;
 
--- a/source/gateway/request-head.c
+++ b/source/gateway/request-head.c
@@ -19,8 +19,7 @@
 	g_string_append(out, "\r\n");
 }
 
-void rr_append_request_head(GString *out,
-			    const struct rr_http_message *message,
+void rr_append_request_head(GString *out, const struct rr_http_message *message,
 			    const struct rr_gate_names *names)
 {
 	gboolean framed = rr_http_value(message, "Content-Length") ||
@@ -39,10 +38,9 @@
 			append_header(out, header->name, header->value);
 	}
 	if (framed)
-		g_string_append_printf(out,
-				       "Content-Length: %" G_GSIZE_FORMAT
-				       "\r\n",
-				       message->body_length);
+		g_string_append_printf(
+			out, "Content-Length: %" G_GSIZE_FORMAT "\r\n",
+			message->body_length);
 }
 
 GArray *rr_make_answer_headers(const struct rr_http_message *message,
--- a/source/gateway/request-head.h
+++ b/source/gateway/request-head.h
@@ -14,8 +14,7 @@
  * one connection, those the gateway sets itself, and the framing, which is
  * by length.  The empty line is left to the caller.
  */
-void rr_append_request_head(GString *out,
-			    const struct rr_http_message *message,
+void rr_append_request_head(GString *out, const struct rr_http_message *message,
 			    const struct rr_gate_names *names);
 /*
  * Make the headers of an answer from a replica's, without those that concern
--- a/source/net/front-port.c
+++ b/source/net/front-port.c
@@ -49,7 +49,7 @@
 	bool half_closed;
 	bool close; /* behind the answer under way */
 	bool http_1_0;
-	bool head;    /* the request wants no body */
+	bool head;	  /* the request wants no body */
 	int64_t since_us; /* of this state; of the first byte while reading */
 	uint64_t mark;
 	GList link;
@@ -115,10 +115,9 @@
 		g_string_append(out, "\r\n");
 	}
 	if (has_length)
-		g_string_append_printf(out,
-				       "Content-Length: %" G_GSIZE_FORMAT
-				       "\r\n",
-				       answer->length);
+		g_string_append_printf(
+			out, "Content-Length: %" G_GSIZE_FORMAT "\r\n",
+			answer->length);
 	if (caller->close)
 		g_string_append(out, "Connection: close\r\n");
 	g_string_append(out, "\r\n");
@@ -159,8 +158,8 @@
 static void send_answer(struct rr_caller *caller,
 			const struct rr_front_answer *answer)
 {
-	bool bodiless = caller->head || answer->status == 204 ||
-			answer->status == 304;
+	bool bodiless =
+		caller->head || answer->status == 204 || answer->status == 304;
 	GString *out = g_string_sized_new(512 + answer->length);
 	bool taken;
 	bool sent;
@@ -182,8 +181,7 @@
 void rr_answer_caller(struct rr_caller *caller,
 		      const struct rr_front_answer *answer)
 {
-	const struct rr_http_message *message =
-		rr_http_message(caller->reader);
+	const struct rr_http_message *message = rr_http_message(caller->reader);
 
 	caller->close = answer->close || !message->keep_alive ||
 			caller->half_closed || caller->port->closing;
@@ -210,8 +208,7 @@
 static void open_request(struct rr_caller *caller)
 {
 	struct rr_front_port *port = caller->port;
-	const struct rr_http_message *message =
-		rr_http_message(caller->reader);
+	const struct rr_http_message *message = rr_http_message(caller->reader);
 
 	caller->head = !strcmp(message->method, "HEAD");
 	caller->mark = 0;
@@ -384,8 +381,8 @@
 		return false;
 	}
 	g_object_unref(address);
-	fd = socket(native.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-		    0);
+	fd = socket(native.ss_family,
+		    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd >= 0)
 		(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (fd < 0 ||
@@ -530,8 +527,7 @@
 	struct rr_front_answer answer = { .status = 408, .close = true };
 
 	rr_count(caller->port->ctx, RR_N_CALLERS_TIMED_OUT, 1);
-	if (caller->state != CALLER_READING ||
-	    !rr_http_begun(caller->reader)) {
+	if (caller->state != CALLER_READING || !rr_http_begun(caller->reader)) {
 		free_caller(caller);
 		return;
 	}
--- a/source/net/front-port.h
+++ b/source/net/front-port.h
@@ -39,7 +39,7 @@
 /* An answer; the bytes are copied. */
 struct rr_front_answer {
 	uint16_t status;
-	const char *reason; /* NULL: the usual phrase */
+	const char *reason;		      /* NULL: the usual phrase */
 	const struct rr_http_header *headers; /* without framing */
 	size_t n_headers;
 	const uint8_t *body;
@@ -48,9 +48,9 @@
 };
 
 /* Listen; NULL with an error. */
-struct rr_front_port *rr_new_front_port(struct rr_context *ctx,
-					const struct rr_front_port_options *options,
-					GError **error);
+struct rr_front_port *
+rr_new_front_port(struct rr_context *ctx,
+		  const struct rr_front_port_options *options, GError **error);
 void rr_drop_front_port(struct rr_front_port *port);
 void rr_bound_front_port(struct rr_front_port *port,
 			 const struct rr_caller_limits *limits);
--- a/source/net/http-reader.c
+++ b/source/net/http-reader.c
@@ -31,8 +31,8 @@
 	enum rr_http_result fault;
 	GString *target;
 	GString *reason;
-	GString *text;	   /* names and values, each with its zero byte */
-	GArray *spans;	   /* struct span */
+	GString *text; /* names and values, each with its zero byte */
+	GArray *spans; /* struct span */
 	GByteArray *body;
 	GArray *headers; /* struct rr_http_header, made at the end */
 	struct rr_http_message message;
@@ -255,8 +255,8 @@
 void rr_bound_http_reader(struct rr_http_reader *reader,
 			  uint32_t max_header_bytes, uint32_t max_body_bytes)
 {
-	reader->max_header_bytes = max_header_bytes ? max_header_bytes :
-						      NO_BOUND;
+	reader->max_header_bytes =
+		max_header_bytes ? max_header_bytes : NO_BOUND;
 	reader->max_body_bytes = max_body_bytes ? max_body_bytes : NO_BOUND;
 }
 
@@ -285,8 +285,8 @@
 {
 	struct rr_http_message *message = &reader->message;
 
-	message->method = http_method_str(
-		(enum http_method)reader->parser.method);
+	message->method =
+		http_method_str((enum http_method)reader->parser.method);
 	message->target = reader->target->str;
 	message->target_length = reader->target->len;
 	message->status = (uint16_t)reader->parser.status_code;
@@ -392,9 +392,15 @@
 bool rr_is_hop_header(const struct rr_http_message *message, const char *name)
 {
 	static const char *const hop_headers[] = {
-		"Connection", "Keep-Alive", "Proxy-Connection",
-		"TE",	      "Trailer",    "Transfer-Encoding",
-		"Upgrade",    "Proxy-Authenticate", "Proxy-Authorization",
+		"Connection",
+		"Keep-Alive",
+		"Proxy-Connection",
+		"TE",
+		"Trailer",
+		"Transfer-Encoding",
+		"Upgrade",
+		"Proxy-Authenticate",
+		"Proxy-Authorization",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(hop_headers); i++) {
--- a/source/net/http-reader.h
+++ b/source/net/http-reader.h
@@ -31,8 +31,8 @@
 	size_t n_headers;
 	const uint8_t *body;
 	size_t body_length;
-	bool keep_alive;     /* the connection may be used again */
-	bool until_close;    /* the body ended with the connection */
+	bool keep_alive;  /* the connection may be used again */
+	bool until_close; /* the body ended with the connection */
 	bool expects_continue;
 };
 
@@ -45,9 +45,9 @@
 };
 
 struct rr_http_reader_options {
-	bool responses;		  /* else requests */
+	bool responses;		   /* else requests */
 	uint32_t max_header_bytes; /* 0: no bound */
-	uint32_t max_body_bytes;  /* 0: no bound */
+	uint32_t max_body_bytes;   /* 0: no bound */
 };
 
 struct rr_http_reader;
--- a/source/net/poller.c
+++ b/source/net/poller.c
@@ -22,8 +22,8 @@
 {
 	struct rr_poller *poller = (struct rr_poller *)source;
 
-	poller->n_events = epoll_wait(poller->fd, poller->events, MOST_EVENTS,
-				      0);
+	poller->n_events =
+		epoll_wait(poller->fd, poller->events, MOST_EVENTS, 0);
 	for (poller->at = 0; poller->at < poller->n_events; poller->at++) {
 		struct epoll_event *event = &poller->events[poller->at];
 		struct rr_poll *poll = event->data.ptr;
--- a/source/net/replica-port.c
+++ b/source/net/replica-port.c
@@ -450,16 +450,14 @@
 static struct replica *replica_of(struct rr_replica_port *port,
 				  const char *endpoint, const char *address)
 {
-	struct replica *replica =
-		g_hash_table_lookup(port->replicas, endpoint);
+	struct replica *replica = g_hash_table_lookup(port->replicas, endpoint);
 
 	if (!replica) {
 		replica = g_new0(struct replica, 1);
 		replica->endpoint = g_strdup(endpoint);
 		replica->address = g_strdup(address);
 		g_queue_init(&replica->idle);
-		g_hash_table_insert(port->replicas, replica->endpoint,
-				    replica);
+		g_hash_table_insert(port->replicas, replica->endpoint, replica);
 	}
 	return replica;
 }
@@ -525,11 +523,10 @@
 	conn->n_foreign = 0;
 	conn->soiled = false;
 	conn->request_id = g_strdup(request->request_id);
-	conn->give_up_us =
-		conn->port->now_us +
-		(send->deadline_ms >= 0 ?
-			 send->deadline_ms * 1000 + DEADLINE_GRACE_US :
-			 NO_DEADLINE_US);
+	conn->give_up_us = conn->port->now_us +
+			   (send->deadline_ms >= 0 ? send->deadline_ms * 1000 +
+							     DEADLINE_GRACE_US :
+						     NO_DEADLINE_US);
 	g_hash_table_insert(conn->port->attempts, &conn->attempt, conn);
 }
 
@@ -601,8 +598,7 @@
 
 void rr_forget_replica(struct rr_replica_port *port, const char *endpoint)
 {
-	struct replica *replica =
-		g_hash_table_lookup(port->replicas, endpoint);
+	struct replica *replica = g_hash_table_lookup(port->replicas, endpoint);
 
 	if (!replica)
 		return;
--- a/source/net/stream.c
+++ b/source/net/stream.c
@@ -147,8 +147,8 @@
 	socklen_t length = sizeof(error);
 
 	stream->connecting = false;
-	if (getsockopt(stream->poll.fd, SOL_SOCKET, SO_ERROR, &error,
-		       &length) < 0)
+	if (getsockopt(stream->poll.fd, SOL_SOCKET, SO_ERROR, &error, &length) <
+	    0)
 		error = errno;
 	if (error) {
 		errno = error;
@@ -319,8 +319,8 @@
 	struct tcp_info info = { 0 };
 	socklen_t length = sizeof(info);
 
-	if (getsockopt(stream->poll.fd, IPPROTO_TCP, TCP_INFO, &info,
-		       &length) < 0)
+	if (getsockopt(stream->poll.fd, IPPROTO_TCP, TCP_INFO, &info, &length) <
+	    0)
 		return 0;
 	return info.tcpi_rtt;
 }
--- /dev/null
+++ b/tests/support/raw-peer.c
@@ -0,0 +1,200 @@
+/*
+ * raw-peer.c - the other end of a TCP connection, on plain sockets.
+ */
+#include "support/raw-peer.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+static void turn(void)
+{
+	if (!g_main_context_iteration(NULL, FALSE))
+		g_usleep(200);
+}
+
+void raw_turn_for(int64_t us)
+{
+	int64_t end_us = g_get_monotonic_time() + us;
+
+	while (g_get_monotonic_time() < end_us)
+		turn();
+}
+
+void raw_turn_until(const int *flag, int n)
+{
+	int64_t end_us = g_get_monotonic_time() + RAW_LIMIT_US;
+
+	while (*flag < n) {
+		turn();
+		if (g_get_monotonic_time() > end_us)
+			g_error("nothing came");
+	}
+}
+
+struct raw_listener *raw_listen(void)
+{
+	struct raw_listener *listener = g_new0(struct raw_listener, 1);
+	struct sockaddr_in address = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+	socklen_t length = sizeof(address);
+
+	listener->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+	g_assert_cmpint(bind(listener->fd, (struct sockaddr *)&address,
+			     sizeof(address)),
+			==, 0);
+	g_assert_cmpint(listen(listener->fd, 16), ==, 0);
+	getsockname(listener->fd, (struct sockaddr *)&address, &length);
+	listener->address =
+		g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
+	return listener;
+}
+
+void raw_close_listener(struct raw_listener *listener)
+{
+	if (listener->fd >= 0)
+		close(listener->fd);
+	listener->fd = -1;
+}
+
+void raw_drop_listener(struct raw_listener *listener)
+{
+	raw_close_listener(listener);
+	g_free(listener->address);
+	g_free(listener);
+}
+
+static struct raw_peer *new_peer(int fd)
+{
+	struct raw_peer *peer = g_new0(struct raw_peer, 1);
+
+	peer->fd = fd;
+	peer->in = g_string_new(NULL);
+	return peer;
+}
+
+struct raw_peer *raw_accept(struct raw_listener *listener)
+{
+	int64_t end_us = g_get_monotonic_time() + RAW_LIMIT_US;
+
+	for (;;) {
+		int fd = accept(listener->fd, NULL, NULL);
+
+		if (fd >= 0)
+			return new_peer(fd);
+		g_assert_true(errno == EAGAIN);
+		g_assert_cmpint(g_get_monotonic_time(), <, end_us);
+		turn();
+	}
+}
+
+bool raw_has_connection(struct raw_listener *listener)
+{
+	int fd;
+
+	raw_turn_for(30000);
+	fd = accept(listener->fd, NULL, NULL);
+	if (fd >= 0)
+		close(fd);
+	return fd >= 0;
+}
+
+struct raw_peer *raw_connect(const char *address)
+{
+	struct sockaddr_in target = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+		.sin_port = htons(
+			(uint16_t)atoi(strchr(address, ':') + 1)),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&target,
+				sizeof(target)),
+			==, 0);
+	return new_peer(fd);
+}
+
+void raw_send(struct raw_peer *peer, const char *text)
+{
+	size_t length = strlen(text);
+
+	g_assert_cmpint(send(peer->fd, text, length, MSG_NOSIGNAL), ==,
+			(ssize_t)length);
+}
+
+void raw_finish(struct raw_peer *peer)
+{
+	shutdown(peer->fd, SHUT_WR);
+}
+
+void raw_reset(struct raw_peer *peer)
+{
+	struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(peer->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close(peer->fd);
+	peer->fd = -1;
+}
+
+void raw_drop(struct raw_peer *peer)
+{
+	if (peer->fd >= 0)
+		close(peer->fd);
+	g_string_free(peer->in, TRUE);
+	g_free(peer);
+}
+
+static void read_some(struct raw_peer *peer)
+{
+	char bytes[4096];
+	ssize_t n = recv(peer->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+
+	if (n > 0)
+		g_string_append_len(peer->in, bytes, n);
+	else if (n == 0)
+		peer->ended = true;
+	else if (errno != EAGAIN)
+		peer->ended = peer->reset = true;
+}
+
+void raw_expect(struct raw_peer *peer, const char *text)
+{
+	int64_t end_us = g_get_monotonic_time() + RAW_LIMIT_US;
+
+	while (!strstr(peer->in->str, text)) {
+		read_some(peer);
+		if (g_get_monotonic_time() > end_us || peer->ended)
+			g_error("'%s' did not come, but '%s'", text,
+				peer->in->str);
+		turn();
+	}
+}
+
+void raw_expect_end(struct raw_peer *peer)
+{
+	int64_t end_us = g_get_monotonic_time() + RAW_LIMIT_US;
+
+	while (!peer->ended) {
+		read_some(peer);
+		if (g_get_monotonic_time() > end_us)
+			g_error("no end came");
+		turn();
+	}
+}
+
+char *raw_take(struct raw_peer *peer)
+{
+	char *text;
+
+	raw_turn_for(30000);
+	read_some(peer);
+	text = g_strdup(peer->in->str);
+	g_string_truncate(peer->in, 0);
+	return text;
+}
--- a/tests/test-feed.c
+++ b/tests/test-feed.c
@@ -175,8 +175,8 @@
 	if (g_str_has_prefix(what, "routes")) {
 		item->kind = RR_FEED_ROUTES;
 		item->key[6] = '\0';
-		item->routes =
-			rr_new_route_table(g_ascii_strtoull(what + 6, NULL, 10));
+		item->routes = rr_new_route_table(
+			g_ascii_strtoull(what + 6, NULL, 10));
 	} else if (g_str_has_prefix(what, "inst")) {
 		item->kind = RR_FEED_INSTANCE;
 		item->id = g_strdup(what);
@@ -213,8 +213,8 @@
 			continue;
 		*at = '\0';
 		g_ptr_array_add(reply.items,
-				make_item(words[i], g_ascii_strtoull(
-							    at + 1, NULL, 10)));
+				make_item(words[i],
+					  g_ascii_strtoull(at + 1, NULL, 10)));
 	}
 	call->over = true;
 	rr_feed_reply(scene->ctx, scene->feed, scene->now_us, &reply);
@@ -402,8 +402,7 @@
 	for (int i = 0; i < 600; i++) {
 		pass(scene, 100 * MS);
 		for (guint j = 0; j < scene->calls->len; j++) {
-			struct call *call =
-				g_ptr_array_index(scene->calls, j);
+			struct call *call = g_ptr_array_index(scene->calls, j);
 
 			if (!call->over)
 				answer(scene, call, RR_FEED_FAILED, NULL, 0,
--- a/tests/test-gate-random.c
+++ b/tests/test-gate-random.c
@@ -71,15 +71,28 @@
 static void set_routes(struct world *world)
 {
 	const struct test_route routes[] = {
-		{ .name = "once", .prefix = "/once/", .services = first,
-		  .once = true, .max_attempts = 2, .objective_ms = 250,
+		{ .name = "once",
+		  .prefix = "/once/",
+		  .services = first,
+		  .once = true,
+		  .max_attempts = 2,
+		  .objective_ms = 250,
 		  .timeout_ms = 1000 },
-		{ .name = "often", .prefix = "/often/", .services = second,
-		  .max_attempts = 2, .objective_ms = 250, .timeout_ms = 1000 },
-		{ .name = "search", .prefix = "/search/",
+		{ .name = "often",
+		  .prefix = "/often/",
+		  .services = second,
+		  .max_attempts = 2,
+		  .objective_ms = 250,
+		  .timeout_ms = 1000 },
+		{ .name = "search",
+		  .prefix = "/search/",
 		  .services = draw(world, 2) ? shards : other_shards,
-		  .gather = true, .max_attempts = 2, .objective_ms = 80,
-		  .timeout_ms = 600, .least_share = 0.75, .priority = 1 },
+		  .gather = true,
+		  .max_attempts = 2,
+		  .objective_ms = 80,
+		  .timeout_ms = 600,
+		  .least_share = 0.75,
+		  .priority = 1 },
 	};
 
 	test_set_routes(world->scene, ++world->version, routes,
@@ -128,8 +141,7 @@
 	assert_true(request->open);
 	assert_false(request->left);
 	assert_false(world->draining[service][replica]);
-	assert_true(!unlisted_us ||
-		    sent->at_us - unlisted_us < 2000 * TEST_MS);
+	assert_true(!unlisted_us || sent->at_us - unlisted_us < 2000 * TEST_MS);
 	count = GPOINTER_TO_UINT(
 		g_hash_table_lookup(request->per_service, key));
 	assert_true(count < request->max_attempts);
@@ -179,9 +191,8 @@
 	while (world->sent_seen < scene->sent->len)
 		check_sent(world, test_sent_at(scene, world->sent_seen++));
 	while (world->answers_seen < scene->answers->len)
-		check_answer(world,
-			     g_ptr_array_index(scene->answers,
-					       world->answers_seen++));
+		check_answer(world, g_ptr_array_index(scene->answers,
+						      world->answers_seen++));
 }
 
 /* The id is known only after the call, which may answer or send already. */
@@ -199,12 +210,11 @@
 	request->once = kind == 0;
 	request->gathers = kind == 2;
 	request->max_attempts = 2;
-	request->end_us = world->scene->now_us +
-			  MIN(deadline_ms, timeout_ms) * TEST_MS;
+	request->end_us =
+		world->scene->now_us + MIN(deadline_ms, timeout_ms) * TEST_MS;
 	/* Replicas may be told of the caller's own deadline. */
 	if (deadline_ms > timeout_ms)
-		request->end_us =
-			world->scene->now_us + deadline_ms * TEST_MS;
+		request->end_us = world->scene->now_us + deadline_ms * TEST_MS;
 	request->per_service = g_hash_table_new(NULL, NULL);
 	world->asked++;
 	*key = test_take(world->scene, paths[kind], deadline_ms);
@@ -221,9 +231,8 @@
 	struct gate_scene *scene = world->scene;
 	enum rr_gate_outcome outcome =
 		outcomes[draw(world, G_N_ELEMENTS(outcomes))];
-	uint16_t status = outcome == RR_GATE_ANSWERED ?
-				  (draw(world, 10) ? 200 : 500) :
-				  0;
+	uint16_t status =
+		outcome == RR_GATE_ANSWERED ? (draw(world, 10) ? 200 : 500) : 0;
 	guint from = scene->sent->len > 40 ? scene->sent->len - 40 : 0;
 
 	for (guint i = from; i < scene->sent->len; i++) {
@@ -235,8 +244,8 @@
 		if (outcome == RR_GATE_REFUSED || outcome == RR_GATE_UNSENT) {
 			gpointer key = GUINT_TO_POINTER(
 				(guint)(sent->endpoint[1] - '0'));
-			guint count = GPOINTER_TO_UINT(g_hash_table_lookup(
-				request->per_service, key));
+			guint count = GPOINTER_TO_UINT(
+				g_hash_table_lookup(request->per_service, key));
 
 			g_hash_table_insert(request->per_service, key,
 					    GUINT_TO_POINTER(count - 1));
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -17,18 +17,31 @@
 static const char *const shards[] = { "s1", "s2", "s3", "s4", NULL };
 
 static const struct test_route once_route = {
-	.name = "once", .prefix = "/once/", .services = one_service,
-	.once = true, .max_attempts = 2, .objective_ms = 250,
+	.name = "once",
+	.prefix = "/once/",
+	.services = one_service,
+	.once = true,
+	.max_attempts = 2,
+	.objective_ms = 250,
 	.timeout_ms = 4000,
 };
 static const struct test_route often_route = {
-	.name = "often", .prefix = "/often/", .services = one_service,
-	.max_attempts = 2, .objective_ms = 250, .timeout_ms = 4000,
+	.name = "often",
+	.prefix = "/often/",
+	.services = one_service,
+	.max_attempts = 2,
+	.objective_ms = 250,
+	.timeout_ms = 4000,
 };
 static const struct test_route search_route = {
-	.name = "search", .prefix = "/search/", .services = shards,
-	.gather = true, .max_attempts = 2, .objective_ms = 80,
-	.timeout_ms = 1200, .least_share = 0.75,
+	.name = "search",
+	.prefix = "/search/",
+	.services = shards,
+	.gather = true,
+	.max_attempts = 2,
+	.objective_ms = 80,
+	.timeout_ms = 1200,
+	.least_share = 0.75,
 };
 
 /* One route and two replicas of each of its services, near and far. */
@@ -463,8 +476,11 @@
 {
 	static const double weights[] = { 3, 1 };
 	const struct test_route route = {
-		.name = "split", .prefix = "/split/", .services = two_services,
-		.weights = weights, .max_attempts = 1,
+		.name = "split",
+		.prefix = "/split/",
+		.services = two_services,
+		.weights = weights,
+		.max_attempts = 1,
 	};
 	struct gate_scene *scene = start(&route);
 	int first = 0;
@@ -489,9 +505,14 @@
 static void test_a_zone_is_cut_off(void **state)
 {
 	const struct test_route route = {
-		.name = "search", .prefix = "/search/", .services = shards,
-		.gather = true, .max_attempts = 2, .objective_ms = 80,
-		.timeout_ms = 1200, .least_share = 0.9,
+		.name = "search",
+		.prefix = "/search/",
+		.services = shards,
+		.gather = true,
+		.max_attempts = 2,
+		.objective_ms = 80,
+		.timeout_ms = 1200,
+		.least_share = 0.9,
 	};
 	struct gate_scene *scene = test_new_scene(7);
 	const char *reason;
@@ -562,8 +583,8 @@
 	assert_true(scene->probes->len > 1);
 	rr_gate_probed(scene->ctx, scene->gate, scene->now_us, "s.a", true);
 	test_take(scene, "/often/1", 900);
-	assert_string_equal(
-		test_sent_at(scene, scene->sent->len - 1)->endpoint, "s.a");
+	assert_string_equal(test_sent_at(scene, scene->sent->len - 1)->endpoint,
+			    "s.a");
 	test_drop_scene(scene);
 }
 
@@ -571,8 +592,12 @@
 static void test_work_waits_for_room(void **state)
 {
 	const struct test_route route = {
-		.name = "often", .prefix = "/often/", .services = one_service,
-		.max_attempts = 1, .objective_ms = 250, .timeout_ms = 4000,
+		.name = "often",
+		.prefix = "/often/",
+		.services = one_service,
+		.max_attempts = 1,
+		.objective_ms = 250,
+		.timeout_ms = 4000,
 	};
 	struct gate_scene *scene = test_new_scene(7);
 
@@ -614,12 +639,13 @@
 
 				test_take(scenes[i], "/often/1", 900);
 				while (test_count_open(scenes[i]))
-					test_reply(scenes[i],
-						   test_sent_at(
-							   scenes[i],
-							   scenes[i]->sent->len -
-								   1),
-						   RR_GATE_BROKEN, 0);
+					test_reply(
+						scenes[i],
+						test_sent_at(
+							scenes[i],
+							scenes[i]->sent->len -
+								1),
+						RR_GATE_BROKEN, 0);
 				extras += (int)(scenes[i]->sent->len - before) -
 					  1;
 				test_pass(scenes[i], 50 * TEST_MS);
--- a/tests/test-gather.c
+++ b/tests/test-gather.c
@@ -20,8 +20,7 @@
 	uint8_t *body = g_malloc(n * RR_RECORD_BYTES + 1);
 
 	for (size_t i = 0; i < n; i++)
-		memset(body + i * RR_RECORD_BYTES, letters[i],
-		       RR_RECORD_BYTES);
+		memset(body + i * RR_RECORD_BYTES, letters[i], RR_RECORD_BYTES);
 	rr_add_part_records(top, body, n * RR_RECORD_BYTES);
 	g_free(body);
 }
--- a/tests/test-http-reader.c
+++ b/tests/test-http-reader.c
@@ -53,9 +53,8 @@
 	size_t used;
 
 	for (size_t i = 0; text[i]; i++) {
-		scene->result = rr_read_http(scene->reader,
-					     (const uint8_t *)text + i, 1,
-					     &used);
+		scene->result = rr_read_http(
+			scene->reader, (const uint8_t *)text + i, 1, &used);
 		if (scene->result != RR_HTTP_MORE)
 			return scene->result;
 	}
@@ -169,16 +168,14 @@
 
 	assert_int_equal(read_text(&scene, long_head), RR_HTTP_BIG_HEAD);
 	rr_reset_http_reader(scene.reader, false);
-	assert_int_equal(read_text(&scene,
-				   "POST / HTTP/1.1\r\nHost: a\r\n"
-				   "Content-Length: 101\r\n\r\n"),
+	assert_int_equal(read_text(&scene, "POST / HTTP/1.1\r\nHost: a\r\n"
+					   "Content-Length: 101\r\n\r\n"),
 			 RR_HTTP_BIG_BODY);
 	rr_reset_http_reader(scene.reader, false);
 	rr_bound_http_reader(scene.reader, 1024, 4);
-	assert_int_equal(read_text(&scene,
-				   "POST / HTTP/1.1\r\nHost: a\r\n"
-				   "Transfer-Encoding: chunked\r\n\r\n"
-				   "5\r\nabcde\r\n0\r\n\r\n"),
+	assert_int_equal(read_text(&scene, "POST / HTTP/1.1\r\nHost: a\r\n"
+					   "Transfer-Encoding: chunked\r\n\r\n"
+					   "5\r\nabcde\r\n0\r\n\r\n"),
 			 RR_HTTP_BIG_BODY);
 	g_free(long_head);
 	g_free(long_value);
--- a/tests/test-platform-formats.c
+++ b/tests/test-platform-formats.c
@@ -64,8 +64,7 @@
 	assert_true(route->parts[0].weight == 0.75);
 	assert_int_equal(rr_find_route_service(table, "x")->max_connections,
 			 26);
-	assert_int_equal(rr_table_caller_limits(table)->idle_timeout_ms,
-			 15000);
+	assert_int_equal(rr_table_caller_limits(table)->idle_timeout_ms, 15000);
 	rr_drop_route_table(table);
 }
 
@@ -158,15 +157,14 @@
 
 static void test_entry(void **state)
 {
-	const struct rr_feed_call enter = { .kind = RR_FEED_ENTER,
-					    .lease = 5 };
+	const struct rr_feed_call enter = { .kind = RR_FEED_ENTER, .lease = 5 };
 	const struct rr_platform_entry entry = { .instance = "front-1",
 						 .zone = "z" };
 	GString *bytes = rr_encode_feed_call(&enter, "s:1", &entry);
 
 	assert_true(g_str_has_prefix(bytes->str, "POST /v1/kv-txn HTTP/1.1"));
-	assert_non_null(strstr(bytes->str,
-			       "\"key\":\"ragwort/instances/front-1\""));
+	assert_non_null(
+		strstr(bytes->str, "\"key\":\"ragwort/instances/front-1\""));
 	assert_non_null(strstr(bytes->str, "\"lease\":5}"));
 	g_string_free(bytes, TRUE);
 }
@@ -226,10 +224,10 @@
 
 static void test_watch_reply(void **state)
 {
-	struct rr_feed_reply reply = decode(
-		RR_FEED_WATCH, 200,
-		"{\"events\":[{\"key\":\"servers/i-1\",\"revision\":413,"
-		"\"removed\":true}],\"storeRevision\":413}");
+	struct rr_feed_reply reply =
+		decode(RR_FEED_WATCH, 200,
+		       "{\"events\":[{\"key\":\"servers/i-1\",\"revision\":413,"
+		       "\"removed\":true}],\"storeRevision\":413}");
 	struct rr_feed_item *item = g_ptr_array_index(reply.items, 0);
 
 	assert_true(item->removed);
@@ -274,8 +272,8 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		struct rr_feed_reply reply = decode(
-			cases[i].kind, cases[i].status, cases[i].body);
+		struct rr_feed_reply reply =
+			decode(cases[i].kind, cases[i].status, cases[i].body);
 
 		if (reply.status != RR_FEED_FAILED)
 			fail_msg("case %zu: %d", i, reply.status);
--- a/tests/test-route.c
+++ b/tests/test-route.c
@@ -40,12 +40,12 @@
 {
 	struct rr_route_table *table = rr_new_route_table(7);
 
-	assert_true(rr_add_route(table, make_route("all", "a.example", "/",
-						   "s1")));
+	assert_true(
+		rr_add_route(table, make_route("all", "a.example", "/", "s1")));
 	assert_true(rr_add_route(
 		table, make_route("stock", "a.example", "/stock/", "s2")));
-	assert_true(rr_add_route(
-		table, make_route("tiles", "a.example", "/stock/tiles/", "s3")));
+	assert_true(rr_add_route(table, make_route("tiles", "a.example",
+						   "/stock/tiles/", "s3")));
 	assert_true(rr_add_route(
 		table, make_route("other", "b.example", "/stock/", "s4")));
 	return table;
@@ -99,8 +99,8 @@
 		table, make_route("open", "a.example", "/open", "s")));
 	assert_false(rr_add_route(
 		table, make_route("bare", "a.example", "bare/", "s")));
-	assert_false(
-		rr_add_route(table, make_route("none", "a.example", "/n/", NULL)));
+	assert_false(rr_add_route(
+		table, make_route("none", "a.example", "/n/", NULL)));
 	route = make_route("least", "a.example", "/least/", "s");
 	assert_int_equal(route->max_attempts, 0);
 	assert_true(rr_add_route(table, route));
--- a/tests/test-track.c
+++ b/tests/test-track.c
@@ -74,8 +74,7 @@
 	rr_track_reached(&track);
 	assert_false(rr_is_suspected(&track, first_us + 1));
 	rr_track_loss(&track, 2 * first_us, RR_LOSS_SILENT);
-	assert_int_equal(track.suspected_until_us - 2 * first_us,
-			 4 * first_us);
+	assert_int_equal(track.suspected_until_us - 2 * first_us, 4 * first_us);
 	/* An answer makes it as good as new. */
 	rr_track_answer(&track, 3 * first_us, 10, 10);
 	assert_false(rr_is_suspected(&track, 3 * first_us));
