--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -269,20 +269,17 @@
 {
 	GList *link;
 
-	while ((link = run->live.head)) {
+	while ((link = g_queue_pop_head_link(&run->live))) {
 		struct rr_gate_attempt *attempt = link->data;
 
-		if (attempt->idempotent) {
-			withdraw(ctx, gate, attempt, "request-over");
-			continue;
-		}
+		run->parts[attempt->part].n_live--;
+		attempt->run = NULL;
 		/*
 		 * What may run once at most is never broken off: its end is
 		 * worth knowing, and the replica stops at its deadline.
 		 */
-		g_queue_unlink(&run->live, link);
-		run->parts[attempt->part].n_live--;
-		attempt->run = NULL;
+		if (attempt->idempotent)
+			withdraw(ctx, gate, attempt, "request-over");
 	}
 }
 
--- a/source/net/front-port.c
+++ b/source/net/front-port.c
@@ -72,17 +72,21 @@
 	return g_get_monotonic_time();
 }
 
-static void free_caller(struct rr_caller *caller)
+/* End and free a connection that is off the port's list. */
+static void end_caller(struct rr_caller *caller)
 {
-	struct rr_front_port *port = caller->port;
-
-	g_queue_unlink(&port->callers, &caller->link);
 	rr_drop_stream(caller->stream);
 	rr_drop_http_reader(caller->reader);
 	g_byte_array_unref(caller->rest);
 	g_free(caller);
 }
 
+static void free_caller(struct rr_caller *caller)
+{
+	g_queue_unlink(&caller->port->callers, &caller->link);
+	end_caller(caller);
+}
+
 /* The connection is gone; the owner forgets what it had with it. */
 static void lose_caller(struct rr_caller *caller)
 {
@@ -427,10 +431,12 @@
 
 void rr_drop_front_port(struct rr_front_port *port)
 {
+	GList *link;
+
 	if (!port)
 		return;
-	while (port->callers.head)
-		free_caller(port->callers.head->data);
+	while ((link = g_queue_pop_head_link(&port->callers)))
+		end_caller(link->data);
 	if (port->listener.fd >= 0) {
 		rr_remove_poll(port->poller, &port->listener);
 		close(port->listener.fd);
--- a/source/net/replica-port.c
+++ b/source/net/replica-port.c
@@ -63,6 +63,7 @@
 	char *request_id;
 	GByteArray *request; /* waits for the connection */
 	GList link;	     /* in the port's list of connections in use */
+	bool linked;
 };
 
 /* A reply given from inside a send: it is handed out at the next tick. */
@@ -126,9 +127,17 @@
 	return port;
 }
 
-static bool is_used(const struct conn *conn)
+static void link_used(struct conn *conn)
 {
-	return conn->state != CONN_IDLE;
+	g_queue_push_tail_link(&conn->port->used, &conn->link);
+	conn->linked = true;
+}
+
+static void unlink_used(struct conn *conn)
+{
+	if (conn->linked)
+		g_queue_unlink(&conn->port->used, &conn->link);
+	conn->linked = false;
 }
 
 /* Close a connection and forget it. */
@@ -139,9 +148,8 @@
 
 	if (conn->attempt)
 		g_hash_table_remove(port->attempts, &conn->attempt);
-	if (is_used(conn))
-		g_queue_unlink(&port->used, &conn->link);
-	else
+	unlink_used(conn);
+	if (conn->state == CONN_IDLE)
 		g_queue_remove(&replica->idle, conn);
 	rr_drop_stream(conn->stream);
 	rr_drop_http_reader(conn->reader);
@@ -157,18 +165,24 @@
 {
 	GHashTableIter iter;
 	gpointer value;
+	GList *link;
 
 	if (!port)
 		return;
-	while (port->used.head)
-		free_conn(port->used.head->data);
+	while ((link = g_queue_pop_head_link(&port->used))) {
+		struct conn *conn = link->data;
+
+		conn->linked = false;
+		free_conn(conn);
+	}
 	g_hash_table_iter_init(&iter, port->replicas);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct replica *replica = value;
+		struct conn *conn;
 
 		replica->forgotten = false;
-		while (replica->idle.head)
-			free_conn(replica->idle.head->data);
+		while ((conn = g_queue_pop_head(&replica->idle)))
+			free_conn(conn);
 	}
 	g_queue_clear_full(&port->owed, free_owed);
 	g_hash_table_unref(port->attempts);
@@ -243,7 +257,7 @@
 
 static void start_idle(struct conn *conn, int64_t keep_us)
 {
-	g_queue_unlink(&conn->port->used, &conn->link);
+	unlink_used(conn);
 	conn->state = CONN_IDLE;
 	conn->keep_until_us = conn->port->now_us + keep_us;
 	g_clear_pointer(&conn->request_id, g_free);
@@ -442,7 +456,7 @@
 	conn->state = CONN_CONNECTING;
 	conn->since_us = port->now_us;
 	conn->link.data = conn;
-	g_queue_push_tail_link(&port->used, &conn->link);
+	link_used(conn);
 	replica->n_conns++;
 	return conn;
 }
@@ -468,15 +482,14 @@
 {
 	struct conn *conn;
 
-	while ((conn = g_queue_peek_head(&replica->idle))) {
+	while ((conn = g_queue_pop_head(&replica->idle))) {
 		/*
 		 * What may run once is not sent where an end or stray bytes
 		 * wait to be read already.
 		 */
 		if (conn->keep_until_us > port->now_us &&
 		    (idempotent || !rr_stream_has_news(conn->stream))) {
-			g_queue_remove(&replica->idle, conn);
-			g_queue_push_tail_link(&port->used, &conn->link);
+			link_used(conn);
 			start_busy(conn);
 			return conn;
 		}
@@ -607,13 +620,9 @@
 		g_hash_table_remove(port->replicas, endpoint);
 		return;
 	}
-	while (replica->n_conns && replica->idle.head) {
-		bool last = replica->n_conns == 1;
-
-		free_conn(replica->idle.head->data);
-		if (last)
-			return;
-	}
+	/* With the last connection the replica goes as well. */
+	for (guint n = replica->idle.length; n; n--)
+		free_conn(g_queue_pop_head(&replica->idle));
 }
 
 static void give_owed(struct rr_replica_port *port)
@@ -643,11 +652,16 @@
 	return conn->idempotent ? INT64_MAX : conn->give_up_us;
 }
 
-static struct conn *find_overdue(const struct rr_replica_port *port)
+/* One that is given up, taken off the list; NULL if there is none. */
+static struct conn *take_overdue(struct rr_replica_port *port)
 {
 	for (GList *l = port->used.head; l; l = l->next) {
-		if (bound_of(l->data) <= port->now_us)
-			return l->data;
+		struct conn *conn = l->data;
+
+		if (bound_of(conn) > port->now_us)
+			continue;
+		unlink_used(conn);
+		return conn;
 	}
 	return NULL;
 }
@@ -658,7 +672,9 @@
 
 	port->now_us = now_us;
 	give_owed(port);
-	while ((conn = find_overdue(port)))
+	/* One at a time: its end may change what the others wait for. */
+	conn = take_overdue(port);
+	if (conn)
 		break_conn(conn,
 			   conn->state == CONN_CONNECTING ? RR_GATE_UNSENT :
 							    RR_GATE_SILENT,
--- a/tests/support/raw-peer.c
+++ b/tests/support/raw-peer.c
@@ -109,13 +109,11 @@
 	struct sockaddr_in target = {
 		.sin_family = AF_INET,
 		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-		.sin_port = htons(
-			(uint16_t)atoi(strchr(address, ':') + 1)),
+		.sin_port = htons((uint16_t)atoi(strchr(address, ':') + 1)),
 	};
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-	g_assert_cmpint(connect(fd, (struct sockaddr *)&target,
-				sizeof(target)),
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&target, sizeof(target)),
 			==, 0);
 	return new_peer(fd);
 }
--- a/tests/test-replica-port.c
+++ b/tests/test-replica-port.c
@@ -158,7 +158,9 @@
 static void test_cut_short(void **state)
 {
 	static const char *const texts[] = {
-		"", "HTTP/1.1 200 O", OK "\r\na",
+		"",
+		"HTTP/1.1 200 O",
+		OK "\r\na",
 		"HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n"
 		"\r\n2\r\nab\r\n",
 	};
@@ -514,11 +516,9 @@
 	send_bytes(scene, GET, NULL, false, false);
 	peer = raw_accept(scene->listener);
 	raw_expect(peer, GET);
-	rr_tick_replica_port(scene->port,
-			     g_get_monotonic_time() + 900 * 1000);
+	rr_tick_replica_port(scene->port, g_get_monotonic_time() + 900 * 1000);
 	assert_int_equal(scene->replies, 0);
-	rr_tick_replica_port(scene->port,
-			     g_get_monotonic_time() + 1600 * 1000);
+	rr_tick_replica_port(scene->port, g_get_monotonic_time() + 1600 * 1000);
 	assert_int_equal(scene->replies, 1);
 	assert_int_equal(scene->outcome, RR_GATE_SILENT);
 	raw_drop(peer);
