--- /dev/null
+++ b/fuzz/store-reply.c
@@ -0,0 +1,39 @@
+/*
+ * store-reply.c - fuzz target: what the platform's store answers, with the
+ * configuration and the listings in it.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/platform.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t length);
+
+static void decode_texts(const uint8_t *data, size_t length)
+{
+	char *text = g_strndup((const char *)data, length);
+	const char *fault;
+	struct rr_route_table *table = rr_decode_routes(text, &fault);
+	struct rr_feed_item *item = g_new0(struct rr_feed_item, 1);
+
+	if (table && !rr_route_table_version(table))
+		abort();
+	rr_drop_route_table(table);
+	item->replica = rr_decode_listing("i", text);
+	rr_free_feed_item(item);
+	g_free(text);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t length)
+{
+	struct rr_feed_reply reply = { 0 };
+
+	if (!length)
+		return 0;
+	rr_decode_feed_reply((enum rr_feed_call_kind)(data[0] % 6), 200,
+			     data + 1, length - 1, &reply);
+	if (reply.items)
+		g_ptr_array_unref(reply.items);
+	decode_texts(data + 1, length - 1);
+	return 0;
+}
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -296,8 +296,10 @@
 
 	if (item->kind == RR_FEED_OTHER)
 		return;
+#ifndef RR_MUTANT_FEED_OLD_NEWS
 	if (known && item->revision < known->revision)
 		return;
+#endif
 	if (item->removed) {
 		forget_key(feed, item->key);
 		return;
@@ -416,6 +418,9 @@
 	if (!feed->suspect)
 		return;
 	feed->suspect = false;
+#ifdef RR_MUTANT_FEED_TRUSTS_WATCH
+	return;
+#endif
 	if (feed->reading.call && feed->reading.kind == RR_FEED_WATCH) {
 		feed->actions.cancel(feed->actions.data, feed->reading.call);
 		feed->reading.call = 0;
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -154,8 +154,10 @@
 		return false;
 	if (part->n_tried >= RR_MOST_TRIED)
 		return false;
+#ifndef RR_MUTANT_GATE_REPEAT_ONCE
 	if (!run->route->idempotent && part->n_run)
 		return false;
+#endif
 	return part->n_run < run->route->max_attempts;
 }
 
@@ -169,8 +171,10 @@
 
 	if (!may_try(run, part))
 		return false;
+#ifndef RR_MUTANT_GATE_NO_BUDGET
 	if (extra && part->service->extras.tokens < 1)
 		return false;
+#endif
 	choice = rr_choose_endpoint(ctx, gate, run, part, &endpoint);
 	if (choice == RR_CHOICE_FULL && !part->n_live)
 		wait_for_room(gate, run, index);
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -64,6 +64,9 @@
 bool rr_takes_work(const struct rr_gate *gate,
 		   const struct rr_endpoint *endpoint)
 {
+#ifdef RR_MUTANT_GATE_DRAIN_IGNORED
+	return true;
+#endif
 	return !endpoint->draining &&
 	       !rr_is_suspected(&endpoint->track, gate->now_us) &&
 	       !rr_is_suspected(&endpoint->zone->track, gate->now_us);
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -197,6 +197,9 @@
 	       RR_FIELD_STRING("endpoint", endpoint->id),
 	       RR_FIELD_STRING("service", endpoint->service->name),
 	       RR_FIELD_BOOL("draining", endpoint->draining));
+#ifdef RR_MUTANT_GATE_LAPSED_STAYS
+	return;
+#endif
 	rr_set_timer(gate->timers, now_us + UNLISTED_GRACE_US,
 		     RR_TIMER_GATE_UNLISTED, endpoint->number, 0);
 }
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -185,6 +185,9 @@
 static void fail_run(struct rr_context *ctx, struct rr_gate *gate,
 		     struct rr_gate_run *run, const char *reason)
 {
+#ifdef RR_MUTANT_GATE_FALSE_PROMISE
+	run->n_run = 0;
+#endif
 	if (!run->n_run)
 		rr_answer_own(ctx, gate, run, 503, reason);
 	else if (gate->now_us >= run->end_us)
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -70,6 +70,9 @@
 	uint64_t new = rr_route_table_version(table);
 
 	gate->now_us = now_us;
+#ifdef RR_MUTANT_GATE_GOES_BACK
+	old = 0;
+#endif
 	if (gate->table && new <= old) {
 		rr_log(ctx, RR_LOG_INFO, "routes-left-out",
 		       RR_FIELD_U64("version", new),
--- a/source/core/wait-queue.c
+++ b/source/core/wait-queue.c
@@ -68,6 +68,10 @@
 	bool newest_first = rr_is_overrun(queue, now_us);
 	guint best = 0;
 
+#ifdef RR_MUTANT_QUEUE_OLDEST_FIRST
+	newest_first = false;
+#endif
+
 	if (!queue->waiters->len)
 		return false;
 	for (guint i = 1; i < queue->waiters->len; i++) {
--- a/source/net/http-reader.c
+++ b/source/net/http-reader.c
@@ -163,8 +163,10 @@
 	const char *expect;
 
 	make_headers(reader);
+#ifndef RR_MUTANT_READER_ANY_NAME
 	if (!has_good_names(reader))
 		return -1;
+#endif
 	if (reader->target->len + reader->text->len >
 	    reader->max_header_bytes) {
 		reader->fault = RR_HTTP_BIG_HEAD;
--- a/source/net/replica-port.c
+++ b/source/net/replica-port.c
@@ -300,6 +300,9 @@
 {
 	const char *id = value_of(message, conn->port->request_id);
 
+#ifdef RR_MUTANT_PORT_TAKES_FOREIGN
+	return false;
+#endif
 	return id && conn->request_id && strcmp(id, conn->request_id);
 }
 
@@ -351,6 +354,10 @@
 	struct conn *conn = data;
 	size_t at = 0;
 
+#ifdef RR_MUTANT_PORT_UNASKED_BYTES
+	if (conn->state == CONN_IDLE)
+		return;
+#endif
 	if (conn->state != CONN_BUSY) {
 		break_conn(conn, RR_GATE_BROKEN, "unasked-bytes");
 		return;
--- a/tests/test-feed.c
+++ b/tests/test-feed.c
@@ -485,15 +485,14 @@
 {
 	struct scene *scene = settled_scene();
 	struct call *watch = find_call(scene, RR_FEED_WATCH);
-	struct rr_feed_item *item = make_item("r9", 31);
+	struct rr_feed_item *item = make_item("-r9", 31);
 	struct rr_feed_reply reply = {
 		.call = watch->id,
 		.items = g_ptr_array_new_with_free_func(rr_free_feed_item),
 		.revision = 31,
 	};
 
-	g_free((char *)item->replica->id);
-	g_clear_pointer(&item->replica, g_free);
+	item->removed = false;
 	g_ptr_array_add(reply.items, item);
 	rr_feed_reply(scene->ctx, scene->feed, scene->now_us, &reply);
 	assert_news(scene, "");
