gate: zones are doubted together, and a silent one stays silent until heard

Change: a silent zone stays so until a probe or an answer; while one is silent, others that were not heard lately are probed too.

--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -67,9 +67,8 @@
 #ifdef RR_MUTANT_GATE_DRAIN_IGNORED
 	return true;
 #endif
-	return !endpoint->draining &&
-	       !rr_is_suspected(&endpoint->track, gate->now_us) &&
-	       !rr_is_suspected(&endpoint->zone->track, gate->now_us);
+	return !endpoint->draining && !endpoint->zone->silent &&
+	       !rr_is_suspected(&endpoint->track, gate->now_us);
 }
 
 bool rr_service_reachable(const struct rr_gate *gate,
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -32,7 +32,11 @@
 	struct rr_track track;
 	uint32_t n_live;     /* attempts under way there */
 	uint32_t unanswered; /* given up since the last sign of life */
-	bool silent;	     /* suspected; told to the log */
+	bool silent;	     /* left alone until it is heard again */
+	/* Another zone is silent: it is probed whether this one is as well. */
+	bool doubted;
+	uint32_t failed_probes; /* since the last sign of life */
+	int64_t heard_us;
 };
 
 /* One lifetime of a replica. */
--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -20,10 +20,12 @@
  * A zone's replicas do not pause together: many attempts without any answer
  * for shorter than that show a cut.
  */
-#define ZONE_SILENCE_US (250 * 1000)
-#define ZONE_UNANSWERED 6
+#define ZONE_SILENCE_US (200 * 1000)
+#define ZONE_UNANSWERED 5
 /* Between probes; each costs a packet where nobody is there. */
 #define PROBE_US (300 * 1000)
+/* So many in a row, of replicas drawn at random, show that a zone is cut. */
+#define FAILED_PROBES 2
 
 struct rr_gate_zone *rr_gate_zone_of(struct rr_gate *gate, const char *name)
 {
@@ -76,10 +78,27 @@
 		     endpoint->number, 0);
 }
 
+/*
+ * A cut takes several zones at a time, but once one of them is silent there
+ * may be no more work that would show it of the others.
+ */
+static void doubt_other_zones(struct rr_gate *gate)
+{
+	for (guint i = 0; i < gate->zones->len; i++) {
+		struct rr_gate_zone *zone = g_ptr_array_index(gate->zones, i);
+
+		if (zone->near || zone->silent || zone->doubted ||
+		    gate->now_us - zone->heard_us < PROBE_US)
+			continue;
+		zone->doubted = true;
+		rr_set_timer(gate->timers, gate->now_us, RR_TIMER_GATE_ZONE,
+			     zone->number, 0);
+	}
+}
+
 static void silence_zone(struct rr_context *ctx, struct rr_gate *gate,
 			 struct rr_gate_zone *zone)
 {
-	rr_track_loss(&zone->track, gate->now_us, RR_LOSS_SILENT);
 	if (zone->silent)
 		return;
 	zone->silent = true;
@@ -88,8 +107,11 @@
 	       RR_FIELD_U64("unanswered", zone->unanswered),
 	       RR_FIELD_I64("silent_us",
 			    rr_track_silent_us(&zone->track, gate->now_us)));
-	rr_set_timer(gate->timers, gate->now_us + PROBE_US, RR_TIMER_GATE_ZONE,
-		     zone->number, 0);
+	if (!zone->doubted)
+		rr_set_timer(gate->timers, gate->now_us + PROBE_US,
+			     RR_TIMER_GATE_ZONE, zone->number, 0);
+	zone->doubted = false;
+	doubt_other_zones(gate);
 	rr_judge_isolation(ctx, gate);
 }
 
@@ -164,6 +186,9 @@
 {
 	rr_track_seen(&zone->track, gate->now_us);
 	zone->unanswered = 0;
+	zone->heard_us = gate->now_us;
+	zone->failed_probes = 0;
+	zone->doubted = false;
 	if (!zone->silent)
 		return;
 	zone->silent = false;
@@ -247,10 +272,10 @@
 		if (each->number == number)
 			zone = each;
 	}
-	if (!zone || !zone->silent)
+	if (!zone || (!zone->silent && !zone->doubted))
 		return;
-	/* Left alone until it is heard: the probes find out. */
-	rr_track_unreached(&zone->track, gate->now_us);
+	if (zone->silent)
+		doubt_other_zones(gate);
 	endpoint = draw_of_zone(ctx, gate, zone);
 	if (endpoint)
 		gate->actions.probe(gate->actions.data, endpoint->id,
@@ -274,6 +299,9 @@
 		rr_pump_service(ctx, gate, endpoint->service);
 		return;
 	}
+	if (++endpoint->zone->failed_probes >= FAILED_PROBES &&
+	    endpoint->zone->doubted)
+		silence_zone(ctx, gate, endpoint->zone);
 	if (endpoint->track.silences_in_row && !endpoint->draining) {
 		rr_track_unreached(&endpoint->track, now_us);
 		set_probe(gate, endpoint);
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -548,6 +548,51 @@
 	test_drop_scene(scene);
 }
 
+/*
+ * Story: of two other zones one falls silent half a second before the other.
+ * The first must not count as well again when the second is judged, or the
+ * instance does not notice that it is cut off.
+ */
+static void test_two_zones_fall_silent_one_after_the_other(void **state)
+{
+	static const char *const three[] = { "s1", "s2", "s3", NULL };
+	const struct test_route route = {
+		.name = "search", .prefix = "/search/", .services = three,
+		.gather = true, .max_attempts = 2, .objective_ms = 80,
+		.timeout_ms = 1200, .least_share = 0.9,
+	};
+	struct gate_scene *scene = test_new_scene(7);
+	const char *reason;
+
+	test_list(scene, "s1.a", "s1", "a");
+	test_list(scene, "s2.b", "s2", "b");
+	test_list(scene, "s3.c", "s3", "c");
+	test_set_routes(scene, 5, &route, 1);
+	for (int i = 0; i < 40; i++) {
+		test_take(scene, "/search/1", 200);
+		test_pass(scene, 3 * TEST_MS);
+		for (guint j = 0; j < scene->sent->len; j++) {
+			struct test_sent *sent = test_sent_at(scene, j);
+			bool answers = strstr(sent->endpoint, ".a") ||
+				       (i < 12 && strstr(sent->endpoint, ".c"));
+
+			if (!sent->replied && !sent->withdrawn && answers)
+				test_reply(scene, sent, RR_GATE_ANSWERED, 200);
+		}
+		test_pass(scene, 60 * TEST_MS);
+		while (scene->probes->len) {
+			char *id = g_ptr_array_steal_index(scene->probes, 0);
+
+			rr_gate_probed(scene->ctx, scene->gate, scene->now_us,
+				       id, i < 12 && strstr(id, ".c"));
+			g_free(id);
+		}
+	}
+	assert_false(rr_gate_serves(scene->gate, &reason));
+	assert_string_equal(reason, "cut-off");
+	test_drop_scene(scene);
+}
+
 /*
  * Story: a replica is dark.  It is left alone until a connection to it
  * stands again, so that no caller has to find out.
@@ -690,6 +735,8 @@
 		cmocka_unit_test(test_what_runs_once_outlives_its_caller),
 		cmocka_unit_test(test_split_by_weight),
 		cmocka_unit_test(test_a_zone_is_cut_off),
+		cmocka_unit_test(
+			test_two_zones_fall_silent_one_after_the_other),
 		cmocka_unit_test(test_a_dark_replica_is_probed),
 		cmocka_unit_test(test_work_waits_for_room),
 		cmocka_unit_test(test_budget_of_all_instances),
