gate: a zone that refuses connections is doubted at once

Cause: a cut by resets takes no time, so that no silence adds up, and only a part of a zone's replicas is asked.

--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -78,6 +78,17 @@
 		     endpoint->number, 0);
 }
 
+/* Find out by probes whether a zone is silent. */
+static void doubt_zone(struct rr_gate *gate, struct rr_gate_zone *zone)
+{
+	if (zone->silent || zone->doubted)
+		return;
+	zone->doubted = true;
+	zone->failed_probes = 0;
+	rr_set_timer(gate->timers, gate->now_us, RR_TIMER_GATE_ZONE,
+		     zone->number, 0);
+}
+
 /*
  * A cut takes several zones at a time, but once one of them is silent there
  * may be no more work that would show it of the others.
@@ -87,12 +98,8 @@
 	for (guint i = 0; i < gate->zones->len; i++) {
 		struct rr_gate_zone *zone = g_ptr_array_index(gate->zones, i);
 
-		if (zone->near || zone->silent || zone->doubted ||
-		    gate->now_us - zone->heard_us < PROBE_US)
-			continue;
-		zone->doubted = true;
-		rr_set_timer(gate->timers, gate->now_us, RR_TIMER_GATE_ZONE,
-			     zone->number, 0);
+		if (!zone->near && gate->now_us - zone->heard_us >= PROBE_US)
+			doubt_zone(gate, zone);
 	}
 }
 
@@ -143,6 +150,8 @@
 	if ((silent && zone->unanswered >= ZONE_UNANSWERED) ||
 	    are_all_suspected(gate, zone))
 		silence_zone(ctx, gate, zone);
+	else if (zone->unanswered >= ZONE_UNANSWERED)
+		doubt_zone(gate, zone); /* refused at once: no time passes */
 }
 
 static void suspect(struct rr_context *ctx, struct rr_gate *gate,
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -593,6 +593,64 @@
 	test_drop_scene(scene);
 }
 
+/*
+ * Story: the cut resets connections, so that no time passes in silence, and
+ * only a part of a zone's replicas is ever asked.  Probes of others show that
+ * it is the zone.
+ */
+static void test_a_zone_refuses_connections(void **state)
+{
+	struct gate_scene *scene = test_new_scene(7);
+	struct rr_gate_reply reply = { .outcome = RR_GATE_UNSENT,
+				       .unreachable = true };
+	const char *reason;
+	char id[16];
+
+	for (int i = 0; i < 20; i++) {
+		g_snprintf(id, sizeof(id), "x%d.b", i);
+		test_list(scene, id, i < 6 ? "s1" : "other", "b");
+	}
+	test_list(scene, "s2.a", "s2", "a");
+	test_list(scene, "s3.a", "s3", "a");
+	test_list(scene, "s4.a", "s4", "a");
+	{
+		struct test_route route = search_route;
+
+		route.least_share = 1;
+		test_set_routes(scene, 5, &route, 1);
+	}
+	test_pass(scene, 500 * TEST_MS);
+	for (int i = 0; i < 6; i++) {
+		test_take(scene, "/search/1", 900);
+		for (guint j = 0; j < scene->sent->len; j++) {
+			struct test_sent *sent = test_sent_at(scene, j);
+
+			if (sent->replied || sent->withdrawn ||
+			    !strstr(sent->endpoint, ".b"))
+				continue;
+			sent->replied = true;
+			reply.attempt = sent->attempt;
+			rr_gate_reply(scene->ctx, scene->gate, scene->now_us,
+				      &reply);
+		}
+		test_reply_all(scene);
+	}
+	for (int i = 0; i < 3; i++) {
+		test_pass(scene, 310 * TEST_MS);
+		while (scene->probes->len) {
+			char *probed =
+				g_ptr_array_steal_index(scene->probes, 0);
+
+			rr_gate_probed(scene->ctx, scene->gate, scene->now_us,
+				       probed, false);
+			g_free(probed);
+		}
+	}
+	assert_false(rr_gate_serves(scene->gate, &reason));
+	assert_string_equal(reason, "cut-off");
+	test_drop_scene(scene);
+}
+
 /*
  * Story: a replica is dark.  It is left alone until a connection to it
  * stands again, so that no caller has to find out.
@@ -737,6 +795,7 @@
 		cmocka_unit_test(test_a_zone_is_cut_off),
 		cmocka_unit_test(
 			test_two_zones_fall_silent_one_after_the_other),
+		cmocka_unit_test(test_a_zone_refuses_connections),
 		cmocka_unit_test(test_a_dark_replica_is_probed),
 		cmocka_unit_test(test_work_waits_for_room),
 		cmocka_unit_test(test_budget_of_all_instances),
