--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -128,6 +128,8 @@
 	 */
 	double extra_ratio;
 	double extra_slack;
+	/* Of requests' decisions; a request is told whole or not at all. */
+	uint32_t log_lines_per_s;
 };
 
 struct rr_gate;
--- a/include/ragwort/settings.h
+++ b/include/ragwort/settings.h
@@ -97,6 +97,7 @@
 	enum rr_log_level log_level;
 	enum rr_log_format log_format;
 	uint32_t log_max_lines_per_s;
+	uint32_t log_request_lines_per_s;
 };
 
 /* As rr_parse_config(), for a gateway's start file. */
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -35,14 +35,49 @@
 	attempt->run->parts[attempt->part].n_live--;
 }
 
+static void note_attempt(const struct rr_gate *gate, struct rr_gate_run *run,
+			 const struct rr_gate_attempt *attempt,
+			 enum rr_trail_kind kind, const char *reason,
+			 uint32_t status)
+{
+	const struct rr_endpoint *endpoint = attempt->endpoint;
+	struct rr_trail_step step = {
+		.at_us = gate->now_us,
+		.kind = kind,
+		.reason = reason,
+		.service = endpoint->service->name,
+		.endpoint = endpoint->id,
+		.attempt = attempt->id,
+		.status = status,
+		.in_flight = endpoint->live.length,
+		.slowness = rr_track_slowness(&endpoint->track, gate->now_us),
+		.tokens = endpoint->service->extras.tokens,
+	};
+
+	rr_note_step(&run->trail, &step);
+}
+
+static void note_part(const struct rr_gate *gate, struct rr_gate_run *run,
+		      const struct rr_gate_part *part, enum rr_trail_kind kind,
+		      const char *reason)
+{
+	struct rr_trail_step step = {
+		.at_us = gate->now_us,
+		.kind = kind,
+		.reason = reason,
+		.service = part->service->name,
+		.tokens = part->service->extras.tokens,
+	};
+
+	rr_note_step(&run->trail, &step);
+}
+
 static void withdraw(struct rr_context *ctx, struct rr_gate *gate,
 		     struct rr_gate_attempt *attempt, const char *reason)
 {
-	rr_log(ctx, RR_LOG_DECISION, "withdrawn",
-	       RR_FIELD_U64("attempt", attempt->id),
-	       RR_FIELD_STRING("endpoint", attempt->endpoint->id),
-	       RR_FIELD_I64("age_us", gate->now_us - attempt->sent_us),
-	       RR_FIELD_STRING("reason", reason));
+	if (attempt->run)
+		note_attempt(gate, attempt->run, attempt, RR_TRAIL_WITHDRAWN,
+			     reason, 0);
 	rr_count(ctx, RR_N_WITHDRAWN, 1);
 	gate->actions.withdraw(gate->actions.data, attempt->id);
 	end_attempt(gate, attempt);
@@ -104,16 +139,7 @@
 	part->last_sent_us = gate->now_us;
 	run->n_run++;
 	rr_count(ctx, RR_N_ATTEMPTS, 1);
-	rr_log(ctx, RR_LOG_DECISION, "sent",
-	       RR_FIELD_STRING("request", run->request_id),
-	       RR_FIELD_U64("attempt", attempt->id),
-	       RR_FIELD_STRING("service", part->service->name),
-	       RR_FIELD_STRING("endpoint", endpoint->id),
-	       RR_FIELD_STRING("reason", why),
-	       RR_FIELD_DOUBLE("slowness", rr_track_slowness(&endpoint->track,
-							     gate->now_us)),
-	       RR_FIELD_U64("in_flight", endpoint->live.length),
-	       RR_FIELD_DOUBLE("tokens", part->service->extras.tokens));
+	note_attempt(gate, run, attempt, RR_TRAIL_SENT, why, 0);
 	send.attempt = attempt->id;
 	send.request = run->id;
 	send.endpoint = endpoint->id;
@@ -143,6 +169,7 @@
 
 	if (part->waiting)
 		return;
+	note_part(gate, run, part, RR_TRAIL_WAITS, "no-room");
 	part->waiting = true;
 	rr_push_waiter(&part->service->waiting, &waiter);
 }
@@ -161,6 +188,16 @@
 	return part->n_run < run->route->max_attempts;
 }
 
+/* Once a part: a hedge that waits for a token is looked at often. */
+static void note_refusal(const struct rr_gate *gate, struct rr_gate_run *run,
+			 struct rr_gate_part *part, const char *reason)
+{
+	if (part->refused_for == reason)
+		return;
+	part->refused_for = reason;
+	note_part(gate, run, part, RR_TRAIL_NOT_SENT, reason);
+}
+
 bool rr_try_part(struct rr_context *ctx, struct rr_gate *gate,
 		 struct rr_gate_run *run, size_t index, const char *why)
 {
@@ -172,14 +209,20 @@
 	if (!may_try(run, part))
 		return false;
 #ifndef RR_MUTANT_GATE_NO_BUDGET
-	if (extra && part->service->extras.tokens < 1)
+	if (extra && part->service->extras.tokens < 1) {
+		note_refusal(gate, run, part, "no-token");
 		return false;
+	}
 #endif
 	choice = rr_choose_endpoint(ctx, gate, run, part, &endpoint);
 	if (choice == RR_CHOICE_FULL && !part->n_live)
 		wait_for_room(gate, run, index);
-	if (choice != RR_CHOSEN)
+	if (choice != RR_CHOSEN) {
+		note_refusal(gate, run, part,
+			     choice == RR_CHOICE_FULL ? "no-room" :
+							"no-replica");
 		return false;
+	}
 	if (extra)
 		rr_take_tokens(&part->service->extras, 1);
 	send_attempt(ctx, gate, run, index, endpoint, why);
@@ -368,25 +411,15 @@
 			    part->service->extras.cap);
 }
 
-static void log_reply(struct rr_context *ctx, const struct rr_gate *gate,
-		      const struct rr_gate_attempt *attempt,
-		      const struct rr_gate_reply *reply)
+static const char *outcome_name(const struct rr_gate_reply *reply)
 {
-	static const char *const outcomes[] = {
+	static const char *const names[] = {
 		[RR_GATE_ANSWERED] = "answered", [RR_GATE_REFUSED] = "refused",
 		[RR_GATE_UNSENT] = "unsent",	 [RR_GATE_BROKEN] = "broken",
 		[RR_GATE_SILENT] = "silent",
 	};
 
-	rr_log(ctx, RR_LOG_DECISION, "reply",
-	       RR_FIELD_STRING("request", attempt->run ?
-						  attempt->run->request_id :
-						  "over"),
-	       RR_FIELD_U64("attempt", attempt->id),
-	       RR_FIELD_STRING("endpoint", attempt->endpoint->id),
-	       RR_FIELD_STRING("outcome", outcomes[reply->outcome]),
-	       RR_FIELD_U64("status", reply->status),
-	       RR_FIELD_I64("took_us", gate->now_us - attempt->sent_us));
+	return names[reply->outcome];
 }
 
 static void take_reply(struct rr_context *ctx, struct rr_gate *gate,
@@ -439,7 +472,9 @@
 	}
 	run = attempt->run;
 	service = attempt->endpoint->service;
-	log_reply(ctx, gate, attempt, reply);
+	if (run)
+		note_attempt(gate, run, attempt, RR_TRAIL_REPLY,
+			     outcome_name(reply), reply->status);
 	track_reply(ctx, gate, attempt, reply);
 	end_attempt(gate, attempt);
 	if (run) {
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -10,6 +10,7 @@
 #include "core/limit.h"
 #include "core/timer.h"
 #include "core/track.h"
+#include "core/trail.h"
 #include "core/wait-queue.h"
 #include "ragwort/counters.h"
 #include "ragwort/gate.h"
@@ -94,6 +95,7 @@
 	uint8_t n_live;	   /* attempts under way */
 	uint64_t tried[RR_MOST_TRIED]; /* numbers of these replicas */
 	int64_t last_sent_us;
+	const char *refused_for; /* last reason told */
 };
 
 struct rr_gate_run {
@@ -116,6 +118,8 @@
 	GQueue live;  /* struct rr_gate_attempt */
 	struct rr_top_records top;
 	GString *seals;
+	struct rr_trail trail;
+	int64_t routes_age_us; /* since its version came into force */
 };
 
 struct rr_gate_attempt {
@@ -140,6 +144,8 @@
 	double extra_slack;
 	uint32_t instances;
 	struct rr_route_table *table;
+	int64_t table_since_us;
+	struct rr_trail_budget log_budget;
 	struct rr_timers *timers;
 	uint64_t next_id;
 	GHashTable *services; /* name -> struct rr_gate_service */
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -38,6 +38,7 @@
 {
 	struct rr_gate_run *run = data;
 
+	rr_clear_trail(&run->trail);
 	rr_clear_top_records(&run->top);
 	if (run->seals)
 		g_string_free(run->seals, TRUE);
@@ -68,21 +69,60 @@
 	return status == 503 || status == 429;
 }
 
-static void log_answer(struct rr_context *ctx, const struct rr_gate *gate,
-		       const struct rr_gate_run *run,
-		       const struct rr_gate_answer *answer)
+static bool is_late(const struct rr_gate *gate, const struct rr_gate_run *run)
 {
-	rr_log(ctx, RR_LOG_DECISION, "answered",
+	return run->route->objective_ms && gate->now_us > run->cut_us;
+}
+
+/* Whether anything about a request did not go as it should. */
+static bool is_ordinary(const struct rr_gate *gate,
+			const struct rr_gate_run *run,
+			const struct rr_gate_answer *answer)
+{
+	return answer->status < 400 && !answer->missing && !run->left &&
+	       !is_late(gate, run);
+}
+
+static void write_end(struct rr_context *ctx, const struct rr_gate *gate,
+		      const struct rr_gate_run *run,
+		      const struct rr_gate_answer *answer, size_t steps_left_out)
+{
+	rr_log(ctx, RR_LOG_INFO, "answered",
 	       RR_FIELD_STRING("request", run->request_id),
+	       RR_FIELD_I64("after_us", gate->now_us - run->started_us),
 	       RR_FIELD_STRING("route", run->route->name),
 	       RR_FIELD_U64("version", rr_route_table_version(run->table)),
+	       RR_FIELD_I64("version_age_us", run->routes_age_us),
 	       RR_FIELD_U64("status", answer->status),
 	       RR_FIELD_STRING("reason", answer->reason),
 	       RR_FIELD_U64("parts", run->n_parts),
 	       RR_FIELD_U64("missing", answer->missing),
 	       RR_FIELD_U64("may_have_run", run->n_run),
-	       RR_FIELD_I64("took_us", gate->now_us - run->started_us),
-	       RR_FIELD_I64("objective_us", run->cut_us - run->started_us));
+	       RR_FIELD_BOOL("late", is_late(gate, run)),
+	       RR_FIELD_I64("objective_us", run->cut_us - run->started_us),
+	       RR_FIELD_I64("end_us", run->end_us - run->started_us),
+	       RR_FIELD_U64("retry_after_ms", answer->retry_after_ms),
+	       RR_FIELD_U64("steps_left_out", steps_left_out));
+}
+
+/* Tell a request whole, or by its end only, or not at all. */
+static void log_answer(struct rr_context *ctx, struct rr_gate *gate,
+		       const struct rr_gate_run *run,
+		       const struct rr_gate_answer *answer)
+{
+	bool ordinary = is_ordinary(gate, run, answer);
+	size_t steps = run->trail.steps->len;
+
+	if (ordinary && !rr_is_sampled(run->request_id))
+		return;
+	if (rr_take_trail_lines(&gate->log_budget, gate->now_us, steps + 1,
+				ordinary)) {
+		rr_write_steps(ctx, &run->trail, run->request_id,
+			       run->started_us);
+		write_end(ctx, gate, run, answer, 0);
+	} else if (!ordinary) {
+		write_end(ctx, gate, run, answer, steps);
+	}
 }
 
 static void give_answer(struct rr_context *ctx, struct rr_gate *gate,
@@ -418,7 +458,7 @@
 		answer.retry_after_ms = draw_retry_ms(
 			ctx, ask->deadline_ms >= 0 ? ask->deadline_ms * 1000 :
 						     RETRY_BASE_US);
-	rr_log(ctx, RR_LOG_DECISION, "turned-away",
+	rr_log(ctx, RR_LOG_INFO, "turned-away",
 	       RR_FIELD_STRING("request", ask->request_id),
 	       RR_FIELD_U64("status", status),
 	       RR_FIELD_STRING("reason", reason),
@@ -452,6 +492,8 @@
 	run->route = route;
 	run->record = record_of(gate, route);
 	g_queue_init(&run->live);
+	rr_init_trail(&run->trail);
+	run->routes_age_us = now_us - gate->table_since_us;
 	g_hash_table_insert(gate->runs, &run->id, run);
 	set_times(run, gate, ask);
 	add_parts(ctx, gate, run);
@@ -459,6 +501,18 @@
 	return id;
 }
 
+static void note_left(const struct rr_gate *gate, struct rr_gate_run *run,
+		      const char *reason)
+{
+	struct rr_trail_step step = {
+		.at_us = gate->now_us,
+		.kind = RR_TRAIL_LEFT,
+		.reason = reason,
+	};
+
+	rr_note_step(&run->trail, &step);
+}
+
 void rr_gate_leave(struct rr_context *ctx, struct rr_gate *gate, int64_t now_us,
 		   uint64_t request)
 {
@@ -468,9 +522,7 @@
 	if (!run || run->left)
 		return;
 	run->left = true;
-	rr_log(ctx, RR_LOG_DECISION, "caller-left",
-	       RR_FIELD_STRING("request", run->request_id),
-	       RR_FIELD_I64("after_us", now_us - run->started_us));
+	note_left(gate, run, "half-closed");
 	/* What may run once at most goes on to its end. */
 	if (!run->route->idempotent)
 		return;
@@ -481,15 +533,14 @@
 void rr_gate_abandon(struct rr_context *ctx, struct rr_gate *gate,
 		     int64_t now_us, uint64_t request)
 {
+	const struct rr_gate_answer none = { .reason = "caller-gone" };
 	struct rr_gate_run *run = rr_find_run(gate, request);
 
 	gate->now_us = now_us;
 	if (!run)
 		return;
-	if (!run->left)
-		run->left = true;
-	rr_log(ctx, RR_LOG_DECISION, "caller-gone",
-	       RR_FIELD_STRING("request", run->request_id),
-	       RR_FIELD_I64("after_us", now_us - run->started_us));
+	run->left = true;
+	note_left(gate, run, "closed");
+	log_answer(ctx, gate, run, &none);
 	end_run(ctx, gate, run);
 }
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -32,6 +32,7 @@
 	gate->extra_ratio = options->extra_ratio;
 	gate->extra_slack = options->extra_slack;
 	gate->instances = ASSUMED_INSTANCES;
+	gate->log_budget.per_s = options->log_lines_per_s;
 	gate->timers = rr_new_timers();
 	gate->zones = g_ptr_array_new_with_free_func(rr_free_gate_zone);
 	gate->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -81,6 +82,7 @@
 	}
 	rr_drop_route_table(gate->table);
 	gate->table = rr_keep_route_table(table);
+	gate->table_since_us = now_us;
 	rr_judge_isolation(ctx, gate);
 	rr_count(ctx, RR_N_CONFIG_CHANGES, 1);
 	rr_set_gauge(ctx, RR_G_CONFIG_REVISION, new);
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -598,6 +598,7 @@
 		},
 		.extra_ratio = gateway->settings->extra_share,
 		.extra_slack = gateway->settings->extra_slack,
+		.log_lines_per_s = gateway->settings->log_request_lines_per_s,
 	};
 	struct rr_feed_actions feed = {
 		.call = make_call,
--- a/source/settings/gateway-settings.c
+++ b/source/settings/gateway-settings.c
@@ -9,7 +9,9 @@
 #define DEFAULT_STOP_TIMEOUT_MS 10000
 /* Half of the descriptors that a small instance has. */
 #define DEFAULT_MAX_CONNECTIONS 2000
-#define DEFAULT_MAX_LINES_PER_S 100
+#define DEFAULT_MAX_LINES_PER_S 400
+/* About a hundredth of a small instance's processor, see MEASUREMENTS. */
+#define DEFAULT_REQUEST_LINES_PER_S 100
 
 void rr_init_gateway_settings(struct rr_gateway_settings *settings)
 {
@@ -21,6 +23,7 @@
 		.log_level = RR_LOG_INFO,
 		.log_format = RR_LOG_KEY_VALUE,
 		.log_max_lines_per_s = DEFAULT_MAX_LINES_PER_S,
+		.log_request_lines_per_s = DEFAULT_REQUEST_LINES_PER_S,
 	};
 }
 
--- a/source/settings/settings-table.c
+++ b/source/settings/settings-table.c
@@ -295,6 +295,12 @@
 	  .help = "The most detailed lines that are written." },
 	{ "format", RR_IN_GATEWAY_LOG, RR_SET_CHOICE, .choices = log_formats,
 	  .offset = IN_GATEWAY(log_format), .help = "How a line is written." },
+	{ "request_lines_per_s", RR_IN_GATEWAY_LOG, RR_SET_INTEGER, 0,
+	  MOST_COUNT, .offset = IN_GATEWAY(log_request_lines_per_s),
+	  .unit = "lines",
+	  .help = "Lines for what was decided for requests. A request is told "
+		  "whole or by its end only: first those that failed, came "
+		  "late or lack a part, then one in 64 of the others." },
 	{ "max_lines_per_s", RR_IN_GATEWAY_LOG, RR_SET_INTEGER, 0, MOST_COUNT,
 	  .offset = IN_GATEWAY(log_max_lines_per_s), .unit = "lines",
 	  .help = "Most lines of one event in a second; 0 is no bound." },
