--- a/fuzz/http-reader.c
+++ b/fuzz/http-reader.c
@@ -23,8 +23,8 @@
 	uint64_t sum = 0;
 	size_t at = 0;
 
-	while (at < length && (result == RR_HTTP_MORE ||
-			       result == RR_HTTP_WHOLE)) {
+	while (at < length &&
+	       (result == RR_HTTP_MORE || result == RR_HTTP_WHOLE)) {
 		size_t n = length - at < piece ? length - at : piece;
 		size_t used;
 
--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -120,6 +120,7 @@
 };
 
 struct rr_gate_options {
+	const char *instance; /* for the log; NULL: not told */
 	const char *zone;
 	struct rr_gate_actions actions;
 	/*
--- a/source/base/log.c
+++ b/source/base/log.c
@@ -69,17 +69,22 @@
 	return true;
 }
 
-static char *format_stamp(int64_t now_us)
+static void write_stamp(struct rr_context *ctx, int64_t now_us, char *stamp,
+			size_t size)
 {
-	GDateTime *time =
-		g_date_time_new_from_unix_utc(now_us / G_USEC_PER_SEC);
-	char *seconds = g_date_time_format(time, "%Y-%m-%dT%H:%M:%S");
-	char *stamp = g_strdup_printf("%s.%06dZ", seconds,
-				      (int)(now_us % G_USEC_PER_SEC));
-
-	g_free(seconds);
-	g_date_time_unref(time);
-	return stamp;
+	int64_t second = now_us / G_USEC_PER_SEC;
+
+	if (second != ctx->stamp_second || !ctx->stamp[0]) {
+		GDateTime *time = g_date_time_new_from_unix_utc(second);
+		char *text = g_date_time_format(time, "%Y-%m-%dT%H:%M:%S");
+
+		g_strlcpy(ctx->stamp, text, sizeof(ctx->stamp));
+		ctx->stamp_second = second;
+		g_free(text);
+		g_date_time_unref(time);
+	}
+	g_snprintf(stamp, size, "%s.%06dZ", ctx->stamp,
+		   (int)(now_us % G_USEC_PER_SEC));
 }
 
 static bool needs_quotes(const char *text)
@@ -166,10 +171,10 @@
 		return;
 	line = g_string_new(json ? "{" : "");
 	if (ctx->log.clock) {
-		char *stamp = format_stamp(now_us);
+		char stamp[48];
 
+		write_stamp(ctx, now_us, stamp, sizeof(stamp));
 		append_field(line, &RR_FIELD_STRING("time", stamp), json);
-		g_free(stamp);
 	}
 	append_field(line, &RR_FIELD_STRING("level", level_names[level]), json);
 	append_field(line, &RR_FIELD_STRING("event", event), json);
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -138,6 +138,7 @@
 
 struct rr_gate {
 	int64_t now_us;
+	char *instance;
 	char *zone;
 	struct rr_gate_actions actions;
 	double extra_ratio;
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -85,10 +85,12 @@
 
 static void write_end(struct rr_context *ctx, const struct rr_gate *gate,
 		      const struct rr_gate_run *run,
-		      const struct rr_gate_answer *answer, size_t steps_left_out)
+		      const struct rr_gate_answer *answer,
+		      size_t steps_left_out)
 {
 	rr_log(ctx, RR_LOG_INFO, "answered",
 	       RR_FIELD_STRING("request", run->request_id),
+	       RR_FIELD_STRING("instance", gate->instance),
 	       RR_FIELD_I64("after_us", gate->now_us - run->started_us),
 	       RR_FIELD_STRING("route", run->route->name),
 	       RR_FIELD_U64("version", rr_route_table_version(run->table)),
@@ -460,6 +462,7 @@
 						     RETRY_BASE_US);
 	rr_log(ctx, RR_LOG_INFO, "turned-away",
 	       RR_FIELD_STRING("request", ask->request_id),
+	       RR_FIELD_STRING("instance", gate->instance),
 	       RR_FIELD_U64("status", status),
 	       RR_FIELD_STRING("reason", reason),
 	       RR_FIELD_STRING("host", ask->host),
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -27,6 +27,7 @@
 {
 	struct rr_gate *gate = g_new0(struct rr_gate, 1);
 
+	gate->instance = g_strdup(options->instance);
 	gate->zone = g_strdup(options->zone);
 	gate->actions = options->actions;
 	gate->extra_ratio = options->extra_ratio;
@@ -60,6 +61,7 @@
 	g_hash_table_unref(gate->records);
 	rr_drop_route_table(gate->table);
 	rr_drop_timers(gate->timers);
+	g_free(gate->instance);
 	g_free(gate->zone);
 	g_free(gate);
 }
--- a/source/core/trail.c
+++ b/source/core/trail.c
@@ -10,12 +10,9 @@
 #define SAVED_S 2
 
 static const char *const names[] = {
-	[RR_TRAIL_SENT] = "sent",
-	[RR_TRAIL_REPLY] = "reply",
-	[RR_TRAIL_WITHDRAWN] = "withdrawn",
-	[RR_TRAIL_WAITS] = "waits",
-	[RR_TRAIL_NOT_SENT] = "not-sent",
-	[RR_TRAIL_LEFT] = "caller-left",
+	[RR_TRAIL_SENT] = "sent",	    [RR_TRAIL_REPLY] = "reply",
+	[RR_TRAIL_WITHDRAWN] = "withdrawn", [RR_TRAIL_WAITS] = "waits",
+	[RR_TRAIL_NOT_SENT] = "not-sent",   [RR_TRAIL_LEFT] = "caller-left",
 };
 
 static void clear_step(gpointer data)
@@ -60,8 +57,8 @@
 }
 
 static void write_attempt(struct rr_context *ctx,
-			  const struct rr_trail_step *step,
-			  const char *request, int64_t after_us)
+			  const struct rr_trail_step *step, const char *request,
+			  int64_t after_us)
 {
 	rr_log(ctx, RR_LOG_INFO, names[step->kind],
 	       RR_FIELD_STRING("request", request),
@@ -92,15 +89,14 @@
 		    const char *request, int64_t began_us)
 {
 	for (guint i = 0; i < trail->steps->len; i++) {
-		const struct rr_trail_step *step = &g_array_index(
-			trail->steps, struct rr_trail_step, i);
+		const struct rr_trail_step *step =
+			&g_array_index(trail->steps, struct rr_trail_step, i);
 
 		if (step->attempt)
 			write_attempt(ctx, step, request,
 				      step->at_us - began_us);
 		else
-			write_other(ctx, step, request,
-				    step->at_us - began_us);
+			write_other(ctx, step, request, step->at_us - began_us);
 	}
 }
 
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -586,6 +586,7 @@
 static void make_cores(struct rr_gateway *gateway)
 {
 	struct rr_gate_options gate = {
+		.instance = gateway->settings->instance,
 		.zone = gateway->settings->zone,
 		.actions = {
 			.send = send_attempt,
--- a/source/tool/tool.h
+++ b/source/tool/tool.h
@@ -34,6 +34,7 @@
 int rr_run_config_show(const struct rr_command *command, int argc, char **argv);
 int rr_run_config_history(const struct rr_command *command, int argc,
 			  char **argv);
+int rr_run_explain(const struct rr_command *command, int argc, char **argv);
 int rr_run_query(const struct rr_command *command, int argc, char **argv);
 int rr_run_status(const struct rr_command *command, int argc, char **argv);
 
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -557,9 +557,14 @@
 {
 	static const char *const three[] = { "s1", "s2", "s3", NULL };
 	const struct test_route route = {
-		.name = "search", .prefix = "/search/", .services = three,
-		.gather = true, .max_attempts = 2, .objective_ms = 80,
-		.timeout_ms = 1200, .least_share = 0.9,
+		.name = "search",
+		.prefix = "/search/",
+		.services = three,
+		.gather = true,
+		.max_attempts = 2,
+		.objective_ms = 80,
+		.timeout_ms = 1200,
+		.least_share = 0.9,
 	};
 	struct gate_scene *scene = test_new_scene(7);
 	const char *reason;
