ports: few connections are kept at rest; a reset connection is no silence

The trail of a partial answer showed it: unsent, then 'all its replicas seem gone'. Ruled out: slow restarts (ready 24 ms after the start). Change: less than half of an instance's share is kept at rest; only refused and silent connections make a replica suspected.

--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -53,6 +53,8 @@
 	const char *address;
 	int64_t deadline_ms; /* what is left; below 0: none */
 	bool idempotent;
+	/* Connections to the replica that are kept at rest at most. */
+	uint32_t kept_connections;
 };
 
 enum rr_gate_outcome {
@@ -78,7 +80,7 @@
 	size_t length;
 	/* A refusal by another lifetime: this one's address is another's now. */
 	bool other_instance;
-	/* No connection could be made: nobody listens there or it is silent. */
+	/* Nobody listens there, or nothing came back at all. */
 	bool unreachable;
 	const void *message; /* the carrier's own, handed on in an answer */
 };
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -145,6 +145,8 @@
 	send.endpoint = endpoint->id;
 	send.address = endpoint->address;
 	send.idempotent = attempt->idempotent;
+	send.kept_connections =
+		rr_kept_connections(gate, endpoint->service->name);
 	send.deadline_ms =
 		run->deadline_us ?
 			MAX(run->deadline_us - gate->now_us, 0) / 1000 :
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -20,6 +20,8 @@
 /* The part of a service's allowances that is used: the rest is a margin. */
 #define SLACK_PART 0.8
 #define CONNECTION_PART 0.92
+/* Of these, how many are kept at rest, see replica-port.c. */
+#define KEPT_PART 0.45
 
 struct rr_endpoint *rr_keep_endpoint(struct rr_endpoint *endpoint)
 {
@@ -92,6 +94,12 @@
 		set_extras(gate, service);
 }
 
+uint32_t rr_kept_connections(const struct rr_gate *gate, const char *name)
+{
+	return MAX(1, (uint32_t)(rr_gate_connection_share(gate, name) *
+				 KEPT_PART));
+}
+
 uint32_t rr_gate_connection_share(const struct rr_gate *gate, const char *name)
 {
 	const struct rr_route_service *service =
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -164,6 +164,8 @@
 struct rr_endpoint *rr_keep_endpoint(struct rr_endpoint *endpoint);
 void rr_drop_endpoint(struct rr_endpoint *endpoint);
 void rr_free_gate_service(gpointer data);
+/* Connections to a replica of a service that are kept at rest. */
+uint32_t rr_kept_connections(const struct rr_gate *gate, const char *name);
 /* It takes no new work any more. */
 void rr_retire_endpoint(struct rr_context *ctx, struct rr_gate *gate,
 			struct rr_endpoint *endpoint, const char *reason);
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -27,6 +27,8 @@
 #define MOST_ASKERS 64
 /* The one endpoint of the port that makes the store's calls. */
 #define STORE "store"
+/* A watch, and one for the other calls. */
+#define STORE_CONNECTIONS 2
 
 /* Ticks whatever is due. */
 struct tick_source {
@@ -485,6 +487,7 @@
 		.address = gateway->settings->store_address,
 		.deadline_ms = call->timeout_ms,
 		.idempotent = false,
+		.kept_connections = STORE_CONNECTIONS,
 	};
 	struct open_call *open = g_new0(struct open_call, 1);
 
--- a/source/net/replica-port.c
+++ b/source/net/replica-port.c
@@ -41,6 +41,7 @@
 	char *endpoint;
 	char *address;
 	GQueue idle; /* struct conn, the one used last at the head */
+	uint32_t most_idle;
 	uint32_t n_conns;
 	bool forgotten;
 };
@@ -57,8 +58,9 @@
 	int64_t give_up_us;
 	bool idempotent;
 	bool no_body;
-	bool probe;  /* its connecting is waited for */
-	bool soiled; /* not to be used again after this answer */
+	bool probe;   /* its connecting is waited for */
+	bool reached; /* though it did not come to stand */
+	bool soiled;  /* not to be used again after this answer */
 	uint32_t n_foreign;
 	char *request_id;
 	GByteArray *request; /* waits for the connection */
@@ -215,10 +217,11 @@
 	struct rr_gate_reply reply = {
 		.attempt = conn->attempt,
 		.outcome = outcome,
-		.unreachable = conn->state == CONN_CONNECTING,
+		.unreachable = conn->state == CONN_CONNECTING && !conn->reached,
 	};
 
 	char *probed = conn->probe ? g_strdup(conn->replica->endpoint) : NULL;
+	bool reached = conn->reached;
 
 	if (conn->attempt)
 		rr_log(port->ctx, RR_LOG_DECISION, "connection-broken",
@@ -227,7 +230,7 @@
 		       RR_FIELD_STRING("reason", reason));
 	free_conn(conn);
 	if (probed)
-		port->probed(port->data, probed, false);
+		port->probed(port->data, probed, reached);
 	g_free(probed);
 	if (reply.attempt)
 		port->replied(port->data, &reply);
@@ -255,6 +258,16 @@
 	return MAX(keep_us - KEEP_MARGIN_US, keep_us / 4);
 }
 
+/*
+ * Connections of instances that lost power count at a replica until it finds
+ * out.  Guards against a cap that is full of them when the instances are back:
+ * each keeps so few at rest that as many again find room.
+ */
+static bool may_keep(const struct conn *conn)
+{
+	return conn->replica->idle.length < MAX(1, conn->replica->most_idle);
+}
+
 static void start_idle(struct conn *conn, int64_t keep_us)
 {
 	unlink_used(conn);
@@ -325,7 +338,7 @@
 		       RR_FIELD_STRING("endpoint", conn->replica->endpoint),
 		       RR_FIELD_U64("bytes", rest));
 	give_reply(conn, &reply);
-	if (reusable && !conn->replica->forgotten)
+	if (reusable && !conn->replica->forgotten && may_keep(conn))
 		start_idle(conn, keep_us);
 	else
 		free_conn(conn);
@@ -389,7 +402,10 @@
 	bool begun;
 
 	if (conn->state == CONN_CONNECTING) {
-		break_conn(conn, RR_GATE_UNSENT, "no-connection");
+		/* A reset shows that somebody is there, with no room. */
+		conn->reached = end != RR_END_REFUSED;
+		break_conn(conn, RR_GATE_UNSENT,
+			   conn->reached ? "reset" : "refused");
 		return;
 	}
 	if (conn->state == CONN_IDLE) {
@@ -561,6 +577,7 @@
 	bool taken;
 
 	port->now_us = now_us;
+	replica->most_idle = send->kept_connections;
 	while ((conn = take_idle(port, replica, send->idempotent))) {
 		conn->no_body = request->no_body;
 		rr_reset_http_reader(conn->reader, conn->no_body);
--- a/source/net/stream.c
+++ b/source/net/stream.c
@@ -151,8 +151,8 @@
 	    0)
 		error = errno;
 	if (error) {
-		errno = error;
-		end_stream(stream, RR_END_BROKEN);
+		end_stream(stream, error == ECONNREFUSED ? RR_END_REFUSED :
+							   RR_END_BROKEN);
 		return false;
 	}
 	if (stream->owner.connected)
--- a/source/net/stream.h
+++ b/source/net/stream.h
@@ -18,7 +18,8 @@
 
 enum rr_stream_end {
 	RR_END_ORDERLY, /* the peer sends no more; it may still read */
-	RR_END_BROKEN,	/* reset, timed out or unreachable: errno was set */
+	RR_END_BROKEN,	/* reset, timed out or unreachable */
+	RR_END_REFUSED, /* nobody listens there */
 };
 
 struct rr_stream_owner {
--- a/source/tool/explain-print.c
+++ b/source/tool/explain-print.c
@@ -40,9 +40,8 @@
 		const char *service =
 			rr_line_text(line_at(story->lines, i), "service");
 
-		if (*service &&
-		    !g_ptr_array_find_with_equal_func(services, service,
-						      g_str_equal, NULL))
+		if (*service && !g_ptr_array_find_with_equal_func(
+					services, service, g_str_equal, NULL))
 			g_ptr_array_add(services, (gpointer)service);
 	}
 	return services;
@@ -221,11 +220,10 @@
 
 static void format_step(const struct rr_log_line *line, GString *out)
 {
-	g_string_append_printf(out, "  %8.1f ms  %-10s %-10s %s",
-			       ms_of(line, "after_us"),
-			       rr_line_text(line, "event"),
-			       rr_line_text(line, "service"),
-			       rr_line_text(line, "reason"));
+	g_string_append_printf(
+		out, "  %8.1f ms  %-10s %-10s %s", ms_of(line, "after_us"),
+		rr_line_text(line, "event"), rr_line_text(line, "service"),
+		rr_line_text(line, "reason"));
 	if (*rr_line_text(line, "endpoint"))
 		g_string_append_printf(
 			out, " %s (open %s, slowness %.1f, tokens %.1f)",
--- a/source/tool/explain.c
+++ b/source/tool/explain.c
@@ -28,11 +28,21 @@
 static bool is_belief(const struct rr_log_line *line)
 {
 	static const char *const events[] = {
-		"endpoint-suspected", "endpoint-retired", "endpoint-listed",
-		"endpoint-unlisted",  "zone-silent",	  "zone-heard",
-		"cut-off",	      "not-cut-off",	  "store-lost",
-		"store-regained",     "routes-in-force",  "ready",
-		"not-ready",	      "stopping",	  "started",
+		"endpoint-suspected",
+		"endpoint-retired",
+		"endpoint-listed",
+		"endpoint-unlisted",
+		"zone-silent",
+		"zone-heard",
+		"cut-off",
+		"not-cut-off",
+		"store-lost",
+		"store-regained",
+		"routes-in-force",
+		"ready",
+		"not-ready",
+		"stopping",
+		"started",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(events); i++) {
--- a/source/tool/log-line.c
+++ b/source/tool/log-line.c
@@ -10,8 +10,8 @@
 {
 	struct rr_log_line *line = g_new0(struct rr_log_line, 1);
 
-	line->fields = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					     g_free);
+	line->fields =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return line;
 }
 
--- a/tests/test-replica-port.c
+++ b/tests/test-replica-port.c
@@ -101,6 +101,7 @@
 		.address = scene->listener->address,
 		.deadline_ms = 1000,
 		.idempotent = idempotent,
+		.kept_connections = 1,
 	};
 	struct rr_request_bytes request = {
 		.head = head,
@@ -544,6 +545,34 @@
 	stop(scene);
 }
 
+/*
+ * Story: all instances lose power.  Their connections still count at the
+ * replicas when they are back, so that a cap that was full of connections at
+ * rest has no room for new ones.  Few are kept.
+ */
+static void test_few_are_kept_at_rest(void **state)
+{
+	struct scene *scene = start();
+	struct raw_peer *peers[2];
+
+	ask(scene);
+	ask(scene);
+	peers[0] = raw_accept(scene->listener);
+	peers[1] = raw_accept(scene->listener);
+	for (int i = 0; i < 2; i++) {
+		raw_expect(peers[i], GET);
+		raw_send(peers[i], OK "\r\nab");
+		raw_turn_until(&scene->replies, i + 1);
+	}
+	raw_expect_end(peers[1]);
+	g_string_truncate(peers[0]->in, 0);
+	ask(scene);
+	raw_expect(peers[0], GET);
+	raw_drop(peers[0]);
+	raw_drop(peers[1]);
+	stop(scene);
+}
+
 static void test_probe(void **state)
 {
 	struct scene *scene = start();
@@ -587,6 +616,7 @@
 		cmocka_unit_test(test_withdrawn),
 		cmocka_unit_test(test_silence),
 		cmocka_unit_test(test_open_and_forget),
+		cmocka_unit_test(test_few_are_kept_at_rest),
 		cmocka_unit_test(test_probe),
 	};
 
