--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -20,8 +20,8 @@
 /* The part of a service's allowances that is used: the rest is a margin. */
 #define SLACK_PART 0.8
 #define CONNECTION_PART 0.92
-/* Of these, how many are kept at rest, see replica-port.c. */
-#define KEPT_PART 0.45
+/* Kept at rest: as many again find room, see replica-port.c. */
+#define KEPT_PART 0.5
 
 struct rr_endpoint *rr_keep_endpoint(struct rr_endpoint *endpoint)
 {
@@ -94,13 +94,9 @@
 		set_extras(gate, service);
 }
 
-uint32_t rr_kept_connections(const struct rr_gate *gate, const char *name)
-{
-	return MAX(1, (uint32_t)(rr_gate_connection_share(gate, name) *
-				 KEPT_PART));
-}
-
-uint32_t rr_gate_connection_share(const struct rr_gate *gate, const char *name)
+/* This instance's part of a replica's connections, times `part`. */
+static uint32_t share_of_connections(const struct rr_gate *gate,
+				     const char *name, double part)
 {
 	const struct rr_route_service *service =
 		gate->table ? rr_find_route_service(gate->table, name) : NULL;
@@ -108,10 +104,20 @@
 
 	if (!service || !service->max_connections)
 		return 1;
-	share = service->max_connections * CONNECTION_PART / gate->instances;
+	share = service->max_connections * part / gate->instances;
 	return MAX(1, (uint32_t)share);
 }
 
+uint32_t rr_kept_connections(const struct rr_gate *gate, const char *name)
+{
+	return share_of_connections(gate, name, KEPT_PART);
+}
+
+uint32_t rr_gate_connection_share(const struct rr_gate *gate, const char *name)
+{
+	return share_of_connections(gate, name, CONNECTION_PART);
+}
+
 static struct rr_endpoint *add_endpoint(struct rr_gate *gate,
 					const struct rr_listing *listing)
 {
