gate: weak instances hand searches over to a strong one of their zone

Ways weighed: direct with a subset of connections (not every shard has one then), a tree of several gatherers (its merge is not needed at 90 shards), ZeroMQ for the hop (one more poll set and 456 us against 76 us a request). Change: entries in the store tell place and strength; a weak instance sends the search whole, over the same HTTP ports, to a strong one, chosen, suspected and probed like a replica; refused or unsent it is served here; watches wait longer the more instances there are.

--- a/include/ragwort/feed.h
+++ b/include/ragwort/feed.h
@@ -46,6 +46,14 @@
 	RR_FEED_INSTANCE,
 };
 
+/* Another instance, as its entry tells of it. */
+struct rr_instance {
+	char *id;
+	char *zone;
+	char *address;	 /* IP:PORT for other instances; "" for none */
+	double strength; /* its share of a processor */
+};
+
 struct rr_feed_item {
 	enum rr_feed_item_kind kind;
 	char *key;
@@ -55,6 +63,7 @@
 	/* Unless removed; NULL where its value could not be read. */
 	struct rr_route_table *routes;
 	struct rr_listing *replica; /* its strings are the item's */
+	struct rr_instance *instance;
 };
 
 enum rr_feed_status {
@@ -84,14 +93,23 @@
 	void (*listed)(void *data, const struct rr_listing *listing);
 	void (*unlisted)(void *data, const char *id);
 	void (*instances)(void *data, uint32_t instances);
+	/* An instance's entry, this one's too; NULL: it has gone. */
+	void (*instance)(void *data, const char *id,
+			 const struct rr_instance *instance);
 	void *data;
 };
 
+struct rr_feed_options {
+	struct rr_feed_actions actions;
+	/* Longest time until a change has to be known here. */
+	uint32_t news_bound_ms;
+};
+
 struct rr_feed;
 
 /* Begin to follow. */
 struct rr_feed *rr_new_feed(struct rr_context *ctx,
-			    const struct rr_feed_actions *actions,
+			    const struct rr_feed_options *options,
 			    int64_t now_us);
 void rr_drop_feed(struct rr_feed *feed);
 /* A reply to a call that was not cancelled. */
@@ -108,5 +126,6 @@
 bool rr_feed_is_reached(const struct rr_feed *feed);
 
 void rr_free_feed_item(gpointer item);
+void rr_free_instance(struct rr_instance *instance);
 
 #endif
--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -43,6 +43,11 @@
 	const char *request_id; /* NULL: it has none */
 	int64_t deadline_ms; /* what the caller will wait; below 0: not told */
 	int64_t caller_rtt_us; /* measured on its connection; 0: unknown */
+	/*
+	 * Handed over by another instance: time until its answer has to
+	 * leave, to be in time.  Below 0: from a caller.
+	 */
+	int64_t handed_left_us;
 };
 
 /* One request at one replica. */
@@ -55,6 +60,9 @@
 	bool idempotent;
 	/* Connections to the replica that are kept at rest at most. */
 	uint32_t kept_connections;
+	/* To another instance, which serves the whole request. */
+	bool handed;
+	int64_t handed_left_us; /* then: as in struct rr_gate_ask */
 };
 
 enum rr_gate_outcome {
@@ -131,6 +139,7 @@
 	 */
 	double extra_ratio;
 	double extra_slack;
+	double strength; /* this instance's share of a processor */
 	/* Of requests' decisions; a request is told whole or not at all. */
 	uint32_t log_lines_per_s;
 };
@@ -163,6 +172,15 @@
 void rr_gate_set_instances(struct rr_context *ctx, struct rr_gate *gate,
 			   uint32_t instances);
 
+/*
+ * Another instance's entry, or this one's; a zone of NULL: it has gone.  An
+ * instance with half of another's strength or less, in one zone, hands
+ * searches over to that one, and leaves the connections to it.
+ */
+void rr_gate_note_instance(struct rr_context *ctx, struct rr_gate *gate,
+			   int64_t now_us, const char *id, const char *zone,
+			   const char *address, double strength);
+
 /*
  * Take a request.  Returns its id, never 0; the answer may come before this
  * returns, with that id.  Strings are copied.
--- a/include/ragwort/settings.h
+++ b/include/ragwort/settings.h
@@ -90,8 +90,11 @@
 	char *ready_address;   /* IP:PORT of the question whether they may */
 	char *metrics_address; /* IP:PORT; NULL: none */
 	char *store_address;   /* IP:PORT of the platform's store */
-	double extra_share;    /* of requests, that a service gets on top */
-	uint32_t extra_slack;  /* and so many more in a window */
+	char *peer_address;    /* IP:PORT other instances come to; NULL: none */
+	double strength;       /* share of a processor that this one has */
+	uint32_t news_bound_ms;
+	double extra_share;   /* of requests, that a service gets on top */
+	uint32_t extra_slack; /* and so many more in a window */
 	uint32_t stop_timeout_ms;
 	uint32_t max_connections; /* of callers at once */
 	enum rr_log_level log_level;
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -19,8 +19,14 @@
 #define WATCH_MS 25000
 /* Beyond what a slow store (60 times its usual 4 ms) needs. */
 #define CALL_TIMEOUT_MS 1500
-/* After news, so that a burst of changes costs one watch, not one each. */
+/*
+ * After news, so that a burst of changes costs one watch, not one each.  Each
+ * change wakes every instance: the more there are, the longer they wait, up
+ * to a part of the bound on news.
+ */
 #define MERGE_US (400 * 1000)
+#define MERGE_INSTANCES 9
+#define MERGE_PART 3
 /* First and longest wait after a failure; drawn between half and all. */
 #define FIRST_BACKOFF_US (200 * 1000)
 #define MOST_BACKOFF_US (1500 * 1000)
@@ -66,6 +72,7 @@
 	struct rr_feed_actions actions;
 	uint64_t next_call;
 	int64_t now_us;
+	int64_t most_merge_us;
 	bool reached;
 	bool leaving;
 	/* Reading. */
@@ -100,11 +107,22 @@
 		g_free((char *)item->replica->zone);
 		g_free(item->replica);
 	}
+	rr_free_instance(item->instance);
 	g_free(item->key);
 	g_free(item->id);
 	g_free(item);
 }
 
+void rr_free_instance(struct rr_instance *instance)
+{
+	if (!instance)
+		return;
+	g_free(instance->id);
+	g_free(instance->zone);
+	g_free(instance->address);
+	g_free(instance);
+}
+
 static void free_known(gpointer data)
 {
 	struct known *known = data;
@@ -114,12 +132,14 @@
 }
 
 struct rr_feed *rr_new_feed(struct rr_context *ctx,
-			    const struct rr_feed_actions *actions,
+			    const struct rr_feed_options *options,
 			    int64_t now_us)
 {
 	struct rr_feed *feed = g_new0(struct rr_feed, 1);
 
-	feed->actions = *actions;
+	feed->actions = options->actions;
+	feed->most_merge_us =
+		(int64_t)options->news_bound_ms * 1000 / MERGE_PART;
 	feed->now_us = now_us;
 	feed->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    free_known);
@@ -259,6 +279,8 @@
 		return;
 	if (known->kind == RR_FEED_REPLICA)
 		feed->actions.unlisted(feed->actions.data, known->id);
+	else if (known->kind == RR_FEED_INSTANCE)
+		feed->actions.instance(feed->actions.data, known->id, NULL);
 	g_hash_table_remove(feed->known, key);
 }
 
@@ -275,10 +297,14 @@
 			feed->actions.listed(feed->actions.data, item->replica);
 		break;
 	case RR_FEED_INSTANCE:
+		if (item->instance)
+			feed->actions.instance(feed->actions.data, item->id,
+					       item->instance);
+		break;
 	case RR_FEED_OTHER:
 		return;
 	}
-	if (!item->routes && !item->replica)
+	if (!item->routes && !item->replica && !item->instance)
 		rr_log(ctx, RR_LOG_ERROR, "item-unreadable",
 		       RR_FIELD_STRING("key", item->key),
 		       RR_FIELD_U64("revision", item->revision));
@@ -363,6 +389,13 @@
 	feed->has_read = true;
 }
 
+static int64_t merge_us(const struct rr_feed *feed)
+{
+	int64_t many = MAX(1, count_instances(feed) / MERGE_INSTANCES);
+
+	return MIN(many * MERGE_US, feed->most_merge_us);
+}
+
 static void take_changes(struct rr_context *ctx, struct rr_feed *feed,
 			 const struct rr_feed_reply *reply)
 {
@@ -371,7 +404,7 @@
 	for (guint i = 0; news && i < reply->items->len; i++)
 		take_item(ctx, feed, g_ptr_array_index(reply->items, i));
 	feed->revision = MAX(feed->revision, reply->revision);
-	feed->reading.due_us = feed->now_us + (news ? MERGE_US : 0);
+	feed->reading.due_us = feed->now_us + (news ? merge_us(feed) : 0);
 }
 
 static void take_reading(struct rr_context *ctx, struct rr_feed *feed,
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -147,11 +147,13 @@
 	send.idempotent = attempt->idempotent;
 	send.kept_connections =
 		rr_kept_connections(gate, endpoint->service->name);
+	send.handed = run->handed;
+	send.handed_left_us = MAX(run->cut_us - gate->now_us, 0);
 	send.deadline_ms =
 		run->deadline_us ?
 			MAX(run->deadline_us - gate->now_us, 0) / 1000 :
 			-1;
-	if (run->route->idempotent)
+	if (run->route->idempotent && !run->handed)
 		set_timer(gate, gate->now_us + hedge_after_us(run, part),
 			  RR_TIMER_GATE_HEDGE, attempt->id);
 	gate->actions.send(gate->actions.data, &send);
@@ -366,7 +368,7 @@
 
 	switch (reply->outcome) {
 	case RR_GATE_ANSWERED:
-		if (reply->status >= 500) {
+		if (reply->status >= 500 && endpoint->service != gate->strong) {
 			rr_note_alive(ctx, gate, endpoint);
 			rr_note_lost(ctx, gate, endpoint, RR_LOSS_BROKEN);
 			return;
@@ -424,6 +426,30 @@
 	return names[reply->outcome];
 }
 
+/*
+ * What another instance says of a request that was handed to it: its answer
+ * stands, also one that it failed; refused or lost, it is served here.
+ */
+static void take_handed_reply(struct rr_context *ctx, struct rr_gate *gate,
+			      struct rr_gate_run *run,
+			      const struct rr_gate_reply *reply)
+{
+	switch (reply->outcome) {
+	case RR_GATE_ANSWERED:
+		rr_forward_reply(ctx, gate, run, reply);
+		return;
+	case RR_GATE_REFUSED:
+	case RR_GATE_UNSENT:
+		if (!rr_try_part(ctx, gate, run, 0, "repeat"))
+			rr_take_back(ctx, gate, run, false);
+		return;
+	case RR_GATE_BROKEN:
+	case RR_GATE_SILENT:
+		rr_take_back(ctx, gate, run, true);
+		return;
+	}
+}
+
 static void take_reply(struct rr_context *ctx, struct rr_gate *gate,
 		       struct rr_gate_run *run, size_t index,
 		       const struct rr_gate_reply *reply)
@@ -434,6 +460,10 @@
 
 	if (part->status != RR_PART_OPEN)
 		return;
+	if (run->handed) {
+		take_handed_reply(ctx, gate, run, reply);
+		return;
+	}
 	if (good)
 		withdraw_losers(ctx, gate, run, index);
 	if (good && run->route->mode == RR_ROUTE_GATHER) {
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -156,12 +156,14 @@
 {
 	uint32_t connections =
 		rr_gate_connection_share(gate, endpoint->service->name);
+	uint32_t holders = rr_count_holders(gate);
 	struct rr_limit_bounds bounds = {
-		.share = (endpoint->slots + gate->instances - 1) /
-			 gate->instances,
+		.share = (endpoint->slots + holders - 1) / holders,
 		.highest = MIN(connections, endpoint->slots),
 	};
 
+	if (endpoint->service == gate->strong)
+		bounds.share = bounds.highest = endpoint->slots;
 	return bounds;
 }
 
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -19,6 +19,8 @@
 #define UNLISTED_GRACE_US (1800 * 1000)
 /* The part of a service's allowances that is used: the rest is a margin. */
 #define SLACK_PART 0.8
+/* Of it, for instances that hand searches over: single requests are few. */
+#define WEAK_PART 0.2
 #define CONNECTION_PART 0.92
 /* Kept at rest: as many again find room, see replica-port.c. */
 #define KEPT_PART 0.5
@@ -51,8 +53,14 @@
 static void set_extras(const struct rr_gate *gate,
 		       struct rr_gate_service *service)
 {
-	double cap = gate->extra_slack * SLACK_PART / gate->instances;
+	double slack = gate->extra_slack * SLACK_PART;
+	double cap = slack / gate->instances;
 
+	/* Where some hand searches over, the others have the extra attempts. */
+	if (rr_count_holders(gate) < gate->instances)
+		cap = gate->weak ?
+			      slack * WEAK_PART / gate->instances :
+			      slack * (1 - WEAK_PART) / rr_count_holders(gate);
 	/*
 	 * It begins empty.  Guards against a restart that spends the
 	 * instance's part of one window twice.
@@ -80,15 +88,20 @@
 void rr_gate_set_instances(struct rr_context *ctx, struct rr_gate *gate,
 			   uint32_t instances)
 {
-	GHashTableIter iter;
-	gpointer service;
-
 	instances = MAX(instances, 1);
 	if (instances == gate->instances)
 		return;
 	rr_log(ctx, RR_LOG_INFO, "instances", RR_FIELD_U64("now", instances),
 	       RR_FIELD_U64("before", gate->instances));
 	gate->instances = instances;
+	rr_refresh_extras(gate);
+}
+
+void rr_refresh_extras(struct rr_gate *gate)
+{
+	GHashTableIter iter;
+	gpointer service;
+
 	g_hash_table_iter_init(&iter, gate->services);
 	while (g_hash_table_iter_next(&iter, NULL, &service))
 		set_extras(gate, service);
@@ -104,7 +117,7 @@
 
 	if (!service || !service->max_connections)
 		return 1;
-	share = service->max_connections * part / gate->instances;
+	share = service->max_connections * part / rr_count_holders(gate);
 	return MAX(1, (uint32_t)share);
 }
 
@@ -157,6 +170,25 @@
 	rr_drop_endpoint(endpoint);
 }
 
+/*
+ * Whether a connection is made before it is needed: not by those that hand
+ * searches over, nor where there is not one for everybody.
+ */
+static bool may_open(const struct rr_gate *gate,
+		     const struct rr_endpoint *endpoint)
+{
+	const struct rr_route_service *service =
+		gate->table ? rr_find_route_service(gate->table,
+						    endpoint->service->name) :
+			      NULL;
+
+	if (endpoint->service == gate->strong)
+		return true;
+	if (gate->weak)
+		return false;
+	return !service || service->max_connections >= rr_count_holders(gate);
+}
+
 void rr_gate_list(struct rr_context *ctx, struct rr_gate *gate, int64_t now_us,
 		  const struct rr_listing *listing)
 {
@@ -191,7 +223,7 @@
 	}
 	/* Seen by its own sign of life: it is worth a try. */
 	rr_note_alive(ctx, gate, endpoint);
-	if (is_new && !endpoint->draining)
+	if (is_new && !endpoint->draining && may_open(gate, endpoint))
 		gate->actions.open(gate->actions.data, endpoint->id,
 				   endpoint->address);
 	rr_pump_service(ctx, gate, endpoint->service);
--- /dev/null
+++ b/source/core/gate-peer.c
@@ -0,0 +1,156 @@
+/*
+ * gate-peer.c - weak instances hand searches over to a strong one of their
+ * zone.
+ *
+ * A search goes to a replica of every shard.  Replicas take few connections,
+ * so that not every instance can hold one to each, and a weak instance needs
+ * longer to send ninety requests than callers want to wait.  The strong ones
+ * hold the connections, kept warm by everybody's searches; a weak one hands a
+ * search over whole, and gets one answer.  Strong instances are endpoints
+ * like replicas: chosen, suspected and probed in the same way.
+ */
+#include "core/gate-private.h"
+
+#include <string.h>
+
+/* So much stronger must another be: less is not worth the way. */
+#define MUCH_STRONGER 2.0
+/* Searches of one instance that a strong one takes at once. */
+#define PEER_SLOTS 32
+
+void rr_free_gate_peer(gpointer data)
+{
+	struct rr_gate_peer *peer = data;
+
+	g_free(peer->id);
+	g_free(peer->zone);
+	g_free(peer->address);
+	g_free(peer);
+}
+
+static double strongest_of(const struct rr_gate *gate, const char *zone)
+{
+	double strongest = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gate->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rr_gate_peer *peer = value;
+
+		if (!strcmp(peer->zone, zone))
+			strongest = MAX(strongest, peer->strength);
+	}
+	return strongest;
+}
+
+static bool is_weak(const struct rr_gate *gate, const char *zone,
+		    double strength)
+{
+	return strongest_of(gate, zone) >= MUCH_STRONGER * strength;
+}
+
+static void count_holders(struct rr_gate *gate)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&iter, gate->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rr_gate_peer *peer = value;
+
+		if (!is_weak(gate, peer->zone, peer->strength))
+			n++;
+	}
+	gate->n_holders = n;
+}
+
+uint32_t rr_count_holders(const struct rr_gate *gate)
+{
+	bool some_are_weak = gate->n_holders &&
+			     gate->n_holders < g_hash_table_size(gate->peers);
+
+	return some_are_weak ? gate->n_holders : gate->instances;
+}
+
+/* List or unlist a peer as one that searches are handed to. */
+static void judge_peer(struct rr_context *ctx, struct rr_gate *gate,
+		       struct rr_gate_peer *peer)
+{
+	bool wanted = gate->weak && !strcmp(peer->zone, gate->zone) &&
+		      peer->strength >= MUCH_STRONGER * gate->strength &&
+		      *peer->address;
+	struct rr_listing listing = {
+		.id = peer->id,
+		.service = RR_STRONG_SERVICE,
+		.address = peer->address,
+		/* Not the zone of replicas: its silence tells nothing of them. */
+		.zone = RR_STRONG_SERVICE,
+		.slots = PEER_SLOTS,
+	};
+
+	if (wanted == peer->listed)
+		return;
+	peer->listed = wanted;
+	if (wanted)
+		rr_gate_list(ctx, gate, gate->now_us, &listing);
+	else
+		rr_gate_unlist(ctx, gate, gate->now_us, peer->id);
+}
+
+static void judge_peers(struct rr_context *ctx, struct rr_gate *gate)
+{
+	bool weak = is_weak(gate, gate->zone, gate->strength);
+	GHashTableIter iter;
+	gpointer value;
+
+	count_holders(gate);
+	if (weak != gate->weak)
+		rr_log(ctx, RR_LOG_INFO, weak ? "hands-over" : "serves-itself",
+		       RR_FIELD_DOUBLE("strength", gate->strength),
+		       RR_FIELD_DOUBLE("strongest",
+				       strongest_of(gate, gate->zone)),
+		       RR_FIELD_U64("holders", gate->n_holders));
+	gate->weak = weak;
+	g_hash_table_iter_init(&iter, gate->peers);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		judge_peer(ctx, gate, value);
+}
+
+void rr_gate_note_instance(struct rr_context *ctx, struct rr_gate *gate,
+			   int64_t now_us, const char *id, const char *zone,
+			   const char *address, double strength)
+{
+	struct rr_gate_peer *peer = g_hash_table_lookup(gate->peers, id);
+
+	gate->now_us = now_us;
+	if (peer && peer->listed)
+		rr_gate_unlist(ctx, gate, now_us, id);
+	if (peer)
+		g_hash_table_remove(gate->peers, id);
+	if (zone) {
+		peer = g_new0(struct rr_gate_peer, 1);
+		peer->id = g_strdup(id);
+		peer->zone = g_strdup(zone);
+		peer->address = g_strdup(address ? address : "");
+		peer->strength = strength;
+		g_hash_table_insert(gate->peers, peer->id, peer);
+	}
+	judge_peers(ctx, gate);
+	rr_refresh_extras(gate);
+}
+
+bool rr_hand_over(struct rr_gate *gate, struct rr_gate_run *run)
+{
+	if (!gate->weak || run->route->mode != RR_ROUTE_GATHER)
+		return false;
+	if (!rr_service_reachable(gate, gate->strong))
+		return false;
+	run->handed = true;
+	run->parts = g_new0(struct rr_gate_part, 1);
+	run->parts[0].service = gate->strong;
+	run->n_parts = 1;
+	run->least = 1;
+	return true;
+}
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -116,6 +116,7 @@
 	size_t least;
 	size_t n_run; /* attempts that may have run */
 	GQueue live;  /* struct rr_gate_attempt */
+	bool handed;  /* its one part is at another instance */
 	struct rr_top_records top;
 	GString *seals;
 	struct rr_trail trail;
@@ -136,6 +137,15 @@
 	GList run_link;	     /* in the request's */
 };
 
+/* Another instance, as its entry tells of it. */
+struct rr_gate_peer {
+	char *id;
+	char *zone;
+	double strength;
+	bool listed; /* among those that searches are handed to */
+	char *address;
+};
+
 struct rr_gate {
 	int64_t now_us;
 	char *instance;
@@ -144,6 +154,11 @@
 	double extra_ratio;
 	double extra_slack;
 	uint32_t instances;
+	double strength;
+	GHashTable *peers;  /* id -> struct rr_gate_peer */
+	uint32_t n_holders; /* instances that hold connections; 0: all */
+	bool weak;	    /* this one hands searches over */
+	struct rr_gate_service *strong; /* those it hands them to */
 	struct rr_route_table *table;
 	int64_t table_since_us;
 	struct rr_trail_budget log_budget;
@@ -164,6 +179,8 @@
 struct rr_endpoint *rr_keep_endpoint(struct rr_endpoint *endpoint);
 void rr_drop_endpoint(struct rr_endpoint *endpoint);
 void rr_free_gate_service(gpointer data);
+/* Share the allowances of extra attempts anew. */
+void rr_refresh_extras(struct rr_gate *gate);
 /* Connections to a replica of a service that are kept at rest. */
 uint32_t rr_kept_connections(const struct rr_gate *gate, const char *name);
 /* It takes no new work any more. */
@@ -193,6 +210,15 @@
 /* Look anew at whether this instance is cut off. */
 void rr_judge_isolation(struct rr_context *ctx, struct rr_gate *gate);
 
+/* gate-peer.c */
+/* No service of routes is called so: names there have no blank. */
+#define RR_STRONG_SERVICE "strong instances"
+void rr_free_gate_peer(gpointer data);
+/* Whether a request is handed over; it has its one part then. */
+bool rr_hand_over(struct rr_gate *gate, struct rr_gate_run *run);
+/* Instances among which replicas' connections are shared. */
+uint32_t rr_count_holders(const struct rr_gate *gate);
+
 /* gate-choose.c */
 enum rr_choice {
 	RR_CHOSEN,
@@ -237,6 +263,12 @@
 		     struct rr_gate_service *service);
 
 /* gate-run.c */
+/*
+ * What was handed over is served here after all; `may_have_run` there.  Then
+ * each part has had its first attempt.
+ */
+void rr_take_back(struct rr_context *ctx, struct rr_gate *gate,
+		  struct rr_gate_run *run, bool may_have_run);
 /* Look at a request: answer it if it is time. */
 void rr_advance_run(struct rr_context *ctx, struct rr_gate *gate,
 		    struct rr_gate_run *run);
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -16,6 +16,8 @@
  */
 #define LEAST_WRITE_US (2 * 1000)
 #define WRITE_PART 20 /* of the latency objective */
+/* The way of an answer through the instance that handed a search over. */
+#define HAND_BACK_US (3 * 1000)
 /* Assumed where the caller's connection does not tell. */
 #define GUESSED_RTT_US (4 * 1000)
 /* A caller that closed its side may still read: for so long it is served. */
@@ -275,10 +277,16 @@
 void rr_advance_run(struct rr_context *ctx, struct rr_gate *gate,
 		    struct rr_gate_run *run)
 {
-	if (run->route->mode == RR_ROUTE_GATHER) {
+	if (run->route->mode == RR_ROUTE_GATHER && !run->handed) {
 		advance_gather(ctx, gate, run);
 		return;
 	}
+	if (run->handed && gate->now_us >= run->cut_us + HAND_BACK_US &&
+	    gate->now_us < run->end_us && !run->left) {
+		/* The other instance is frozen, or far too slow. */
+		rr_take_back(ctx, gate, run, true);
+		return;
+	}
 	if (run->n_lacking)
 		fail_run(ctx, gate, run, "no-replica");
 	else if (gate->now_us >= run->end_us)
@@ -381,7 +389,11 @@
 		run->deadline_us = run->end_us;
 	}
 	run->cut_us = run->end_us;
-	if (objective_us)
+	if (ask->handed_left_us >= 0)
+		run->cut_us =
+			MIN(run->end_us,
+			    gate->now_us + ask->handed_left_us - HAND_BACK_US);
+	else if (objective_us)
 		run->cut_us = MIN(
 			run->cut_us,
 			gate->now_us + objective_us - rtt_us -
@@ -421,21 +433,17 @@
 	return reachable - overrun < run->least ? "overrun" : NULL;
 }
 
-static void start_run(struct rr_context *ctx, struct rr_gate *gate,
-		      struct rr_gate_run *run)
+/* Send each part for the first time, or give it up. */
+static void start_parts(struct rr_context *ctx, struct rr_gate *gate,
+			struct rr_gate_run *run)
 {
 	const char *reason = why_unservable(gate, run);
-	uint64_t id = run->id;
 
-	if (reason) {
+	if (reason && !run->n_run) {
 		rr_count(ctx, RR_N_REFUSED_EARLY, 1);
 		rr_answer_own(ctx, gate, run, 503, reason);
 		return;
 	}
-	rr_set_timer(gate->timers, run->cut_us, RR_TIMER_GATE_LOOK, id, 0);
-	if (run->end_us != run->cut_us && run->end_us != INT64_MAX)
-		rr_set_timer(gate->timers, run->end_us, RR_TIMER_GATE_LOOK, id,
-			     0);
 	for (size_t i = 0; i < run->n_parts; i++) {
 		struct rr_gate_part *part = &run->parts[i];
 
@@ -445,6 +453,40 @@
 	rr_advance_run(ctx, gate, run);
 }
 
+void rr_take_back(struct rr_context *ctx, struct rr_gate *gate,
+		  struct rr_gate_run *run, bool may_have_run)
+{
+	rr_leave_attempts(ctx, gate, run);
+	g_clear_pointer(&run->parts, g_free);
+	run->handed = false;
+	run->n_parts = 0;
+	run->n_lacking = 0;
+	run->n_run = may_have_run ? 1 : 0;
+	add_parts(ctx, gate, run);
+	for (size_t i = 0; may_have_run && i < run->n_parts; i++)
+		run->parts[i].n_arrived = 1;
+	start_parts(ctx, gate, run);
+}
+
+static void start_run(struct rr_context *ctx, struct rr_gate *gate,
+		      struct rr_gate_run *run)
+{
+	uint64_t id = run->id;
+
+	rr_set_timer(gate->timers,
+		     run->handed ? run->cut_us + HAND_BACK_US : run->cut_us,
+		     RR_TIMER_GATE_LOOK, id, 0);
+	if (run->end_us != run->cut_us && run->end_us != INT64_MAX)
+		rr_set_timer(gate->timers, run->end_us, RR_TIMER_GATE_LOOK, id,
+			     0);
+	if (run->handed && !rr_try_part(ctx, gate, run, 0, "handed-over")) {
+		rr_take_back(ctx, gate, run, false);
+		return;
+	}
+	if (!run->handed)
+		start_parts(ctx, gate, run);
+}
+
 /* A request that no route takes, or that comes before any are known. */
 static uint64_t turn_away(struct rr_context *ctx, struct rr_gate *gate,
 			  const struct rr_gate_ask *ask, uint16_t status,
@@ -500,7 +542,8 @@
 	run->routes_age_us = now_us - gate->table_since_us;
 	g_hash_table_insert(gate->runs, &run->id, run);
 	set_times(run, gate, ask);
-	add_parts(ctx, gate, run);
+	if (ask->handed_left_us >= 0 || !rr_hand_over(gate, run))
+		add_parts(ctx, gate, run);
 	start_run(ctx, gate, run);
 	return id;
 }
--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -39,7 +39,8 @@
 	zone = g_new0(struct rr_gate_zone, 1);
 	zone->number = ++gate->next_id;
 	zone->name = g_strdup(name);
-	zone->near = !g_strcmp0(name, gate->zone);
+	zone->near = !g_strcmp0(name, gate->zone) ||
+		     !strcmp(name, RR_STRONG_SERVICE);
 	rr_init_track(&zone->track);
 	g_ptr_array_add(gate->zones, zone);
 	return zone;
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -33,6 +33,9 @@
 	gate->extra_ratio = options->extra_ratio;
 	gate->extra_slack = options->extra_slack;
 	gate->instances = ASSUMED_INSTANCES;
+	gate->strength = options->strength;
+	gate->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    rr_free_gate_peer);
 	gate->log_budget.per_s = options->log_lines_per_s;
 	gate->timers = rr_new_timers();
 	gate->zones = g_ptr_array_new_with_free_func(rr_free_gate_zone);
@@ -46,6 +49,7 @@
 					   rr_free_run);
 	gate->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, rr_free_attempt);
+	gate->strong = rr_gate_service_of(gate, RR_STRONG_SERVICE);
 	return gate;
 }
 
@@ -59,6 +63,7 @@
 	g_hash_table_unref(gate->services);
 	g_ptr_array_unref(gate->zones);
 	g_hash_table_unref(gate->records);
+	g_hash_table_unref(gate->peers);
 	rr_drop_route_table(gate->table);
 	rr_drop_timers(gate->timers);
 	g_free(gate->instance);
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -25,6 +25,12 @@
 #define STOP_CHECK_US (100 * 1000)
 /* Of the ready and metrics addresses: few ask, and seldom. */
 #define MOST_ASKERS 64
+/*
+ * Between instances: time until a search that is handed over has to be
+ * answered, in microseconds; and the promise that it was not run.
+ */
+#define LEFT_HEADER "Ragwort-Left-Us"
+#define NOT_RUN_HEADER "Ragwort-Not-Run"
 /* The one endpoint of the port that makes the store's calls. */
 #define STORE "store"
 /* A watch, and one for the other calls. */
@@ -39,6 +45,7 @@
 /* A request that a caller waits for. */
 struct open_request {
 	struct rr_caller *caller;
+	bool handed; /* its caller is another instance */
 	const struct rr_http_message *message;
 	GString *head;
 	const char *request_id;
@@ -62,8 +69,10 @@
 	struct rr_front_port *callers;
 	struct rr_front_port *ready;
 	struct rr_front_port *metrics;
+	struct rr_front_port *peers; /* other instances that hand over */
 	struct rr_replica_port *replicas;
 	struct rr_replica_port *store;
+	struct rr_replica_port *strong; /* instances to hand over to */
 	struct rr_lifecycle lifecycle;
 	GHashTable *requests;	     /* gate's id -> struct open_request */
 	struct open_request *taking; /* being taken: its id is not known yet */
@@ -124,8 +133,11 @@
 	due_us = MIN(due_us, rr_feed_wake_us(gateway->feed));
 	due_us = MIN(due_us, rr_front_port_wake_us(gateway->callers));
 	due_us = MIN(due_us, rr_front_port_wake_us(gateway->ready));
+	if (gateway->peers)
+		due_us = MIN(due_us, rr_front_port_wake_us(gateway->peers));
 	due_us = MIN(due_us, rr_replica_port_wake_us(gateway->replicas));
 	due_us = MIN(due_us, rr_replica_port_wake_us(gateway->store));
+	due_us = MIN(due_us, rr_replica_port_wake_us(gateway->strong));
 	if (gateway->lifecycle.stop_us)
 		due_us = MIN(due_us, gateway->stop_check_us);
 	if (rr_log_waits() && !gateway->flush_us)
@@ -146,8 +158,11 @@
 	gateway->stop_check_us = now_us() + STOP_CHECK_US;
 	step = rr_next_stop_step(&gateway->lifecycle, now_us(),
 				 rr_gate_open_requests(gateway->gate), callers);
-	if (step == RR_STOP_CLOSE_IDLE)
+	if (step == RR_STOP_CLOSE_IDLE) {
 		rr_close_idle_callers(gateway->callers);
+		if (gateway->peers)
+			rr_close_idle_callers(gateway->peers);
+	}
 	if (step == RR_STOP_EXIT)
 		g_main_loop_quit(gateway->loop);
 }
@@ -158,10 +173,13 @@
 
 	rr_tick_replica_port(gateway->store, now);
 	rr_tick_replica_port(gateway->replicas, now);
+	rr_tick_replica_port(gateway->strong, now);
 	rr_feed_tick(gateway->ctx, gateway->feed, now);
 	rr_gate_tick(gateway->ctx, gateway->gate, now);
 	rr_tick_front_port(gateway->callers, now);
 	rr_tick_front_port(gateway->ready, now);
+	if (gateway->peers)
+		rr_tick_front_port(gateway->peers, now);
 	check_stop(gateway);
 	if (gateway->flush_us && gateway->flush_us <= now) {
 		rr_flush_log();
@@ -204,8 +222,14 @@
 	};
 	gsize shared = open->head->len;
 
-	g_string_append_printf(open->head, "%s: %s\r\n",
-			       gateway->names->expect_endpoint, send->endpoint);
+	if (send->handed)
+		g_string_append_printf(open->head,
+				       LEFT_HEADER ": %" G_GINT64_FORMAT "\r\n",
+				       send->handed_left_us);
+	else
+		g_string_append_printf(open->head, "%s: %s\r\n",
+				       gateway->names->expect_endpoint,
+				       send->endpoint);
 	if (send->deadline_ms >= 0)
 		g_string_append_printf(
 			open->head, "%s: %" G_GINT64_FORMAT "\r\n",
@@ -213,7 +237,8 @@
 	g_string_append(open->head, "\r\n");
 	request.head = open->head->str;
 	request.head_length = open->head->len;
-	rr_send_to_replica(gateway->replicas, now_us(), send, &request);
+	rr_send_to_replica(send->handed ? gateway->strong : gateway->replicas,
+			   now_us(), send, &request);
 	g_string_truncate(open->head, shared);
 }
 
@@ -222,17 +247,21 @@
 	struct rr_gateway *gateway = data;
 
 	rr_withdraw_from_replica(gateway->replicas, attempt);
+	rr_withdraw_from_replica(gateway->strong, attempt);
 }
 
 static void answer_own(struct rr_caller *caller,
-		       const struct rr_gate_answer *answer)
+		       const struct rr_gate_answer *answer, bool handed)
 {
 	char seconds[G_ASCII_DTOSTR_BUF_SIZE];
-	struct rr_http_header header = { "Retry-After", seconds };
+	struct rr_http_header headers[] = {
+		{ "Retry-After", seconds },
+		{ NOT_RUN_HEADER, "1" },
+	};
 	struct rr_front_answer reply = {
 		.status = answer->status,
-		.headers = &header,
-		.n_headers = answer->retry_after_ms ? 1 : 0,
+		.headers = headers,
+		.n_headers = answer->retry_after_ms ? (handed ? 2 : 1) : 0,
 	};
 
 	g_ascii_formatd(seconds, sizeof(seconds), "%.3f",
@@ -289,7 +318,7 @@
 
 	switch (answer->kind) {
 	case RR_GATE_OWN:
-		answer_own(open->caller, answer);
+		answer_own(open->caller, answer, open->handed);
 		break;
 	case RR_GATE_FORWARDED:
 		answer_forwarded(open, answer);
@@ -330,16 +359,17 @@
 
 /* Callers. */
 
-static int64_t read_deadline(const struct rr_http_message *message,
-			     const char *name)
+/* A header's whole number; -1 if it is none. */
+static int64_t read_number(const struct rr_http_message *message,
+			   const char *name)
 {
 	const char *value = rr_http_value(message, name);
-	guint64 deadline_ms;
+	guint64 number;
 
 	if (!value || !g_ascii_string_to_unsigned(value, 10, 0, G_MAXINT32,
-						  &deadline_ms, NULL))
+						  &number, NULL))
 		return -1;
-	return (int64_t)deadline_ms;
+	return (int64_t)number;
 }
 
 static uint64_t *new_key(uint64_t id)
@@ -350,10 +380,9 @@
 	return key;
 }
 
-static void take_request(void *data, struct rr_caller *caller,
-			 const struct rr_http_message *message)
+static void take_request(struct rr_gateway *gateway, struct rr_caller *caller,
+			 const struct rr_http_message *message, bool handed)
 {
-	struct rr_gateway *gateway = data;
 	const char *host = rr_http_value(message, "Host");
 	struct rr_front_answer bad = { .status = 400, .close = true };
 	struct rr_gate_ask ask = {
@@ -362,8 +391,10 @@
 		.path_length = message->target_length,
 		.request_id =
 			rr_http_value(message, gateway->names->request_id),
-		.deadline_ms = read_deadline(message, gateway->names->deadline),
+		.deadline_ms = read_number(message, gateway->names->deadline),
 		.caller_rtt_us = rr_caller_rtt_us(caller),
+		.handed_left_us =
+			handed ? read_number(message, LEFT_HEADER) : -1,
 	};
 	struct open_request *open;
 	uint64_t id;
@@ -375,6 +406,7 @@
 	}
 	open = g_new0(struct open_request, 1);
 	open->caller = caller;
+	open->handed = handed;
 	open->message = message;
 	open->request_id = ask.request_id;
 	open->head = g_string_sized_new(512);
@@ -389,6 +421,18 @@
 	settle(gateway);
 }
 
+static void take_callers_request(void *data, struct rr_caller *caller,
+				 const struct rr_http_message *message)
+{
+	take_request(data, caller, message, false);
+}
+
+static void take_peers_request(void *data, struct rr_caller *caller,
+			       const struct rr_http_message *message)
+{
+	take_request(data, caller, message, true);
+}
+
 static void take_leaver(void *data, struct rr_caller *caller)
 {
 	struct rr_gateway *gateway = data;
@@ -473,6 +517,8 @@
 	struct rr_platform_entry entry = {
 		.instance = gateway->settings->instance,
 		.zone = gateway->settings->zone,
+		.address = gateway->settings->peer_address,
+		.strength = gateway->settings->strength,
 	};
 	GString *bytes = rr_encode_feed_call(
 		call, gateway->settings->store_address, &entry);
@@ -549,6 +595,17 @@
 	rr_gate_unlist(gateway->ctx, gateway->gate, now_us(), id);
 }
 
+static void take_instance(void *data, const char *id,
+			  const struct rr_instance *instance)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_gate_note_instance(gateway->ctx, gateway->gate, now_us(), id,
+			      instance ? instance->zone : NULL,
+			      instance ? instance->address : NULL,
+			      instance ? instance->strength : 0);
+}
+
 static void take_instances(void *data, uint32_t instances)
 {
 	struct rr_gateway *gateway = data;
@@ -568,6 +625,8 @@
 	rr_ask_stop(&gateway->lifecycle, now_us());
 	gateway->stop_check_us = now_us() + STOP_CHECK_US;
 	rr_close_front_port(gateway->callers);
+	if (gateway->peers)
+		rr_close_front_port(gateway->peers);
 	rr_feed_leave(gateway->ctx, gateway->feed, now_us());
 	settle(gateway);
 	return G_SOURCE_CONTINUE;
@@ -602,16 +661,21 @@
 		},
 		.extra_ratio = gateway->settings->extra_share,
 		.extra_slack = gateway->settings->extra_slack,
+		.strength = gateway->settings->strength,
 		.log_lines_per_s = gateway->settings->log_request_lines_per_s,
 	};
-	struct rr_feed_actions feed = {
-		.call = make_call,
-		.cancel = cancel_call,
-		.routes = take_routes,
-		.listed = take_listing,
-		.unlisted = take_unlisted,
-		.instances = take_instances,
-		.data = gateway,
+	struct rr_feed_options feed = {
+		.actions = {
+			.call = make_call,
+			.cancel = cancel_call,
+			.routes = take_routes,
+			.listed = take_listing,
+			.unlisted = take_unlisted,
+			.instances = take_instances,
+			.instance = take_instance,
+			.data = gateway,
+		},
+		.news_bound_ms = gateway->settings->news_bound_ms,
 	};
 
 	gateway->gate = rr_new_gate(gateway->ctx, &gate);
@@ -635,6 +699,15 @@
 		.data = gateway,
 	};
 
+	struct rr_replica_port_options strong = {
+		.poller = gateway->poller,
+		.not_run = NOT_RUN_HEADER,
+		.replied = take_reply,
+		.probed = take_probe,
+		.data = gateway,
+	};
+
+	gateway->strong = rr_new_replica_port(gateway->ctx, &strong);
 	gateway->replicas = rr_new_replica_port(gateway->ctx, &replicas);
 	gateway->store = rr_new_replica_port(gateway->ctx, &store);
 }
@@ -646,7 +719,7 @@
 		.poller = gateway->poller,
 		.address = settings->caller_address,
 		.max_connections = settings->max_connections,
-		.request = take_request,
+		.request = take_callers_request,
 		.left = take_leaver,
 		.gone = take_gone,
 		.data = gateway,
@@ -659,6 +732,7 @@
 		.data = gateway,
 	};
 	struct rr_front_port_options metrics = ready;
+	struct rr_front_port_options peers = callers;
 
 	gateway->callers = rr_new_front_port(gateway->ctx, &callers, error);
 	if (!gateway->callers)
@@ -666,6 +740,13 @@
 	gateway->ready = rr_new_front_port(gateway->ctx, &ready, error);
 	if (!gateway->ready)
 		return false;
+	if (settings->peer_address) {
+		peers.address = settings->peer_address;
+		peers.request = take_peers_request;
+		gateway->peers = rr_new_front_port(gateway->ctx, &peers, error);
+		if (!gateway->peers)
+			return false;
+	}
 	if (!settings->metrics_address)
 		return true;
 	metrics.address = settings->metrics_address;
@@ -730,8 +811,10 @@
 	rr_drop_front_port(gateway->callers);
 	rr_drop_front_port(gateway->ready);
 	rr_drop_front_port(gateway->metrics);
+	rr_drop_front_port(gateway->peers);
 	rr_drop_replica_port(gateway->replicas);
 	rr_drop_replica_port(gateway->store);
+	rr_drop_replica_port(gateway->strong);
 	rr_drop_feed(gateway->feed);
 	rr_drop_gate(gateway->gate);
 	g_hash_table_unref(gateway->requests);
--- a/source/settings/gateway-settings.c
+++ b/source/settings/gateway-settings.c
@@ -7,6 +7,8 @@
 #define DEFAULT_EXTRA_SHARE 0.1
 #define DEFAULT_EXTRA_SLACK 10
 #define DEFAULT_STOP_TIMEOUT_MS 10000
+#define DEFAULT_STRENGTH 1
+#define DEFAULT_NEWS_BOUND_MS 3000
 /* Half of the descriptors that a small instance has. */
 #define DEFAULT_MAX_CONNECTIONS 2000
 #define DEFAULT_MAX_LINES_PER_S 400
@@ -19,6 +21,8 @@
 		.extra_share = DEFAULT_EXTRA_SHARE,
 		.extra_slack = DEFAULT_EXTRA_SLACK,
 		.stop_timeout_ms = DEFAULT_STOP_TIMEOUT_MS,
+		.strength = DEFAULT_STRENGTH,
+		.news_bound_ms = DEFAULT_NEWS_BOUND_MS,
 		.max_connections = DEFAULT_MAX_CONNECTIONS,
 		.log_level = RR_LOG_INFO,
 		.log_format = RR_LOG_KEY_VALUE,
@@ -50,5 +54,6 @@
 	g_free(settings->ready_address);
 	g_free(settings->metrics_address);
 	g_free(settings->store_address);
+	g_free(settings->peer_address);
 	g_free(settings);
 }
--- a/source/settings/settings-table.c
+++ b/source/settings/settings-table.c
@@ -273,6 +273,18 @@
 	{ "store_address", RR_IN_GATEWAY, RR_SET_ADDRESS, .required = true,
 	  .offset = IN_GATEWAY(store_address),
 	  .help = "Where the platform's key-value store is reached." },
+	{ "peer_address", RR_IN_GATEWAY, RR_SET_LISTEN_ADDRESS,
+	  .offset = IN_GATEWAY(peer_address),
+	  .help = "Where weaker instances of the zone hand searches to. Left "
+		  "out: they do not." },
+	{ "strength", RR_IN_GATEWAY, RR_SET_NUMBER, 0, 1024,
+	  .offset = IN_GATEWAY(strength), .unit = "cores",
+	  .help = "What this instance has of a processor. One that has half "
+		  "of another's of its zone, or less, hands searches over." },
+	{ "news_bound_ms", RR_IN_GATEWAY, RR_SET_INTEGER, 100, LONGEST_MS,
+	  .offset = IN_GATEWAY(news_bound_ms), .unit = "ms",
+	  .help = "Longest time until a change in the store has to be known "
+		  "here; the more there is of it, the fewer calls are made." },
 	{ "extra_share", RR_IN_GATEWAY, RR_SET_NUMBER, 0, 1,
 	  .offset = IN_GATEWAY(extra_share), .unit = "share of requests",
 	  .help = "Most attempts on top of the first that a service gets from "
--- a/tests/support/gate-scene.c
+++ b/tests/support/gate-scene.c
@@ -100,6 +100,7 @@
 		},
 		.extra_ratio = 0.2,
 		.extra_slack = 50,
+		.strength = 1,
 	};
 
 	scene->now_us = 1000 * TEST_MS;
@@ -216,6 +217,7 @@
 		.request_id = "id",
 		.deadline_ms = deadline_ms,
 		.caller_rtt_us = 2000,
+		.handed_left_us = -1,
 	};
 
 	return rr_gate_take(scene->ctx, scene->gate, scene->now_us, &ask);
--- a/tests/test-feed.c
+++ b/tests/test-feed.c
@@ -30,6 +30,7 @@
 	struct rr_feed *feed;
 	int64_t now_us;
 	GPtrArray *calls; /* struct call */
+	GString *places;  /* "+instance", "-instance" */
 	GString *news;	  /* "+id", "-id", "routes N", "instances N" */
 };
 
@@ -96,24 +97,38 @@
 	g_string_append_printf(scene->news, "instances %u ", instances);
 }
 
+static void note_instance(void *data, const char *id,
+			  const struct rr_instance *instance)
+{
+	struct scene *scene = data;
+
+	g_string_append_printf(scene->places, "%c%s ", instance ? '+' : '-',
+			       id);
+}
+
 static struct scene *new_scene(void)
 {
 	struct scene *scene = g_new0(struct scene, 1);
-	struct rr_feed_actions actions = {
-		.call = note_call,
-		.cancel = note_cancel,
-		.routes = note_routes,
-		.listed = note_listed,
-		.unlisted = note_unlisted,
-		.instances = note_instances,
-		.data = scene,
+	struct rr_feed_options options = {
+		.actions = {
+			.call = note_call,
+			.cancel = note_cancel,
+			.routes = note_routes,
+			.listed = note_listed,
+			.unlisted = note_unlisted,
+			.instances = note_instances,
+			.instance = note_instance,
+			.data = scene,
+		},
+		.news_bound_ms = 3000,
 	};
 
 	scene->now_us = 50000 * MS;
 	scene->ctx = rr_new_context(NULL);
 	scene->calls = g_ptr_array_new_with_free_func(free_call);
 	scene->news = g_string_new(NULL);
-	scene->feed = rr_new_feed(scene->ctx, &actions, scene->now_us);
+	scene->places = g_string_new(NULL);
+	scene->feed = rr_new_feed(scene->ctx, &options, scene->now_us);
 	rr_feed_tick(scene->ctx, scene->feed, scene->now_us);
 	return scene;
 }
@@ -124,6 +139,7 @@
 	rr_drop_context(scene->ctx);
 	g_ptr_array_unref(scene->calls);
 	g_string_free(scene->news, TRUE);
+	g_string_free(scene->places, TRUE);
 	g_free(scene);
 }
 
@@ -180,6 +196,8 @@
 	} else if (g_str_has_prefix(what, "inst")) {
 		item->kind = RR_FEED_INSTANCE;
 		item->id = g_strdup(what);
+		if (!item->removed)
+			item->instance = g_new0(struct rr_instance, 1);
 	} else if (!g_str_has_prefix(what, "other")) {
 		item->kind = RR_FEED_REPLICA;
 		item->id = g_strdup(what);
@@ -308,6 +326,25 @@
 	drop_scene(scene);
 }
 
+/* Each change wakes all instances: the more there are, the longer they wait,
+ * but never for more than a third of the bound. */
+static void test_many_instances_merge_more(void **state)
+{
+	struct scene *scene = new_scene();
+	GString *items = g_string_new(NULL);
+
+	for (int i = 0; i < 100; i++)
+		g_string_append_printf(items, "inst%d@%d ", i, i + 1);
+	answer_ok(scene, RR_FEED_RANGE, items->str, 200);
+	answer_ok(scene, RR_FEED_WATCH, "r3@201", 201);
+	pass(scene, 990 * MS);
+	assert_null(find_call(scene, RR_FEED_WATCH));
+	pass(scene, 20 * MS);
+	assert_non_null(find_call(scene, RR_FEED_WATCH));
+	g_string_free(items, TRUE);
+	drop_scene(scene);
+}
+
 /* Nothing new for minutes: a long watch each time, nothing else is read. */
 static void test_quiet_minutes(void **state)
 {
@@ -451,6 +488,9 @@
 	answer_ok(scene, RR_FEED_WATCH, "inst1@13", 13);
 	pass(scene, 13000 * MS);
 	assert_news(scene, "instances 4 ");
+	assert_string_equal(scene->places->str,
+			    "+inst1 +inst2 +inst3 +inst4 +inst5 -inst1 "
+			    "-inst2 +inst1 ");
 	drop_scene(scene);
 }
 
@@ -507,6 +547,7 @@
 		cmocka_unit_test(test_changes),
 		cmocka_unit_test(test_old_news_counts_for_nothing),
 		cmocka_unit_test(test_bursts_are_merged),
+		cmocka_unit_test(test_many_instances_merge_more),
 		cmocka_unit_test(test_quiet_minutes),
 		cmocka_unit_test(test_forgotten_history),
 		cmocka_unit_test(test_range_breaks_off),
