tests: a frozen strong instance

The commit before had this case red: its loop left the attempts unanswered that the instance sends itself once the frozen one is suspected.

--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -770,6 +770,8 @@
 
 	for (int i = 0; i < 8; i++) {
 		test_take(scene, "/search/1", 900);
+		if (!test_open_at(scene, "strong"))
+			test_reply_all(scene);
 		test_pass(scene, 100 * TEST_MS);
 	}
 	assert_true(test_sent_at(scene, 0)->withdrawn);
