--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -27,6 +27,8 @@
 #define MERGE_US (400 * 1000)
 #define MERGE_INSTANCES 9
 #define MERGE_PART 3
+/* Far more than a merge brings on a calm day, far less than a cut answer. */
+#define MANY_CHANGES 64
 /* First and longest wait after a failure; drawn between half and all. */
 #define FIRST_BACKOFF_US (200 * 1000)
 #define MOST_BACKOFF_US (1500 * 1000)
@@ -389,10 +391,17 @@
 	feed->has_read = true;
 }
 
-static int64_t merge_us(const struct rr_feed *feed)
+/*
+ * How long the next watch waits after `n` changes.  The store cuts long
+ * answers: many changes may be a part only, and what is behind them is old
+ * news already.
+ */
+static int64_t merge_us(const struct rr_feed *feed, guint n)
 {
 	int64_t many = MAX(1, count_instances(feed) / MERGE_INSTANCES);
 
+	if (n >= MANY_CHANGES)
+		return 0;
 	return MIN(many * MERGE_US, feed->most_merge_us);
 }
 
@@ -404,7 +413,8 @@
 	for (guint i = 0; news && i < reply->items->len; i++)
 		take_item(ctx, feed, g_ptr_array_index(reply->items, i));
 	feed->revision = MAX(feed->revision, reply->revision);
-	feed->reading.due_us = feed->now_us + (news ? merge_us(feed) : 0);
+	feed->reading.due_us =
+		feed->now_us + (news ? merge_us(feed, reply->items->len) : 0);
 }
 
 static void take_reading(struct rr_context *ctx, struct rr_feed *feed,
--- a/tests/test-feed.c
+++ b/tests/test-feed.c
@@ -345,6 +345,27 @@
 	drop_scene(scene);
 }
 
+/*
+ * Story: an instance is turned away by the store for nine seconds of a
+ * reshard.  What it missed comes in answers of some hundred changes, the
+ * configuration in the last of them; with a pause after each it is in force
+ * too late.
+ */
+static void test_backlog_is_read_without_pauses(void **state)
+{
+	struct scene *scene = settled_scene();
+	GString *items = g_string_new(NULL);
+
+	for (int i = 0; i < 100; i++)
+		g_string_append_printf(items, "x%d@%d ", i, 30 + i);
+	answer_ok(scene, RR_FEED_WATCH, items->str, 129);
+	assert_int_equal(find_call(scene, RR_FEED_WATCH)->after_revision, 129);
+	answer_ok(scene, RR_FEED_WATCH, "routes9@130", 130);
+	assert_null(find_call(scene, RR_FEED_WATCH));
+	g_string_free(items, TRUE);
+	drop_scene(scene);
+}
+
 /* Nothing new for minutes: a long watch each time, nothing else is read. */
 static void test_quiet_minutes(void **state)
 {
@@ -548,6 +569,7 @@
 		cmocka_unit_test(test_old_news_counts_for_nothing),
 		cmocka_unit_test(test_bursts_are_merged),
 		cmocka_unit_test(test_many_instances_merge_more),
+		cmocka_unit_test(test_backlog_is_read_without_pauses),
 		cmocka_unit_test(test_quiet_minutes),
 		cmocka_unit_test(test_forgotten_history),
 		cmocka_unit_test(test_range_breaks_off),
