--- a/tests/support/gate-scene.c
+++ b/tests/support/gate-scene.c
@@ -5,6 +5,37 @@
 
 #include <string.h>
 
+static const char *const one_service[] = { "s", NULL };
+const char *const test_shards[] = { "s1", "s2", "s3", "s4", NULL };
+
+const struct test_route test_once_route = {
+	.name = "once",
+	.prefix = "/once/",
+	.services = one_service,
+	.once = true,
+	.max_attempts = 2,
+	.objective_ms = 250,
+	.timeout_ms = 4000,
+};
+const struct test_route test_often_route = {
+	.name = "often",
+	.prefix = "/often/",
+	.services = one_service,
+	.max_attempts = 2,
+	.objective_ms = 250,
+	.timeout_ms = 4000,
+};
+const struct test_route test_search_route = {
+	.name = "search",
+	.prefix = "/search/",
+	.services = test_shards,
+	.gather = true,
+	.max_attempts = 2,
+	.objective_ms = 80,
+	.timeout_ms = 1200,
+	.least_share = 0.75,
+};
+
 static void free_sent(gpointer data)
 {
 	struct test_sent *sent = data;
@@ -301,3 +332,32 @@
 	g_assert_cmpuint(scene->answers->len, >, 0);
 	return g_ptr_array_index(scene->answers, scene->answers->len - 1);
 }
+
+struct gate_scene *test_start_scene(const struct test_route *route)
+{
+	struct gate_scene *scene = test_new_scene(7);
+
+	for (size_t i = 0; route->services[i]; i++) {
+		char *near = g_strconcat(route->services[i], ".a", NULL);
+		char *far = g_strconcat(route->services[i], ".b", NULL);
+
+		test_list(scene, near, route->services[i], "a");
+		test_list(scene, far, route->services[i], "b");
+		g_free(near);
+		g_free(far);
+	}
+	g_assert_true(test_set_routes(scene, 5, route, 1));
+	return scene;
+}
+
+void test_earn_tokens(struct gate_scene *scene, const char *path)
+{
+	for (int i = 0; i < 60; i++) {
+		test_take(scene, path, 1000);
+		test_pass(scene, 2 * TEST_MS);
+		test_reply_all(scene);
+		test_pass(scene, 10 * TEST_MS);
+	}
+	g_ptr_array_set_size(scene->sent, 0);
+	g_ptr_array_set_size(scene->answers, 0);
+}
--- a/tests/support/gate-scene.h
+++ b/tests/support/gate-scene.h
@@ -64,6 +64,17 @@
 	uint32_t priority;
 };
 
+/* Of the service "s": may run once, may be repeated. */
+extern const struct test_route test_once_route;
+extern const struct test_route test_often_route;
+/* Of the four services of test_shards, three of which are enough. */
+extern const char *const test_shards[];
+extern const struct test_route test_search_route;
+
+/* One route, and two replicas of each of its services: S.a near, S.b far. */
+struct gate_scene *test_start_scene(const struct test_route *route);
+/* Serve requests well until there are tokens for extra attempts. */
+void test_earn_tokens(struct gate_scene *scene, const char *path);
 /* Put a table with these routes of host "h" in force; connections 26 each. */
 bool test_set_routes(struct gate_scene *scene, uint64_t version,
 		     const struct test_route *routes, size_t n);
--- /dev/null
+++ b/tests/test-gate-peer.c
@@ -0,0 +1,150 @@
+/*
+ * test-gate-peer.c - searches that weak instances hand over.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <string.h>
+
+#include "support/gate-scene.h"
+
+/* A weak instance and a strong one, w's own name first. */
+static struct gate_scene *weak_scene(void)
+{
+	struct gate_scene *scene = test_start_scene(&test_search_route);
+
+	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, "w", "a",
+			      "127.0.0.1:2", 1);
+	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, "far",
+			      "b", "127.0.0.1:3", 9);
+	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, "strong",
+			      "a", "127.0.0.1:4", 4);
+	return scene;
+}
+
+/*
+ * Story: ninety shards take few connections each, and a weak instance needs
+ * longer to send ninety requests than callers want to wait.  It hands the
+ * search whole to the strong one of its zone and passes its answer on.
+ */
+static void test_weak_instances_hand_over(void **state)
+{
+	struct gate_scene *scene = weak_scene();
+
+	test_take(scene, "/search/1", 900);
+	assert_int_equal(scene->sent->len, 1);
+	assert_string_equal(test_sent_at(scene, 0)->endpoint, "strong");
+	test_pass(scene, 20 * TEST_MS);
+	test_reply_all(scene);
+	assert_int_equal(test_last_answer(scene)->kind, RR_GATE_FORWARDED);
+	test_drop_scene(scene);
+}
+
+/* Refused or not reached: nothing has run, and it is served here at once. */
+static void test_refused_search_is_served_here(void **state)
+{
+	static const enum rr_gate_outcome outcomes[] = { RR_GATE_REFUSED,
+							 RR_GATE_UNSENT };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(outcomes); i++) {
+		struct gate_scene *scene = weak_scene();
+
+		test_take(scene, "/search/1", 900);
+		test_reply(scene, test_sent_at(scene, 0), outcomes[i], 503);
+		assert_int_equal(scene->sent->len, 5);
+		test_reply_all(scene);
+		assert_int_equal(test_last_answer(scene)->kind,
+				 RR_GATE_GATHERED);
+		assert_int_equal(test_last_answer(scene)->missing, 0);
+		test_drop_scene(scene);
+	}
+}
+
+/*
+ * Story: the strong instance dies with the search.  It may have sent to every
+ * shard: whatever is sent from here is extra, and the budget decides.
+ */
+static void test_lost_search_draws_on_the_budget(void **state)
+{
+	struct gate_scene *scene = weak_scene();
+
+	test_take(scene, "/search/1", 900);
+	test_reply(scene, test_sent_at(scene, 0), RR_GATE_BROKEN, 0);
+	assert_int_equal(scene->sent->len, 1);
+	assert_int_equal(test_last_answer(scene)->status, 502);
+	test_drop_scene(scene);
+}
+
+/* A frozen one is not waited for beyond the objective, and then left alone. */
+static void test_frozen_strong_instance(void **state)
+{
+	struct gate_scene *scene = weak_scene();
+
+	for (int i = 0; i < 8; i++) {
+		test_take(scene, "/search/1", 900);
+		if (!test_open_at(scene, "strong"))
+			test_reply_all(scene);
+		test_pass(scene, 100 * TEST_MS);
+	}
+	assert_true(test_sent_at(scene, 0)->withdrawn);
+	g_ptr_array_set_size(scene->sent, 0);
+	test_take(scene, "/search/1", 900);
+	assert_int_equal(scene->sent->len, 4);
+	assert_string_equal(test_sent_at(scene, 0)->endpoint, "s1.a");
+	test_reply_all(scene);
+	assert_int_equal(test_last_answer(scene)->kind, RR_GATE_GATHERED);
+	test_drop_scene(scene);
+}
+
+static void test_strong_instance_leaves(void **state)
+{
+	struct gate_scene *scene = weak_scene();
+
+	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, "strong",
+			      NULL, NULL, 0);
+	test_take(scene, "/search/1", 900);
+	assert_int_equal(scene->sent->len, 4);
+	test_drop_scene(scene);
+}
+
+/* What was handed over is never handed on, whatever the entries say. */
+static void test_handed_search_stays(void **state)
+{
+	struct gate_scene *scene = weak_scene();
+	struct rr_gate_ask ask = {
+		.host = "h",
+		.path = "/search/1",
+		.path_length = strlen("/search/1"),
+		.deadline_ms = 900,
+		.handed_left_us = 50 * TEST_MS,
+	};
+
+	rr_gate_take(scene->ctx, scene->gate, scene->now_us, &ask);
+	assert_int_equal(scene->sent->len, 4);
+	for (guint i = 0; i < 3; i++)
+		test_reply(scene, test_sent_at(scene, i), RR_GATE_ANSWERED,
+			   200);
+	test_pass(scene, 46 * TEST_MS);
+	assert_int_equal(scene->answers->len, 0);
+	test_pass(scene, 2 * TEST_MS);
+	assert_int_equal(test_last_answer(scene)->missing, 1);
+	test_drop_scene(scene);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_weak_instances_hand_over),
+		cmocka_unit_test(test_refused_search_is_served_here),
+		cmocka_unit_test(test_lost_search_draws_on_the_budget),
+		cmocka_unit_test(test_frozen_strong_instance),
+		cmocka_unit_test(test_strong_instance_leaves),
+		cmocka_unit_test(test_handed_search_stays),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test-gate-zone.c
@@ -0,0 +1,225 @@
+/*
+ * test-gate-zone.c - replicas and zones that fall silent, and are heard again.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <string.h>
+
+#include "support/gate-scene.h"
+
+/*
+ * Story: a network cut silences every replica of the other zones at once.
+ * Searches need shards that are only there: this instance says that it is not
+ * ready, so that callers go where they are served, and finds out by bare
+ * connections when the others are back.
+ */
+static void test_a_zone_is_cut_off(void **state)
+{
+	const struct test_route route = {
+		.name = "search",
+		.prefix = "/search/",
+		.services = test_shards,
+		.gather = true,
+		.max_attempts = 2,
+		.objective_ms = 80,
+		.timeout_ms = 1200,
+		.least_share = 0.9,
+	};
+	struct gate_scene *scene = test_new_scene(7);
+	const char *reason;
+
+	test_list(scene, "s1.a", "s1", "a");
+	test_list(scene, "s2.a", "s2", "a");
+	test_list(scene, "s3.b", "s3", "b");
+	test_list(scene, "s4.b", "s4", "b");
+	test_set_routes(scene, 5, &route, 1);
+	assert_true(rr_gate_serves(scene->gate, &reason));
+	for (int i = 0; i < 16; i++) {
+		test_take(scene, "/search/1", 200);
+		test_pass(scene, 3 * TEST_MS);
+		for (guint j = 0; j < scene->sent->len; j++) {
+			struct test_sent *sent = test_sent_at(scene, j);
+
+			if (!sent->replied && strstr(sent->endpoint, ".a"))
+				test_reply(scene, sent, RR_GATE_ANSWERED, 200);
+		}
+		test_pass(scene, 60 * TEST_MS);
+	}
+	assert_false(rr_gate_serves(scene->gate, &reason));
+	assert_string_equal(reason, "cut-off");
+	g_ptr_array_set_size(scene->sent, 0);
+	test_take(scene, "/search/1", 900);
+	assert_int_equal(scene->sent->len, 0);
+	assert_int_equal(test_last_answer(scene)->status, 503);
+	g_ptr_array_set_size(scene->probes, 0);
+	test_pass(scene, 1000 * TEST_MS);
+	assert_in_range(scene->probes->len, 3, 4);
+	rr_gate_probed(scene->ctx, scene->gate, scene->now_us, "s3.b", true);
+	assert_true(rr_gate_serves(scene->gate, &reason));
+	test_drop_scene(scene);
+}
+
+/*
+ * Story: of two other zones one falls silent half a second before the other.
+ * The first must not count as well again when the second is judged, or the
+ * instance does not notice that it is cut off.
+ */
+static void test_two_zones_fall_silent_one_after_the_other(void **state)
+{
+	static const char *const three[] = { "s1", "s2", "s3", NULL };
+	const struct test_route route = {
+		.name = "search",
+		.prefix = "/search/",
+		.services = three,
+		.gather = true,
+		.max_attempts = 2,
+		.objective_ms = 80,
+		.timeout_ms = 1200,
+		.least_share = 0.9,
+	};
+	struct gate_scene *scene = test_new_scene(7);
+	const char *reason;
+
+	test_list(scene, "s1.a", "s1", "a");
+	test_list(scene, "s2.b", "s2", "b");
+	test_list(scene, "s3.c", "s3", "c");
+	test_set_routes(scene, 5, &route, 1);
+	for (int i = 0; i < 40; i++) {
+		test_take(scene, "/search/1", 200);
+		test_pass(scene, 3 * TEST_MS);
+		for (guint j = 0; j < scene->sent->len; j++) {
+			struct test_sent *sent = test_sent_at(scene, j);
+			bool answers = strstr(sent->endpoint, ".a") ||
+				       (i < 12 && strstr(sent->endpoint, ".c"));
+
+			if (!sent->replied && !sent->withdrawn && answers)
+				test_reply(scene, sent, RR_GATE_ANSWERED, 200);
+		}
+		test_pass(scene, 60 * TEST_MS);
+		while (scene->probes->len) {
+			char *id = g_ptr_array_steal_index(scene->probes, 0);
+
+			rr_gate_probed(scene->ctx, scene->gate, scene->now_us,
+				       id, i < 12 && strstr(id, ".c"));
+			g_free(id);
+		}
+	}
+	assert_false(rr_gate_serves(scene->gate, &reason));
+	assert_string_equal(reason, "cut-off");
+	test_drop_scene(scene);
+}
+
+/*
+ * Story: the cut resets connections, so that no time passes in silence, and
+ * only a part of a zone's replicas is ever asked.  Probes of others show that
+ * it is the zone.
+ */
+static void test_a_zone_refuses_connections(void **state)
+{
+	struct gate_scene *scene = test_new_scene(7);
+	struct rr_gate_reply reply = { .outcome = RR_GATE_UNSENT,
+				       .unreachable = true };
+	const char *reason;
+	char id[16];
+
+	for (int i = 0; i < 20; i++) {
+		g_snprintf(id, sizeof(id), "x%d.b", i);
+		test_list(scene, id, i < 6 ? "s1" : "other", "b");
+	}
+	test_list(scene, "s2.a", "s2", "a");
+	test_list(scene, "s3.a", "s3", "a");
+	test_list(scene, "s4.a", "s4", "a");
+	{
+		struct test_route route = test_search_route;
+
+		route.least_share = 1;
+		test_set_routes(scene, 5, &route, 1);
+	}
+	test_pass(scene, 500 * TEST_MS);
+	for (int i = 0; i < 6; i++) {
+		test_take(scene, "/search/1", 900);
+		for (guint j = 0; j < scene->sent->len; j++) {
+			struct test_sent *sent = test_sent_at(scene, j);
+
+			if (sent->replied || sent->withdrawn ||
+			    !strstr(sent->endpoint, ".b"))
+				continue;
+			sent->replied = true;
+			reply.attempt = sent->attempt;
+			rr_gate_reply(scene->ctx, scene->gate, scene->now_us,
+				      &reply);
+		}
+		test_reply_all(scene);
+	}
+	for (int i = 0; i < 3; i++) {
+		test_pass(scene, 310 * TEST_MS);
+		while (scene->probes->len) {
+			char *probed =
+				g_ptr_array_steal_index(scene->probes, 0);
+
+			rr_gate_probed(scene->ctx, scene->gate, scene->now_us,
+				       probed, false);
+			g_free(probed);
+		}
+	}
+	assert_false(rr_gate_serves(scene->gate, &reason));
+	assert_string_equal(reason, "cut-off");
+	test_drop_scene(scene);
+}
+
+/*
+ * Story: a replica is dark.  It is left alone until a connection to it
+ * stands again, so that no caller has to find out.
+ */
+static void test_a_dark_replica_is_probed(void **state)
+{
+	struct gate_scene *scene = test_start_scene(&test_often_route);
+
+	test_earn_tokens(scene, "/often/1");
+	test_take(scene, "/often/1", 900);
+	{
+		struct rr_gate_reply reply = {
+			.attempt = test_sent_at(scene, 0)->attempt,
+			.outcome = RR_GATE_UNSENT,
+			.unreachable = true,
+		};
+
+		test_sent_at(scene, 0)->replied = true;
+		rr_gate_reply(scene->ctx, scene->gate, scene->now_us, &reply);
+	}
+	test_reply_all(scene);
+	g_ptr_array_set_size(scene->sent, 0);
+	for (int i = 0; i < 30; i++) {
+		test_take(scene, "/often/1", 900);
+		test_reply_all(scene);
+		test_pass(scene, 50 * TEST_MS);
+		if (scene->probes->len)
+			rr_gate_probed(scene->ctx, scene->gate, scene->now_us,
+				       "s.a", false);
+	}
+	for (guint i = 0; i < scene->sent->len; i++)
+		assert_string_equal(test_sent_at(scene, i)->endpoint, "s.b");
+	assert_true(scene->probes->len > 1);
+	rr_gate_probed(scene->ctx, scene->gate, scene->now_us, "s.a", true);
+	test_take(scene, "/often/1", 900);
+	assert_string_equal(test_sent_at(scene, scene->sent->len - 1)->endpoint,
+			    "s.a");
+	test_drop_scene(scene);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_a_zone_is_cut_off),
+		cmocka_unit_test(test_two_zones_fall_silent_one_after_the_other),
+		cmocka_unit_test(test_a_zone_refuses_connections),
+		cmocka_unit_test(test_a_dark_replica_is_probed),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -14,66 +14,6 @@
 
 static const char *const one_service[] = { "s", NULL };
 static const char *const two_services[] = { "s", "t", NULL };
-static const char *const shards[] = { "s1", "s2", "s3", "s4", NULL };
-
-static const struct test_route once_route = {
-	.name = "once",
-	.prefix = "/once/",
-	.services = one_service,
-	.once = true,
-	.max_attempts = 2,
-	.objective_ms = 250,
-	.timeout_ms = 4000,
-};
-static const struct test_route often_route = {
-	.name = "often",
-	.prefix = "/often/",
-	.services = one_service,
-	.max_attempts = 2,
-	.objective_ms = 250,
-	.timeout_ms = 4000,
-};
-static const struct test_route search_route = {
-	.name = "search",
-	.prefix = "/search/",
-	.services = shards,
-	.gather = true,
-	.max_attempts = 2,
-	.objective_ms = 80,
-	.timeout_ms = 1200,
-	.least_share = 0.75,
-};
-
-/* One route and two replicas of each of its services, near and far. */
-static struct gate_scene *start(const struct test_route *route)
-{
-	struct gate_scene *scene = test_new_scene(7);
-
-	for (size_t i = 0; route->services[i]; i++) {
-		char *near = g_strconcat(route->services[i], ".a", NULL);
-		char *far = g_strconcat(route->services[i], ".b", NULL);
-
-		test_list(scene, near, route->services[i], "a");
-		test_list(scene, far, route->services[i], "b");
-		g_free(near);
-		g_free(far);
-	}
-	assert_true(test_set_routes(scene, 5, route, 1));
-	return scene;
-}
-
-/* Serve requests well until there are tokens for extra attempts. */
-static void earn_tokens(struct gate_scene *scene, const char *path)
-{
-	for (int i = 0; i < 60; i++) {
-		test_take(scene, path, 1000);
-		test_pass(scene, 2 * TEST_MS);
-		test_reply_all(scene);
-		test_pass(scene, 10 * TEST_MS);
-	}
-	g_ptr_array_set_size(scene->sent, 0);
-	g_ptr_array_set_size(scene->answers, 0);
-}
 
 static void test_before_routes_are_known(void **state)
 {
@@ -90,7 +30,7 @@
 
 static void test_no_route(void **state)
 {
-	struct gate_scene *scene = start(&often_route);
+	struct gate_scene *scene = test_start_scene(&test_often_route);
 
 	test_take(scene, "/other/1", 900);
 	assert_int_equal(test_last_answer(scene)->status, 404);
@@ -100,7 +40,7 @@
 
 static void test_near_replica_answers(void **state)
 {
-	struct gate_scene *scene = start(&often_route);
+	struct gate_scene *scene = test_start_scene(&test_often_route);
 
 	test_take(scene, "/often/1", 900);
 	assert_int_equal(scene->sent->len, 1);
@@ -119,9 +59,9 @@
  */
 static void test_what_may_have_run_is_not_repeated(void **state)
 {
-	struct gate_scene *scene = start(&once_route);
+	struct gate_scene *scene = test_start_scene(&test_once_route);
 
-	earn_tokens(scene, "/once/1");
+	test_earn_tokens(scene, "/once/1");
 	test_take(scene, "/once/1", 900);
 	test_reply(scene, test_sent_at(scene, 0), RR_GATE_BROKEN, 0);
 	assert_int_equal(scene->sent->len, 1);
@@ -132,9 +72,9 @@
 
 static void test_proof_of_not_run_allows_another(void **state)
 {
-	struct gate_scene *scene = start(&once_route);
+	struct gate_scene *scene = test_start_scene(&test_once_route);
 
-	earn_tokens(scene, "/once/1");
+	test_earn_tokens(scene, "/once/1");
 	test_take(scene, "/once/1", 900);
 	test_reply(scene, test_sent_at(scene, 0), RR_GATE_REFUSED, 503);
 	assert_int_equal(scene->sent->len, 2);
@@ -147,9 +87,9 @@
 
 static void test_all_refused_is_a_promise(void **state)
 {
-	struct gate_scene *scene = start(&once_route);
+	struct gate_scene *scene = test_start_scene(&test_once_route);
 
-	earn_tokens(scene, "/once/1");
+	test_earn_tokens(scene, "/once/1");
 	test_take(scene, "/once/1", 900);
 	test_reply(scene, test_sent_at(scene, 0), RR_GATE_REFUSED, 503);
 	test_reply(scene, test_sent_at(scene, 1), RR_GATE_UNSENT, 0);
@@ -161,9 +101,9 @@
 /* Refused by one, lost at the other: the promise can no longer be made. */
 static void test_one_lost_attempt_ends_the_promise(void **state)
 {
-	struct gate_scene *scene = start(&once_route);
+	struct gate_scene *scene = test_start_scene(&test_once_route);
 
-	earn_tokens(scene, "/once/1");
+	test_earn_tokens(scene, "/once/1");
 	test_take(scene, "/once/1", 900);
 	test_reply(scene, test_sent_at(scene, 0), RR_GATE_REFUSED, 503);
 	test_reply(scene, test_sent_at(scene, 1), RR_GATE_SILENT, 0);
@@ -174,7 +114,7 @@
 /* A connection that never came about reached nobody: another is not extra. */
 static void test_unsent_attempts_need_no_token(void **state)
 {
-	struct gate_scene *scene = start(&often_route);
+	struct gate_scene *scene = test_start_scene(&test_often_route);
 
 	test_take(scene, "/often/1", 900);
 	test_reply(scene, test_sent_at(scene, 0), RR_GATE_UNSENT, 0);
@@ -186,7 +126,7 @@
 
 static void test_no_token_no_repeat(void **state)
 {
-	struct gate_scene *scene = start(&often_route);
+	struct gate_scene *scene = test_start_scene(&test_often_route);
 
 	test_take(scene, "/often/1", 900);
 	test_reply(scene, test_sent_at(scene, 0), RR_GATE_BROKEN, 0);
@@ -197,11 +137,11 @@
 
 static void test_most_attempts(void **state)
 {
-	struct gate_scene *scene = start(&often_route);
+	struct gate_scene *scene = test_start_scene(&test_often_route);
 
 	test_list(scene, "s.c", "s", "c");
 	test_list(scene, "s.d", "s", "c");
-	earn_tokens(scene, "/often/1");
+	test_earn_tokens(scene, "/often/1");
 	test_take(scene, "/often/1", 900);
 	test_reply(scene, test_sent_at(scene, 0), RR_GATE_BROKEN, 0);
 	test_reply(scene, test_sent_at(scene, 1), RR_GATE_BROKEN, 0);
@@ -214,7 +154,7 @@
  * answer. */
 static void test_a_replicas_failure_is_forwarded(void **state)
 {
-	struct gate_scene *scene = start(&once_route);
+	struct gate_scene *scene = test_start_scene(&test_once_route);
 
 	test_take(scene, "/once/1", 900);
 	test_reply(scene, test_sent_at(scene, 0), RR_GATE_ANSWERED, 500);
@@ -229,9 +169,9 @@
  */
 static void test_another_lifetime_retires_the_old_one(void **state)
 {
-	struct gate_scene *scene = start(&once_route);
+	struct gate_scene *scene = test_start_scene(&test_once_route);
 
-	earn_tokens(scene, "/once/1");
+	test_earn_tokens(scene, "/once/1");
 	test_take(scene, "/once/1", 900);
 	test_reply(scene, test_open_at(scene, "s.a"), RR_GATE_REFUSED, 421);
 	assert_string_equal(test_sent_at(scene, 1)->endpoint, "s.b");
@@ -248,7 +188,7 @@
 
 static void test_draining_replicas_get_nothing(void **state)
 {
-	struct gate_scene *scene = start(&often_route);
+	struct gate_scene *scene = test_start_scene(&test_often_route);
 
 	test_list_draining(scene, "s.a", "s", "a");
 	for (int i = 0; i < 20; i++) {
@@ -270,7 +210,7 @@
  */
 static void test_lapsed_entries_are_a_last_resort(void **state)
 {
-	struct gate_scene *scene = start(&often_route);
+	struct gate_scene *scene = test_start_scene(&test_often_route);
 
 	rr_gate_unlist(scene->ctx, scene->gate, scene->now_us, "s.a");
 	test_take(scene, "/often/1", 900);
@@ -295,12 +235,12 @@
 
 static void test_versions_only_grow(void **state)
 {
-	struct gate_scene *scene = start(&often_route);
+	struct gate_scene *scene = test_start_scene(&test_often_route);
 
-	assert_false(test_set_routes(scene, 5, &once_route, 1));
-	assert_false(test_set_routes(scene, 4, &once_route, 1));
+	assert_false(test_set_routes(scene, 5, &test_once_route, 1));
+	assert_false(test_set_routes(scene, 4, &test_once_route, 1));
 	test_take(scene, "/often/1", 900);
-	assert_true(test_set_routes(scene, 9, &search_route, 1));
+	assert_true(test_set_routes(scene, 9, &test_search_route, 1));
 	assert_int_equal(rr_route_table_version(rr_gate_routes(scene->gate)),
 			 9);
 	/* The request goes on by the version it began with. */
@@ -313,7 +253,7 @@
 
 static void test_gather_whole(void **state)
 {
-	struct gate_scene *scene = start(&search_route);
+	struct gate_scene *scene = test_start_scene(&test_search_route);
 	struct test_answer *answer;
 
 	test_take(scene, "/search/1", 900);
@@ -332,7 +272,7 @@
 /* Three of four are in when the objective is near: they are the answer. */
 static void test_gather_at_the_cut(void **state)
 {
-	struct gate_scene *scene = start(&search_route);
+	struct gate_scene *scene = test_start_scene(&test_search_route);
 	struct test_answer *answer;
 	int64_t began_us = scene->now_us;
 
@@ -352,7 +292,7 @@
 
 static void test_gather_too_few(void **state)
 {
-	struct gate_scene *scene = start(&search_route);
+	struct gate_scene *scene = test_start_scene(&test_search_route);
 	int64_t began_us = scene->now_us;
 
 	test_take(scene, "/search/1", 900);
@@ -371,7 +311,7 @@
 /* What cannot reach its least share is refused at once, before any work. */
 static void test_gather_that_cannot_be_served(void **state)
 {
-	struct gate_scene *scene = start(&search_route);
+	struct gate_scene *scene = test_start_scene(&test_search_route);
 
 	test_list_draining(scene, "s1.a", "s1", "a");
 	test_list_draining(scene, "s1.b", "s1", "b");
@@ -393,10 +333,10 @@
  */
 static void test_hedge_and_loser(void **state)
 {
-	struct gate_scene *scene = start(&search_route);
+	struct gate_scene *scene = test_start_scene(&test_search_route);
 	struct test_sent *slow;
 
-	earn_tokens(scene, "/search/1");
+	test_earn_tokens(scene, "/search/1");
 	test_take(scene, "/search/1", 900);
 	test_pass(scene, 2 * TEST_MS);
 	slow = test_open_at(scene, "s1.a");
@@ -415,9 +355,9 @@
 
 static void test_what_runs_once_is_not_hedged(void **state)
 {
-	struct gate_scene *scene = start(&once_route);
+	struct gate_scene *scene = test_start_scene(&test_once_route);
 
-	earn_tokens(scene, "/once/1");
+	test_earn_tokens(scene, "/once/1");
 	test_take(scene, "/once/1", 900);
 	test_pass(scene, 800 * TEST_MS);
 	assert_int_equal(scene->sent->len, 1);
@@ -431,10 +371,10 @@
 /* A caller that closed its side gets what comes soon, and costs nothing new. */
 static void test_a_caller_leaves(void **state)
 {
-	struct gate_scene *scene = start(&search_route);
+	struct gate_scene *scene = test_start_scene(&test_search_route);
 	uint64_t id;
 
-	earn_tokens(scene, "/search/1");
+	test_earn_tokens(scene, "/search/1");
 	id = test_take(scene, "/search/1", 900);
 	rr_gate_leave(scene->ctx, scene->gate, scene->now_us, id);
 	test_pass(scene, 100 * TEST_MS);
@@ -448,7 +388,7 @@
 
 static void test_a_caller_is_gone(void **state)
 {
-	struct gate_scene *scene = start(&search_route);
+	struct gate_scene *scene = test_start_scene(&test_search_route);
 	uint64_t id = test_take(scene, "/search/1", 900);
 
 	rr_gate_abandon(scene->ctx, scene->gate, scene->now_us, id);
@@ -461,7 +401,7 @@
 /* A reservation that was sent runs to its end though its caller left. */
 static void test_what_runs_once_outlives_its_caller(void **state)
 {
-	struct gate_scene *scene = start(&once_route);
+	struct gate_scene *scene = test_start_scene(&test_once_route);
 	uint64_t id = test_take(scene, "/once/1", 900);
 
 	rr_gate_abandon(scene->ctx, scene->gate, scene->now_us, id);
@@ -482,7 +422,7 @@
 		.weights = weights,
 		.max_attempts = 1,
 	};
-	struct gate_scene *scene = start(&route);
+	struct gate_scene *scene = test_start_scene(&route);
 	int first = 0;
 
 	for (int i = 0; i < 400; i++) {
@@ -496,329 +436,6 @@
 	test_drop_scene(scene);
 }
 
-/*
- * Story: a network cut silences every replica of the other zones at once.
- * Searches need shards that are only there: this instance says that it is not
- * ready, so that callers go where they are served, and finds out by bare
- * connections when the others are back.
- */
-static void test_a_zone_is_cut_off(void **state)
-{
-	const struct test_route route = {
-		.name = "search",
-		.prefix = "/search/",
-		.services = shards,
-		.gather = true,
-		.max_attempts = 2,
-		.objective_ms = 80,
-		.timeout_ms = 1200,
-		.least_share = 0.9,
-	};
-	struct gate_scene *scene = test_new_scene(7);
-	const char *reason;
-
-	test_list(scene, "s1.a", "s1", "a");
-	test_list(scene, "s2.a", "s2", "a");
-	test_list(scene, "s3.b", "s3", "b");
-	test_list(scene, "s4.b", "s4", "b");
-	test_set_routes(scene, 5, &route, 1);
-	assert_true(rr_gate_serves(scene->gate, &reason));
-	for (int i = 0; i < 16; i++) {
-		test_take(scene, "/search/1", 200);
-		test_pass(scene, 3 * TEST_MS);
-		for (guint j = 0; j < scene->sent->len; j++) {
-			struct test_sent *sent = test_sent_at(scene, j);
-
-			if (!sent->replied && strstr(sent->endpoint, ".a"))
-				test_reply(scene, sent, RR_GATE_ANSWERED, 200);
-		}
-		test_pass(scene, 60 * TEST_MS);
-	}
-	assert_false(rr_gate_serves(scene->gate, &reason));
-	assert_string_equal(reason, "cut-off");
-	g_ptr_array_set_size(scene->sent, 0);
-	test_take(scene, "/search/1", 900);
-	assert_int_equal(scene->sent->len, 0);
-	assert_int_equal(test_last_answer(scene)->status, 503);
-	g_ptr_array_set_size(scene->probes, 0);
-	test_pass(scene, 1000 * TEST_MS);
-	assert_in_range(scene->probes->len, 3, 4);
-	rr_gate_probed(scene->ctx, scene->gate, scene->now_us, "s3.b", true);
-	assert_true(rr_gate_serves(scene->gate, &reason));
-	test_drop_scene(scene);
-}
-
-/*
- * Story: of two other zones one falls silent half a second before the other.
- * The first must not count as well again when the second is judged, or the
- * instance does not notice that it is cut off.
- */
-static void test_two_zones_fall_silent_one_after_the_other(void **state)
-{
-	static const char *const three[] = { "s1", "s2", "s3", NULL };
-	const struct test_route route = {
-		.name = "search",
-		.prefix = "/search/",
-		.services = three,
-		.gather = true,
-		.max_attempts = 2,
-		.objective_ms = 80,
-		.timeout_ms = 1200,
-		.least_share = 0.9,
-	};
-	struct gate_scene *scene = test_new_scene(7);
-	const char *reason;
-
-	test_list(scene, "s1.a", "s1", "a");
-	test_list(scene, "s2.b", "s2", "b");
-	test_list(scene, "s3.c", "s3", "c");
-	test_set_routes(scene, 5, &route, 1);
-	for (int i = 0; i < 40; i++) {
-		test_take(scene, "/search/1", 200);
-		test_pass(scene, 3 * TEST_MS);
-		for (guint j = 0; j < scene->sent->len; j++) {
-			struct test_sent *sent = test_sent_at(scene, j);
-			bool answers = strstr(sent->endpoint, ".a") ||
-				       (i < 12 && strstr(sent->endpoint, ".c"));
-
-			if (!sent->replied && !sent->withdrawn && answers)
-				test_reply(scene, sent, RR_GATE_ANSWERED, 200);
-		}
-		test_pass(scene, 60 * TEST_MS);
-		while (scene->probes->len) {
-			char *id = g_ptr_array_steal_index(scene->probes, 0);
-
-			rr_gate_probed(scene->ctx, scene->gate, scene->now_us,
-				       id, i < 12 && strstr(id, ".c"));
-			g_free(id);
-		}
-	}
-	assert_false(rr_gate_serves(scene->gate, &reason));
-	assert_string_equal(reason, "cut-off");
-	test_drop_scene(scene);
-}
-
-/*
- * Story: the cut resets connections, so that no time passes in silence, and
- * only a part of a zone's replicas is ever asked.  Probes of others show that
- * it is the zone.
- */
-static void test_a_zone_refuses_connections(void **state)
-{
-	struct gate_scene *scene = test_new_scene(7);
-	struct rr_gate_reply reply = { .outcome = RR_GATE_UNSENT,
-				       .unreachable = true };
-	const char *reason;
-	char id[16];
-
-	for (int i = 0; i < 20; i++) {
-		g_snprintf(id, sizeof(id), "x%d.b", i);
-		test_list(scene, id, i < 6 ? "s1" : "other", "b");
-	}
-	test_list(scene, "s2.a", "s2", "a");
-	test_list(scene, "s3.a", "s3", "a");
-	test_list(scene, "s4.a", "s4", "a");
-	{
-		struct test_route route = search_route;
-
-		route.least_share = 1;
-		test_set_routes(scene, 5, &route, 1);
-	}
-	test_pass(scene, 500 * TEST_MS);
-	for (int i = 0; i < 6; i++) {
-		test_take(scene, "/search/1", 900);
-		for (guint j = 0; j < scene->sent->len; j++) {
-			struct test_sent *sent = test_sent_at(scene, j);
-
-			if (sent->replied || sent->withdrawn ||
-			    !strstr(sent->endpoint, ".b"))
-				continue;
-			sent->replied = true;
-			reply.attempt = sent->attempt;
-			rr_gate_reply(scene->ctx, scene->gate, scene->now_us,
-				      &reply);
-		}
-		test_reply_all(scene);
-	}
-	for (int i = 0; i < 3; i++) {
-		test_pass(scene, 310 * TEST_MS);
-		while (scene->probes->len) {
-			char *probed =
-				g_ptr_array_steal_index(scene->probes, 0);
-
-			rr_gate_probed(scene->ctx, scene->gate, scene->now_us,
-				       probed, false);
-			g_free(probed);
-		}
-	}
-	assert_false(rr_gate_serves(scene->gate, &reason));
-	assert_string_equal(reason, "cut-off");
-	test_drop_scene(scene);
-}
-
-/*
- * Story: a replica is dark.  It is left alone until a connection to it
- * stands again, so that no caller has to find out.
- */
-static void test_a_dark_replica_is_probed(void **state)
-{
-	struct gate_scene *scene = start(&often_route);
-
-	earn_tokens(scene, "/often/1");
-	test_take(scene, "/often/1", 900);
-	{
-		struct rr_gate_reply reply = {
-			.attempt = test_sent_at(scene, 0)->attempt,
-			.outcome = RR_GATE_UNSENT,
-			.unreachable = true,
-		};
-
-		test_sent_at(scene, 0)->replied = true;
-		rr_gate_reply(scene->ctx, scene->gate, scene->now_us, &reply);
-	}
-	test_reply_all(scene);
-	g_ptr_array_set_size(scene->sent, 0);
-	for (int i = 0; i < 30; i++) {
-		test_take(scene, "/often/1", 900);
-		test_reply_all(scene);
-		test_pass(scene, 50 * TEST_MS);
-		if (scene->probes->len)
-			rr_gate_probed(scene->ctx, scene->gate, scene->now_us,
-				       "s.a", false);
-	}
-	for (guint i = 0; i < scene->sent->len; i++)
-		assert_string_equal(test_sent_at(scene, i)->endpoint, "s.b");
-	assert_true(scene->probes->len > 1);
-	rr_gate_probed(scene->ctx, scene->gate, scene->now_us, "s.a", true);
-	test_take(scene, "/often/1", 900);
-	assert_string_equal(test_sent_at(scene, scene->sent->len - 1)->endpoint,
-			    "s.a");
-	test_drop_scene(scene);
-}
-
-/* A weak instance and a strong one, w's own name first. */
-static struct gate_scene *weak_scene(void)
-{
-	struct gate_scene *scene = start(&search_route);
-
-	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, "w", "a",
-			      "127.0.0.1:2", 1);
-	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, "far",
-			      "b", "127.0.0.1:3", 9);
-	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, "strong",
-			      "a", "127.0.0.1:4", 4);
-	return scene;
-}
-
-/*
- * Story: ninety shards take few connections each, and a weak instance needs
- * longer to send ninety requests than callers want to wait.  It hands the
- * search whole to the strong one of its zone and passes its answer on.
- */
-static void test_weak_instances_hand_over(void **state)
-{
-	struct gate_scene *scene = weak_scene();
-
-	test_take(scene, "/search/1", 900);
-	assert_int_equal(scene->sent->len, 1);
-	assert_string_equal(test_sent_at(scene, 0)->endpoint, "strong");
-	test_pass(scene, 20 * TEST_MS);
-	test_reply_all(scene);
-	assert_int_equal(test_last_answer(scene)->kind, RR_GATE_FORWARDED);
-	test_drop_scene(scene);
-}
-
-/* Refused or not reached: nothing has run, and it is served here at once. */
-static void test_refused_search_is_served_here(void **state)
-{
-	static const enum rr_gate_outcome outcomes[] = { RR_GATE_REFUSED,
-							 RR_GATE_UNSENT };
-
-	for (size_t i = 0; i < G_N_ELEMENTS(outcomes); i++) {
-		struct gate_scene *scene = weak_scene();
-
-		test_take(scene, "/search/1", 900);
-		test_reply(scene, test_sent_at(scene, 0), outcomes[i], 503);
-		assert_int_equal(scene->sent->len, 5);
-		test_reply_all(scene);
-		assert_int_equal(test_last_answer(scene)->kind,
-				 RR_GATE_GATHERED);
-		assert_int_equal(test_last_answer(scene)->missing, 0);
-		test_drop_scene(scene);
-	}
-}
-
-/*
- * Story: the strong instance dies with the search.  It may have sent to every
- * shard: whatever is sent from here is extra, and the budget decides.
- */
-static void test_lost_search_draws_on_the_budget(void **state)
-{
-	struct gate_scene *scene = weak_scene();
-
-	test_take(scene, "/search/1", 900);
-	test_reply(scene, test_sent_at(scene, 0), RR_GATE_BROKEN, 0);
-	assert_int_equal(scene->sent->len, 1);
-	assert_int_equal(test_last_answer(scene)->status, 502);
-	test_drop_scene(scene);
-}
-
-/* A frozen one is not waited for beyond the objective, and then left alone. */
-static void test_frozen_strong_instance(void **state)
-{
-	struct gate_scene *scene = weak_scene();
-
-	for (int i = 0; i < 8; i++) {
-		test_take(scene, "/search/1", 900);
-		if (!test_open_at(scene, "strong"))
-			test_reply_all(scene);
-		test_pass(scene, 100 * TEST_MS);
-	}
-	assert_true(test_sent_at(scene, 0)->withdrawn);
-	g_ptr_array_set_size(scene->sent, 0);
-	test_take(scene, "/search/1", 900);
-	assert_int_equal(scene->sent->len, 4);
-	assert_string_equal(test_sent_at(scene, 0)->endpoint, "s1.a");
-	test_reply_all(scene);
-	assert_int_equal(test_last_answer(scene)->kind, RR_GATE_GATHERED);
-	test_drop_scene(scene);
-}
-
-static void test_strong_instance_leaves(void **state)
-{
-	struct gate_scene *scene = weak_scene();
-
-	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, "strong",
-			      NULL, NULL, 0);
-	test_take(scene, "/search/1", 900);
-	assert_int_equal(scene->sent->len, 4);
-	test_drop_scene(scene);
-}
-
-/* What was handed over is never handed on, whatever the entries say. */
-static void test_handed_search_stays(void **state)
-{
-	struct gate_scene *scene = weak_scene();
-	struct rr_gate_ask ask = {
-		.host = "h",
-		.path = "/search/1",
-		.path_length = strlen("/search/1"),
-		.deadline_ms = 900,
-		.handed_left_us = 50 * TEST_MS,
-	};
-
-	rr_gate_take(scene->ctx, scene->gate, scene->now_us, &ask);
-	assert_int_equal(scene->sent->len, 4);
-	for (guint i = 0; i < 3; i++)
-		test_reply(scene, test_sent_at(scene, i), RR_GATE_ANSWERED,
-			   200);
-	test_pass(scene, 46 * TEST_MS);
-	assert_int_equal(scene->answers->len, 0);
-	test_pass(scene, 2 * TEST_MS);
-	assert_int_equal(test_last_answer(scene)->missing, 1);
-	test_drop_scene(scene);
-}
-
 /* At its limit a replica gets no more; work waits here and is then sent. */
 static void test_work_waits_for_room(void **state)
 {
@@ -859,7 +476,7 @@
 	int extras = 0;
 
 	for (int i = 0; i < n; i++) {
-		scenes[i] = start(&often_route);
+		scenes[i] = test_start_scene(&test_often_route);
 		/* An idle minute must not save up more than the slack. */
 		test_pass(scenes[i], 60000 * TEST_MS);
 	}
@@ -920,17 +537,6 @@
 		cmocka_unit_test(test_a_caller_is_gone),
 		cmocka_unit_test(test_what_runs_once_outlives_its_caller),
 		cmocka_unit_test(test_split_by_weight),
-		cmocka_unit_test(test_a_zone_is_cut_off),
-		cmocka_unit_test(
-			test_two_zones_fall_silent_one_after_the_other),
-		cmocka_unit_test(test_a_zone_refuses_connections),
-		cmocka_unit_test(test_a_dark_replica_is_probed),
-		cmocka_unit_test(test_weak_instances_hand_over),
-		cmocka_unit_test(test_refused_search_is_served_here),
-		cmocka_unit_test(test_lost_search_draws_on_the_budget),
-		cmocka_unit_test(test_frozen_strong_instance),
-		cmocka_unit_test(test_strong_instance_leaves),
-		cmocka_unit_test(test_handed_search_stays),
 		cmocka_unit_test(test_work_waits_for_room),
 		cmocka_unit_test(test_budget_of_all_instances),
 	};
--- a/tests/test-replica-port.c
+++ b/tests/test-replica-port.c
@@ -122,6 +122,17 @@
 	return send_bytes(scene, GET, NULL, true, false);
 }
 
+/* Ask, and have the request on a new connection. */
+static struct raw_peer *ask_and_accept(struct scene *scene)
+{
+	struct raw_peer *peer;
+
+	ask(scene);
+	peer = raw_accept(scene->listener);
+	raw_expect(peer, GET);
+	return peer;
+}
+
 /* Ask once more on a new connection or a kept one, and answer it well. */
 static struct raw_peer *serve_once(struct scene *scene)
 {
@@ -168,11 +179,8 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
 		struct scene *scene = start();
-		struct raw_peer *peer;
+		struct raw_peer *peer = ask_and_accept(scene);
 
-		ask(scene);
-		peer = raw_accept(scene->listener);
-		raw_expect(peer, GET);
 		raw_send(peer, texts[i]);
 		raw_drop(peer);
 		raw_turn_until(&scene->replies, 1);
@@ -190,11 +198,8 @@
 {
 	for (int reset = 0; reset < 2; reset++) {
 		struct scene *scene = start();
-		struct raw_peer *peer;
+		struct raw_peer *peer = ask_and_accept(scene);
 
-		ask(scene);
-		peer = raw_accept(scene->listener);
-		raw_expect(peer, GET);
 		raw_send(peer, "HTTP/1.1 200 OK\r\nSeal: s\r\n\r\nabc");
 		raw_turn_for(20000);
 		if (reset)
@@ -216,11 +221,8 @@
 static void test_foreign_answer_is_passed_over(void **state)
 {
 	struct scene *scene = start();
-	struct raw_peer *peer;
+	struct raw_peer *peer = ask_and_accept(scene);
 
-	ask(scene);
-	peer = raw_accept(scene->listener);
-	raw_expect(peer, GET);
 	raw_send(peer, "HTTP/1.1 200 OK\r\nId: other\r\nSeal: x\r\n"
 		       "Content-Length: 2\r\n\r\nno" OK "\r\nab");
 	raw_turn_until(&scene->replies, 1);
@@ -235,11 +237,8 @@
 static void test_only_foreign_answers(void **state)
 {
 	struct scene *scene = start();
-	struct raw_peer *peer;
+	struct raw_peer *peer = ask_and_accept(scene);
 
-	ask(scene);
-	peer = raw_accept(scene->listener);
-	raw_expect(peer, GET);
 	for (int i = 0; i < 3; i++)
 		raw_send(peer, "HTTP/1.1 200 OK\r\nId: other\r\nSeal: x\r\n"
 			       "Content-Length: 2\r\n\r\nno");
@@ -254,11 +253,8 @@
 static void test_bytes_behind_an_answer(void **state)
 {
 	struct scene *scene = start();
-	struct raw_peer *peer;
+	struct raw_peer *peer = ask_and_accept(scene);
 
-	ask(scene);
-	peer = raw_accept(scene->listener);
-	raw_expect(peer, GET);
 	raw_send(peer, OK "\r\nabHTTP/1.1 200 OK\r\n");
 	raw_turn_until(&scene->replies, 1);
 	assert_int_equal(scene->outcome, RR_GATE_ANSWERED);
@@ -294,11 +290,8 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
 		struct scene *scene = start();
-		struct raw_peer *peer;
+		struct raw_peer *peer = ask_and_accept(scene);
 
-		ask(scene);
-		peer = raw_accept(scene->listener);
-		raw_expect(peer, GET);
 		raw_send(peer, texts[i]);
 		raw_turn_until(&scene->replies, 1);
 		assert_int_equal(scene->outcome, RR_GATE_BROKEN);
@@ -322,11 +315,8 @@
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct scene *scene = start();
-		struct raw_peer *peer;
+		struct raw_peer *peer = ask_and_accept(scene);
 
-		ask(scene);
-		peer = raw_accept(scene->listener);
-		raw_expect(peer, GET);
 		raw_send(peer, cases[i].text);
 		raw_turn_until(&scene->replies, 1);
 		assert_int_equal(scene->outcome, RR_GATE_REFUSED);
@@ -340,11 +330,8 @@
 static void test_no_proof(void **state)
 {
 	struct scene *scene = start();
-	struct raw_peer *peer;
+	struct raw_peer *peer = ask_and_accept(scene);
 
-	ask(scene);
-	peer = raw_accept(scene->listener);
-	raw_expect(peer, GET);
 	raw_send(peer, "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
 	raw_turn_until(&scene->replies, 1);
 	assert_int_equal(scene->outcome, RR_GATE_ANSWERED);
@@ -410,11 +397,8 @@
 static void test_connection_close_is_heeded(void **state)
 {
 	struct scene *scene = start();
-	struct raw_peer *peer;
+	struct raw_peer *peer = ask_and_accept(scene);
 
-	ask(scene);
-	peer = raw_accept(scene->listener);
-	raw_expect(peer, GET);
 	raw_send(peer, OK "Connection: close\r\n\r\nab");
 	raw_turn_until(&scene->replies, 1);
 	assert_int_equal(scene->outcome, RR_GATE_ANSWERED);
