--- /dev/null
+++ b/source/gateway/gateway-callers.c
@@ -0,0 +1,321 @@
+/*
+ * gateway-callers.c - requests to the gate, its attempts to the ports, its
+ * answers back.
+ */
+#include "gateway/gateway-private.h"
+
+#include <string.h>
+
+#include "gateway/request-head.h"
+#include "ragwort/counters.h"
+
+void rr_free_open_request(gpointer data)
+{
+	struct open_request *open = data;
+
+	g_string_free(open->head, TRUE);
+	g_free(open);
+}
+
+/* The gate's actions. */
+
+static struct open_request *find_open(const struct rr_gateway *gateway,
+				      uint64_t id)
+{
+	struct open_request *open = g_hash_table_lookup(gateway->requests, &id);
+
+	return open ? open : gateway->taking;
+}
+
+static void send_attempt(void *data, const struct rr_gate_send *send)
+{
+	struct rr_gateway *gateway = data;
+	struct open_request *open = find_open(gateway, send->request);
+	struct rr_request_bytes request = {
+		.body = open->message->body,
+		.body_length = open->message->body_length,
+		.request_id = open->request_id,
+		.no_body = !strcmp(open->message->method, "HEAD"),
+	};
+	gsize shared = open->head->len;
+
+	if (send->handed)
+		g_string_append_printf(open->head,
+				       LEFT_HEADER ": %" G_GINT64_FORMAT "\r\n",
+				       send->handed_left_us);
+	else
+		g_string_append_printf(open->head, "%s: %s\r\n",
+				       gateway->names->expect_endpoint,
+				       send->endpoint);
+	if (send->deadline_ms >= 0)
+		g_string_append_printf(
+			open->head, "%s: %" G_GINT64_FORMAT "\r\n",
+			gateway->names->deadline, send->deadline_ms);
+	g_string_append(open->head, "\r\n");
+	request.head = open->head->str;
+	request.head_length = open->head->len;
+	rr_send_to_replica(send->handed ? gateway->strong : gateway->replicas,
+			   rr_gateway_now_us(), send, &request);
+	g_string_truncate(open->head, shared);
+}
+
+static void withdraw_attempt(void *data, uint64_t attempt)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_withdraw_from_replica(gateway->replicas, attempt);
+	rr_withdraw_from_replica(gateway->strong, attempt);
+}
+
+static void answer_own(struct rr_caller *caller,
+		       const struct rr_gate_answer *answer, bool handed)
+{
+	char seconds[G_ASCII_DTOSTR_BUF_SIZE];
+	struct rr_http_header headers[] = {
+		{ "Retry-After", seconds },
+		{ NOT_RUN_HEADER, "1" },
+	};
+	struct rr_front_answer reply = {
+		.status = answer->status,
+		.headers = headers,
+		.n_headers = answer->retry_after_ms ? (handed ? 2 : 1) : 0,
+	};
+
+	g_ascii_formatd(seconds, sizeof(seconds), "%.3f",
+			answer->retry_after_ms / 1000.0);
+	rr_answer_caller(caller, &reply);
+}
+
+static void answer_gathered(struct rr_gateway *gateway,
+			    struct rr_caller *caller,
+			    const struct rr_gate_answer *answer)
+{
+	char missing[32];
+	struct rr_http_header headers[] = {
+		{ gateway->names->part_seals, answer->seals },
+		{ gateway->names->missing_parts, missing },
+	};
+	struct rr_front_answer reply = {
+		.status = answer->status,
+		.headers = headers,
+		.n_headers = answer->missing ? 2 : 1,
+		.body = answer->body,
+		.length = answer->length,
+	};
+
+	g_snprintf(missing, sizeof(missing), "%" G_GSIZE_FORMAT,
+		   answer->missing);
+	rr_answer_caller(caller, &reply);
+}
+
+static void answer_forwarded(const struct open_request *open,
+			     const struct rr_gate_answer *answer)
+{
+	const struct rr_http_message *message = answer->message;
+	bool bodiless = !strcmp(open->message->method, "HEAD") ||
+			message->status == 304;
+	GArray *headers = rr_make_answer_headers(message, bodiless);
+	struct rr_front_answer reply = {
+		.status = message->status,
+		.reason = message->reason,
+		.headers = (struct rr_http_header *)(void *)headers->data,
+		.n_headers = headers->len,
+		.body = message->body,
+		.length = message->body_length,
+	};
+
+	rr_answer_caller(open->caller, &reply);
+	g_array_unref(headers);
+}
+
+static void give_answer(void *data, const struct rr_gate_answer *answer)
+{
+	struct rr_gateway *gateway = data;
+	struct open_request *open = find_open(gateway, answer->request);
+
+	switch (answer->kind) {
+	case RR_GATE_OWN:
+		answer_own(open->caller, answer, open->handed);
+		break;
+	case RR_GATE_FORWARDED:
+		answer_forwarded(open, answer);
+		break;
+	case RR_GATE_GATHERED:
+		answer_gathered(gateway, open->caller, answer);
+		break;
+	}
+	if (open == gateway->taking) {
+		gateway->taking = NULL;
+		rr_free_open_request(open);
+	} else {
+		g_hash_table_remove(gateway->requests, &answer->request);
+	}
+}
+
+static void open_endpoint(void *data, const char *endpoint, const char *address)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_open_replica(gateway->replicas, rr_gateway_now_us(), endpoint, address);
+}
+
+static void probe_endpoint(void *data, const char *endpoint,
+			   const char *address)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_probe_replica(gateway->replicas, rr_gateway_now_us(), endpoint, address);
+}
+
+static void forget_endpoint(void *data, const char *endpoint)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_forget_replica(gateway->replicas, endpoint);
+}
+
+struct rr_gate_actions rr_gateway_gate_actions(struct rr_gateway *gateway)
+{
+	return (struct rr_gate_actions){
+		.send = send_attempt,
+		.withdraw = withdraw_attempt,
+		.answer = give_answer,
+		.open = open_endpoint,
+		.probe = probe_endpoint,
+		.forget = forget_endpoint,
+		.data = gateway,
+	};
+}
+
+/* Callers. */
+
+/* A header's whole number; -1 if it is none. */
+static int64_t read_number(const struct rr_http_message *message,
+			   const char *name)
+{
+	const char *value = rr_http_value(message, name);
+	guint64 number;
+
+	if (!value || !g_ascii_string_to_unsigned(value, 10, 0, G_MAXINT32,
+						  &number, NULL))
+		return -1;
+	return (int64_t)number;
+}
+
+static uint64_t *new_key(uint64_t id)
+{
+	uint64_t *key = g_new(uint64_t, 1);
+
+	*key = id;
+	return key;
+}
+
+static void take_request(struct rr_gateway *gateway, struct rr_caller *caller,
+			 const struct rr_http_message *message, bool handed)
+{
+	const char *host = rr_http_value(message, "Host");
+	struct rr_front_answer bad = { .status = 400, .close = true };
+	struct rr_gate_ask ask = {
+		.host = host,
+		.path = message->target,
+		.path_length = message->target_length,
+		.request_id =
+			rr_http_value(message, gateway->names->request_id),
+		.deadline_ms = read_number(message, gateway->names->deadline),
+		.caller_rtt_us = rr_caller_rtt_us(caller),
+		.handed_left_us =
+			handed ? read_number(message, LEFT_HEADER) : -1,
+	};
+	struct open_request *open;
+	uint64_t id;
+
+	if (!host || message->target[0] != '/') {
+		rr_count(gateway->ctx, RR_N_CALLS_INVALID, 1);
+		rr_answer_caller(caller, &bad);
+		return;
+	}
+	open = g_new0(struct open_request, 1);
+	open->caller = caller;
+	open->handed = handed;
+	open->message = message;
+	open->request_id = ask.request_id;
+	open->head = g_string_sized_new(512);
+	rr_append_request_head(open->head, message, gateway->names);
+	gateway->taking = open;
+	id = rr_gate_take(gateway->ctx, gateway->gate, rr_gateway_now_us(), &ask);
+	if (gateway->taking) {
+		rr_set_caller_mark(caller, id);
+		g_hash_table_insert(gateway->requests, new_key(id), open);
+		gateway->taking = NULL;
+	}
+	rr_settle_gateway(gateway);
+}
+
+void rr_take_callers_request(void *data, struct rr_caller *caller,
+				 const struct rr_http_message *message)
+{
+	take_request(data, caller, message, false);
+}
+
+void rr_take_peers_request(void *data, struct rr_caller *caller,
+			       const struct rr_http_message *message)
+{
+	take_request(data, caller, message, true);
+}
+
+void rr_take_leaver(void *data, struct rr_caller *caller)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_gate_leave(gateway->ctx, gateway->gate, rr_gateway_now_us(),
+		      rr_caller_mark(caller));
+	rr_settle_gateway(gateway);
+}
+
+void rr_take_gone(void *data, struct rr_caller *caller)
+{
+	struct rr_gateway *gateway = data;
+	uint64_t id = rr_caller_mark(caller);
+
+	rr_gate_abandon(gateway->ctx, gateway->gate, rr_gateway_now_us(), id);
+	g_hash_table_remove(gateway->requests, &id);
+	rr_settle_gateway(gateway);
+}
+
+void rr_answer_ready(void *data, struct rr_caller *caller,
+			 const struct rr_http_message *message)
+{
+	struct rr_gateway *gateway = data;
+	struct rr_front_answer answer = { .status = 404 };
+	const char *reason = "";
+
+	if (!strcmp(message->target, gateway->names->ready_path)) {
+		answer.status = rr_gateway_takes_callers(gateway, &reason) ? 200 : 503;
+		answer.body = (const uint8_t *)reason;
+		answer.length = strlen(reason);
+	}
+	rr_answer_caller(caller, &answer);
+}
+
+void rr_answer_metrics(void *data, struct rr_caller *caller,
+			   const struct rr_http_message *message)
+{
+	struct rr_gateway *gateway = data;
+	struct rr_http_header header = { "Content-Type",
+					 "text/plain; version=0.0.4" };
+	struct rr_front_answer answer = {
+		.status = 200,
+		.headers = &header,
+		.n_headers = 1,
+	};
+	GString *text = g_string_new(NULL);
+
+	rr_measure_process(gateway->ctx);
+	rr_set_gauge(gateway->ctx, RR_G_OPEN_QUERIES,
+		     rr_gate_open_requests(gateway->gate));
+	rr_format_metrics(gateway->ctx, text);
+	answer.body = (const uint8_t *)text->str;
+	answer.length = text->len;
+	rr_answer_caller(caller, &answer);
+	g_string_free(text, TRUE);
+}
--- /dev/null
+++ b/source/gateway/gateway-private.h
@@ -0,0 +1,89 @@
+/*
+ * gateway-private.h - inside of struct rr_gateway, and what its parts share.
+ */
+#ifndef RAGWORT_GATEWAY_PRIVATE_H
+#define RAGWORT_GATEWAY_PRIVATE_H
+
+#include "gateway/gateway.h"
+#include "net/front-port.h"
+#include "net/poller.h"
+#include "net/replica-port.h"
+#include "ragwort/feed.h"
+#include "ragwort/gate-names.h"
+#include "ragwort/gate.h"
+#include "ragwort/lifecycle.h"
+
+/*
+ * Between instances: time until a search that is handed over has to be
+ * answered, in microseconds; and the promise that it was not run.
+ */
+#define LEFT_HEADER "Ragwort-Left-Us"
+#define NOT_RUN_HEADER "Ragwort-Not-Run"
+
+/* Ticks whatever is due. */
+struct tick_source {
+	GSource source; /* first: GLib allocates the whole */
+	struct rr_gateway *gateway;
+};
+
+/* A request that a caller waits for. */
+struct open_request {
+	struct rr_caller *caller;
+	bool handed; /* its caller is another instance */
+	const struct rr_http_message *message;
+	GString *head;
+	const char *request_id;
+};
+
+struct rr_gateway {
+	struct rr_context *ctx;
+	const struct rr_gateway_settings *settings;
+	const struct rr_gate_names *names;
+	GMainLoop *loop;
+	struct rr_poller *poller;
+	struct tick_source *ticker;
+	struct rr_gate *gate;
+	struct rr_feed *feed;
+	struct rr_front_port *callers;
+	struct rr_front_port *ready;
+	struct rr_front_port *metrics;
+	struct rr_front_port *peers; /* other instances that hand over */
+	struct rr_replica_port *replicas;
+	struct rr_replica_port *store;
+	struct rr_replica_port *strong; /* instances to hand over to */
+	struct rr_lifecycle lifecycle;
+	GHashTable *requests;	     /* gate's id -> struct open_request */
+	struct open_request *taking; /* being taken: its id is not known yet */
+	GHashTable *calls;	     /* id -> struct open_call */
+	int64_t flush_us;	     /* 0: no line waits */
+	int64_t stop_check_us;
+	bool was_ready;
+	guint signal_sources[3];
+};
+
+int64_t rr_gateway_now_us(void);
+/* After each event: readiness, and the next tick. */
+void rr_settle_gateway(struct rr_gateway *gateway);
+/* Whether callers may come; else *reason (static) says why not. */
+bool rr_gateway_takes_callers(const struct rr_gateway *gateway,
+			      const char **reason);
+
+/* gateway-callers.c: requests of callers and instances, and their answers */
+struct rr_gate_actions rr_gateway_gate_actions(struct rr_gateway *gateway);
+void rr_free_open_request(gpointer data);
+void rr_take_callers_request(void *data, struct rr_caller *caller,
+			     const struct rr_http_message *message);
+void rr_take_peers_request(void *data, struct rr_caller *caller,
+			   const struct rr_http_message *message);
+void rr_take_leaver(void *data, struct rr_caller *caller);
+void rr_take_gone(void *data, struct rr_caller *caller);
+void rr_answer_ready(void *data, struct rr_caller *caller,
+		     const struct rr_http_message *message);
+void rr_answer_metrics(void *data, struct rr_caller *caller,
+		       const struct rr_http_message *message);
+
+/* gateway-store.c: the feed's calls, and what it learns */
+struct rr_feed_actions rr_gateway_feed_actions(struct rr_gateway *gateway);
+void rr_take_gateway_store_reply(void *data, const struct rr_gate_reply *reply);
+
+#endif
--- /dev/null
+++ b/source/gateway/gateway-store.c
@@ -0,0 +1,134 @@
+/*
+ * gateway-store.c - the feed's calls to the store, and what it learns for the
+ * gate.
+ */
+#include "gateway/gateway-private.h"
+
+#include "platform/platform.h"
+
+/* The one endpoint of the port that makes the store's calls. */
+#define STORE "store"
+/* A watch, and one for the other calls. */
+#define STORE_CONNECTIONS 2
+
+/* A call to the store. */
+struct open_call {
+	uint64_t id; /* the feed's */
+	enum rr_feed_call_kind kind;
+};
+
+static void make_call(void *data, const struct rr_feed_call *call)
+{
+	struct rr_gateway *gateway = data;
+	struct rr_platform_entry entry = {
+		.instance = gateway->settings->instance,
+		.zone = gateway->settings->zone,
+		.address = gateway->settings->peer_address,
+		.strength = gateway->settings->strength,
+	};
+	GString *bytes = rr_encode_feed_call(
+		call, gateway->settings->store_address, &entry);
+	struct rr_request_bytes request = {
+		.head = bytes->str,
+		.head_length = bytes->len,
+	};
+	/* Sent once: a repeat is the feed's to decide. */
+	struct rr_gate_send send = {
+		.attempt = call->id,
+		.endpoint = STORE,
+		.address = gateway->settings->store_address,
+		.deadline_ms = call->timeout_ms,
+		.idempotent = false,
+		.kept_connections = STORE_CONNECTIONS,
+	};
+	struct open_call *open = g_new0(struct open_call, 1);
+
+	open->id = call->id;
+	open->kind = call->kind;
+	g_hash_table_insert(gateway->calls, &open->id, open);
+	rr_send_to_replica(gateway->store, rr_gateway_now_us(), &send, &request);
+	g_string_free(bytes, TRUE);
+}
+
+static void cancel_call(void *data, uint64_t call)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_withdraw_from_replica(gateway->store, call);
+	g_hash_table_remove(gateway->calls, &call);
+}
+
+void rr_take_gateway_store_reply(void *data, const struct rr_gate_reply *reply)
+{
+	struct rr_gateway *gateway = data;
+	struct open_call *open =
+		g_hash_table_lookup(gateway->calls, &reply->attempt);
+	struct rr_feed_reply decoded = { .status = RR_FEED_FAILED };
+
+	if (!open)
+		return;
+	if (reply->outcome == RR_GATE_ANSWERED)
+		rr_decode_feed_reply(open->kind, reply->status, reply->body,
+				     reply->length, &decoded);
+	decoded.call = open->id;
+	g_hash_table_remove(gateway->calls, &reply->attempt);
+	rr_feed_reply(gateway->ctx, gateway->feed, rr_gateway_now_us(), &decoded);
+	if (decoded.items)
+		g_ptr_array_unref(decoded.items);
+	rr_settle_gateway(gateway);
+}
+
+static void take_routes(void *data, struct rr_route_table *table)
+{
+	struct rr_gateway *gateway = data;
+
+	if (rr_gate_set_routes(gateway->ctx, gateway->gate, rr_gateway_now_us(), table))
+		rr_bound_front_port(gateway->callers,
+				    rr_table_caller_limits(table));
+}
+
+static void take_listing(void *data, const struct rr_listing *listing)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_gate_list(gateway->ctx, gateway->gate, rr_gateway_now_us(), listing);
+}
+
+static void take_unlisted(void *data, const char *id)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_gate_unlist(gateway->ctx, gateway->gate, rr_gateway_now_us(), id);
+}
+
+static void take_instance(void *data, const char *id,
+			  const struct rr_instance *instance)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_gate_note_instance(gateway->ctx, gateway->gate, rr_gateway_now_us(), id,
+			      instance ? instance->zone : NULL,
+			      instance ? instance->address : NULL,
+			      instance ? instance->strength : 0);
+}
+
+static void take_instances(void *data, uint32_t instances)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_gate_set_instances(gateway->ctx, gateway->gate, instances);
+}
+
+struct rr_feed_actions rr_gateway_feed_actions(struct rr_gateway *gateway)
+{
+	return (struct rr_feed_actions){
+		.call = make_call,
+		.cancel = cancel_call,
+		.routes = take_routes,
+		.listed = take_listing,
+		.unlisted = take_unlisted,
+		.instances = take_instances,
+		.instance = take_instance,
+		.data = gateway,
+	};
+}
--- a/tests/test-gate-zone.c
+++ b/tests/test-gate-zone.c
@@ -216,7 +216,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_a_zone_is_cut_off),
-		cmocka_unit_test(test_two_zones_fall_silent_one_after_the_other),
+		cmocka_unit_test(
+			test_two_zones_fall_silent_one_after_the_other),
 		cmocka_unit_test(test_a_zone_refuses_connections),
 		cmocka_unit_test(test_a_dark_replica_is_probed),
 	};
