--- a/source/gateway/gateway-callers.c
+++ b/source/gateway/gateway-callers.c
@@ -156,7 +156,8 @@
 {
 	struct rr_gateway *gateway = data;
 
-	rr_open_replica(gateway->replicas, rr_gateway_now_us(), endpoint, address);
+	rr_open_replica(gateway->replicas, rr_gateway_now_us(), endpoint,
+			address);
 }
 
 static void probe_endpoint(void *data, const char *endpoint,
@@ -164,7 +165,8 @@
 {
 	struct rr_gateway *gateway = data;
 
-	rr_probe_replica(gateway->replicas, rr_gateway_now_us(), endpoint, address);
+	rr_probe_replica(gateway->replicas, rr_gateway_now_us(), endpoint,
+			 address);
 }
 
 static void forget_endpoint(void *data, const char *endpoint)
@@ -242,7 +244,8 @@
 	open->head = g_string_sized_new(512);
 	rr_append_request_head(open->head, message, gateway->names);
 	gateway->taking = open;
-	id = rr_gate_take(gateway->ctx, gateway->gate, rr_gateway_now_us(), &ask);
+	id = rr_gate_take(gateway->ctx, gateway->gate, rr_gateway_now_us(),
+			  &ask);
 	if (gateway->taking) {
 		rr_set_caller_mark(caller, id);
 		g_hash_table_insert(gateway->requests, new_key(id), open);
@@ -252,13 +255,13 @@
 }
 
 void rr_take_callers_request(void *data, struct rr_caller *caller,
-				 const struct rr_http_message *message)
+			     const struct rr_http_message *message)
 {
 	take_request(data, caller, message, false);
 }
 
 void rr_take_peers_request(void *data, struct rr_caller *caller,
-			       const struct rr_http_message *message)
+			   const struct rr_http_message *message)
 {
 	take_request(data, caller, message, true);
 }
@@ -283,14 +286,15 @@
 }
 
 void rr_answer_ready(void *data, struct rr_caller *caller,
-			 const struct rr_http_message *message)
+		     const struct rr_http_message *message)
 {
 	struct rr_gateway *gateway = data;
 	struct rr_front_answer answer = { .status = 404 };
 	const char *reason = "";
 
 	if (!strcmp(message->target, gateway->names->ready_path)) {
-		answer.status = rr_gateway_takes_callers(gateway, &reason) ? 200 : 503;
+		answer.status =
+			rr_gateway_takes_callers(gateway, &reason) ? 200 : 503;
 		answer.body = (const uint8_t *)reason;
 		answer.length = strlen(reason);
 	}
@@ -298,7 +302,7 @@
 }
 
 void rr_answer_metrics(void *data, struct rr_caller *caller,
-			   const struct rr_http_message *message)
+		       const struct rr_http_message *message)
 {
 	struct rr_gateway *gateway = data;
 	struct rr_http_header header = { "Content-Type",
--- a/source/gateway/gateway-store.c
+++ b/source/gateway/gateway-store.c
@@ -46,7 +46,8 @@
 	open->id = call->id;
 	open->kind = call->kind;
 	g_hash_table_insert(gateway->calls, &open->id, open);
-	rr_send_to_replica(gateway->store, rr_gateway_now_us(), &send, &request);
+	rr_send_to_replica(gateway->store, rr_gateway_now_us(), &send,
+			   &request);
 	g_string_free(bytes, TRUE);
 }
 
@@ -72,7 +73,8 @@
 				     reply->length, &decoded);
 	decoded.call = open->id;
 	g_hash_table_remove(gateway->calls, &reply->attempt);
-	rr_feed_reply(gateway->ctx, gateway->feed, rr_gateway_now_us(), &decoded);
+	rr_feed_reply(gateway->ctx, gateway->feed, rr_gateway_now_us(),
+		      &decoded);
 	if (decoded.items)
 		g_ptr_array_unref(decoded.items);
 	rr_settle_gateway(gateway);
@@ -82,7 +84,8 @@
 {
 	struct rr_gateway *gateway = data;
 
-	if (rr_gate_set_routes(gateway->ctx, gateway->gate, rr_gateway_now_us(), table))
+	if (rr_gate_set_routes(gateway->ctx, gateway->gate, rr_gateway_now_us(),
+			       table))
 		rr_bound_front_port(gateway->callers,
 				    rr_table_caller_limits(table));
 }
@@ -106,8 +109,8 @@
 {
 	struct rr_gateway *gateway = data;
 
-	rr_gate_note_instance(gateway->ctx, gateway->gate, rr_gateway_now_us(), id,
-			      instance ? instance->zone : NULL,
+	rr_gate_note_instance(gateway->ctx, gateway->gate, rr_gateway_now_us(),
+			      id, instance ? instance->zone : NULL,
 			      instance ? instance->address : NULL,
 			      instance ? instance->strength : 0);
 }
--- /dev/null
+++ b/source/net/replica-conn.c
@@ -0,0 +1,346 @@
+/*
+ * replica-conn.c - one connection to a replica: what comes on it, and whether
+ * it may be used again.
+ */
+#include "net/replica-conn.h"
+
+#include <string.h>
+
+#include "ragwort/counters.h"
+#include "ragwort/log.h"
+
+/*
+ * A kept connection is used until so long before the replica would close it.
+ * Guards against a request that crosses the close and is lost.
+ */
+#define KEEP_MARGIN_US (700 * 1000)
+/* Where the replica does not say how long it keeps one. */
+#define KEEP_GUESS_US (2 * G_USEC_PER_SEC)
+#define KEEP_MOST_US (60 * G_USEC_PER_SEC)
+/* Answers of replicas are kept whole in memory up to this. */
+#define MOST_ANSWER_BYTES (8 * 1024 * 1024)
+#define MOST_ANSWER_HEAD_BYTES (64 * 1024)
+/* Foreign answers that are passed over before ours is given up. */
+#define MOST_FOREIGN 2
+
+void rr_link_conn(struct rr_conn *conn)
+{
+	g_queue_push_tail_link(&conn->port->used, &conn->link);
+	conn->linked = true;
+}
+
+void rr_unlink_conn(struct rr_conn *conn)
+{
+	if (conn->linked)
+		g_queue_unlink(&conn->port->used, &conn->link);
+	conn->linked = false;
+}
+
+/* Close a connection and forget it. */
+void rr_free_conn(struct rr_conn *conn)
+{
+	struct rr_replica_port *port = conn->port;
+	struct rr_conn_replica *replica = conn->replica;
+
+	if (conn->attempt)
+		g_hash_table_remove(port->attempts, &conn->attempt);
+	rr_unlink_conn(conn);
+	if (conn->state == CONN_IDLE)
+		g_queue_remove(&replica->idle, conn);
+	rr_drop_stream(conn->stream);
+	rr_drop_http_reader(conn->reader);
+	if (conn->request)
+		g_byte_array_unref(conn->request);
+	g_free(conn->request_id);
+	g_free(conn);
+	if (!--replica->n_conns && replica->forgotten)
+		g_hash_table_remove(port->replicas, replica->endpoint);
+}
+
+/* Give the reply of a connection's attempt, which is then over. */
+static void give_reply(struct rr_conn *conn, struct rr_gate_reply *reply)
+{
+	struct rr_replica_port *port = conn->port;
+
+	reply->attempt = conn->attempt;
+	if (!conn->attempt)
+		return;
+	g_hash_table_remove(port->attempts, &conn->attempt);
+	conn->attempt = 0;
+	port->replied(port->data, reply);
+}
+
+/* The connection is of no more use; its attempt, if any, is told so. */
+void rr_break_conn(struct rr_conn *conn, enum rr_gate_outcome outcome,
+		       const char *reason)
+{
+	struct rr_replica_port *port = conn->port;
+	struct rr_gate_reply reply = {
+		.attempt = conn->attempt,
+		.outcome = outcome,
+		.unreachable = conn->state == CONN_CONNECTING && !conn->reached,
+	};
+
+	char *probed = conn->probe ? g_strdup(conn->replica->endpoint) : NULL;
+	bool reached = conn->reached;
+
+	if (conn->attempt)
+		rr_log(port->ctx, RR_LOG_DECISION, "connection-broken",
+		       RR_FIELD_U64("attempt", conn->attempt),
+		       RR_FIELD_STRING("endpoint", conn->replica->endpoint),
+		       RR_FIELD_STRING("reason", reason));
+	rr_free_conn(conn);
+	if (probed)
+		port->probed(port->data, probed, reached);
+	g_free(probed);
+	if (reply.attempt)
+		port->replied(port->data, &reply);
+}
+
+/* A probe's connection stands. */
+static void tell_reached(struct rr_conn *conn)
+{
+	conn->probe = false;
+	conn->port->probed(conn->port->data, conn->replica->endpoint, true);
+}
+
+static int64_t keep_us_of(const struct rr_http_message *message)
+{
+	const char *value = rr_http_value(message, "Keep-Alive");
+	const char *timeout = value ? strstr(value, "timeout=") : NULL;
+	int64_t keep_us = KEEP_GUESS_US;
+
+	if (timeout) {
+		guint64 keep_s = g_ascii_strtoull(timeout + strlen("timeout="),
+						  NULL, 10);
+
+		keep_us = MIN((int64_t)keep_s * G_USEC_PER_SEC, KEEP_MOST_US);
+	}
+	return MAX(keep_us - KEEP_MARGIN_US, keep_us / 4);
+}
+
+/*
+ * Connections of instances that lost power count at a replica until it finds
+ * out.  Guards against a cap that is full of them when the instances are back:
+ * each keeps so few at rest that as many again find room.
+ */
+static bool may_keep(const struct rr_conn *conn)
+{
+	return conn->replica->idle.length < MAX(1, conn->replica->most_idle);
+}
+
+static void start_idle(struct rr_conn *conn, int64_t keep_us)
+{
+	rr_unlink_conn(conn);
+	conn->state = CONN_IDLE;
+	conn->keep_until_us = conn->port->now_us + keep_us;
+	g_clear_pointer(&conn->request_id, g_free);
+	rr_reset_http_reader(conn->reader, false);
+	g_queue_push_head(&conn->replica->idle, conn);
+}
+
+static const char *value_of(const struct rr_http_message *message,
+			    const char *name)
+{
+	return name ? rr_http_value(message, name) : NULL;
+}
+
+static void fill_reply(const struct rr_conn *conn,
+		       const struct rr_http_message *message,
+		       struct rr_gate_reply *reply)
+{
+	const struct rr_replica_port *port = conn->port;
+
+	reply->status = message->status;
+	reply->seal = value_of(message, port->seal);
+	reply->body = message->body;
+	reply->length = message->body_length;
+	reply->message = message;
+	reply->outcome = RR_GATE_ANSWERED;
+	if (message->status == 421) {
+		reply->outcome = RR_GATE_REFUSED;
+		reply->other_instance = true;
+	} else if (value_of(message, port->not_run)) {
+		reply->outcome = RR_GATE_REFUSED;
+	} else if (message->status < 300 && port->seal && !reply->seal) {
+		/* A success counts only with its signature. */
+		reply->outcome = RR_GATE_BROKEN;
+	}
+}
+
+/* Whether an answer is to another request, by the id that it echoes. */
+static bool is_foreign(const struct rr_conn *conn,
+		       const struct rr_http_message *message)
+{
+	const char *id = value_of(message, conn->port->request_id);
+
+#ifdef RR_MUTANT_PORT_TAKES_FOREIGN
+	return false;
+#endif
+	return id && conn->request_id && strcmp(id, conn->request_id);
+}
+
+/*
+ * Take a whole answer; `rest` bytes came behind it.  The connection may be
+ * gone afterwards.
+ */
+static void take_answer(struct rr_conn *conn, size_t rest)
+{
+	const struct rr_http_message *message = rr_http_message(conn->reader);
+	struct rr_gate_reply reply = { 0 };
+	int64_t keep_us = keep_us_of(message);
+	bool reusable = message->keep_alive && !conn->soiled && !rest &&
+			!rr_unsent_bytes(conn->stream);
+
+	fill_reply(conn, message, &reply);
+	if (rest)
+		rr_log(conn->port->ctx, RR_LOG_DECISION, "bytes-behind-answer",
+		       RR_FIELD_U64("attempt", conn->attempt),
+		       RR_FIELD_STRING("endpoint", conn->replica->endpoint),
+		       RR_FIELD_U64("bytes", rest));
+	give_reply(conn, &reply);
+	if (reusable && !conn->replica->forgotten && may_keep(conn))
+		start_idle(conn, keep_us);
+	else
+		rr_free_conn(conn);
+}
+
+/*
+ * An answer to an earlier request stands where ours is expected.  It is
+ * passed over: ours comes behind it, and what may run once is not to be lost
+ * for it.  The connection is not used again.
+ */
+static bool pass_over(struct rr_conn *conn)
+{
+	rr_count(conn->port->ctx, RR_N_BAD_REPLIES, 1);
+	conn->soiled = true;
+	if (++conn->n_foreign > MOST_FOREIGN ||
+	    rr_http_message(conn->reader)->until_close) {
+		rr_break_conn(conn, RR_GATE_BROKEN, "foreign-answers");
+		return false;
+	}
+	rr_reset_http_reader(conn->reader, conn->no_body);
+	return true;
+}
+
+static void take_bytes(void *data, const uint8_t *bytes, size_t length)
+{
+	struct rr_conn *conn = data;
+	size_t at = 0;
+
+#ifdef RR_MUTANT_PORT_UNASKED_BYTES
+	if (conn->state == CONN_IDLE)
+		return;
+#endif
+	if (conn->state != CONN_BUSY) {
+		rr_break_conn(conn, RR_GATE_BROKEN, "unasked-bytes");
+		return;
+	}
+	while (at < length) {
+		size_t used;
+		enum rr_http_result result = rr_read_http(
+			conn->reader, bytes + at, length - at, &used);
+
+		at += used;
+		if (result == RR_HTTP_MORE)
+			return;
+		if (result != RR_HTTP_WHOLE) {
+			rr_break_conn(conn, RR_GATE_BROKEN, "no-answer");
+			return;
+		}
+		if (!is_foreign(conn, rr_http_message(conn->reader))) {
+			take_answer(conn, length - at);
+			return;
+		}
+		if (!pass_over(conn))
+			return;
+	}
+}
+
+static void take_end(void *data, enum rr_stream_end end)
+{
+	struct rr_conn *conn = data;
+	bool begun;
+
+	if (conn->state == CONN_CONNECTING) {
+		/* A reset shows that somebody is there, with no room. */
+		conn->reached = end != RR_END_REFUSED;
+		rr_break_conn(conn, RR_GATE_UNSENT,
+			   conn->reached ? "reset" : "refused");
+		return;
+	}
+	if (conn->state == CONN_IDLE) {
+		rr_free_conn(conn);
+		return;
+	}
+	begun = rr_http_begun(conn->reader);
+	if (end == RR_END_ORDERLY && begun &&
+	    rr_end_http(conn->reader) == RR_HTTP_WHOLE) {
+		if (is_foreign(conn, rr_http_message(conn->reader)))
+			rr_break_conn(conn, RR_GATE_BROKEN, "foreign-answer");
+		else
+			take_answer(conn, 0);
+		return;
+	}
+	rr_break_conn(conn, RR_GATE_BROKEN, begun ? "cut-short" : "closed");
+}
+
+void rr_start_busy(struct rr_conn *conn)
+{
+	conn->state = CONN_BUSY;
+	rr_reset_http_reader(conn->reader, conn->no_body);
+}
+
+static void take_connected(void *data)
+{
+	struct rr_conn *conn = data;
+	bool taken;
+
+	if (!conn->attempt) {
+		start_idle(conn, KEEP_GUESS_US);
+		if (conn->probe)
+			tell_reached(conn);
+		return;
+	}
+	rr_start_busy(conn);
+	if (!rr_write_stream(conn->stream, conn->request->data,
+			     conn->request->len, &taken)) {
+		rr_break_conn(conn, taken ? RR_GATE_BROKEN : RR_GATE_UNSENT,
+			   "write");
+		return;
+	}
+	g_clear_pointer(&conn->request, g_byte_array_unref);
+}
+
+struct rr_conn *rr_connect_to(struct rr_replica_port *port,
+			       struct rr_conn_replica *replica)
+{
+	struct rr_conn *conn = g_new0(struct rr_conn, 1);
+	struct rr_stream_owner owner = {
+		.connected = take_connected,
+		.received = take_bytes,
+		.ended = take_end,
+		.data = conn,
+	};
+	struct rr_http_reader_options reading = {
+		.responses = true,
+		.max_header_bytes = MOST_ANSWER_HEAD_BYTES,
+		.max_body_bytes = MOST_ANSWER_BYTES,
+	};
+
+	conn->stream =
+		rr_connect_stream(port->poller, replica->address, &owner);
+	if (!conn->stream) {
+		g_free(conn);
+		return NULL;
+	}
+	conn->port = port;
+	conn->replica = replica;
+	conn->reader = rr_new_http_reader(&reading);
+	conn->state = CONN_CONNECTING;
+	conn->since_us = port->now_us;
+	conn->link.data = conn;
+	rr_link_conn(conn);
+	replica->n_conns++;
+	return conn;
+}
