--- a/source/net/replica-conn.c
+++ b/source/net/replica-conn.c
@@ -72,7 +72,7 @@
 
 /* The connection is of no more use; its attempt, if any, is told so. */
 void rr_break_conn(struct rr_conn *conn, enum rr_gate_outcome outcome,
-		       const char *reason)
+		   const char *reason)
 {
 	struct rr_replica_port *port = conn->port;
 	struct rr_gate_reply reply = {
@@ -266,7 +266,7 @@
 		/* A reset shows that somebody is there, with no room. */
 		conn->reached = end != RR_END_REFUSED;
 		rr_break_conn(conn, RR_GATE_UNSENT,
-			   conn->reached ? "reset" : "refused");
+			      conn->reached ? "reset" : "refused");
 		return;
 	}
 	if (conn->state == CONN_IDLE) {
@@ -306,14 +306,14 @@
 	if (!rr_write_stream(conn->stream, conn->request->data,
 			     conn->request->len, &taken)) {
 		rr_break_conn(conn, taken ? RR_GATE_BROKEN : RR_GATE_UNSENT,
-			   "write");
+			      "write");
 		return;
 	}
 	g_clear_pointer(&conn->request, g_byte_array_unref);
 }
 
 struct rr_conn *rr_connect_to(struct rr_replica_port *port,
-			       struct rr_conn_replica *replica)
+			      struct rr_conn_replica *replica)
 {
 	struct rr_conn *conn = g_new0(struct rr_conn, 1);
 	struct rr_stream_owner owner = {
