--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -116,6 +116,11 @@
 	void (*send)(void *data, const struct rr_gate_send *send);
 	/* The reply is no longer wanted: end its connection. */
 	void (*withdraw)(void *data, uint64_t attempt);
+	/*
+	 * Withdraw it if none of its bytes has left: true is proof that it
+	 * was not run.
+	 */
+	bool (*recall)(void *data, uint64_t attempt);
 	void (*answer)(void *data, const struct rr_gate_answer *answer);
 	/* Be ready to send to a replica: a connection spares the first wait. */
 	void (*open)(void *data, const char *endpoint, const char *address);
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -315,6 +315,27 @@
 	}
 }
 
+void rr_recall_unsent(struct rr_context *ctx, struct rr_gate *gate,
+		      struct rr_gate_run *run)
+{
+	GList *next;
+
+	for (GList *l = run->live.head; l; l = next) {
+		struct rr_gate_attempt *attempt = l->data;
+
+		next = l->next;
+		if (!gate->actions.recall(gate->actions.data, attempt->id))
+			continue;
+		note_attempt(gate, run, attempt, RR_TRAIL_WITHDRAWN,
+			     "not-sent-yet", 0);
+		run->parts[attempt->part].n_run--;
+		run->n_run--;
+		end_attempt(gate, attempt);
+		rr_note_lost(ctx, gate, attempt->endpoint, RR_LOSS_SILENT);
+		rr_free_attempt(attempt);
+	}
+}
+
 void rr_leave_attempts(struct rr_context *ctx, struct rr_gate *gate,
 		       struct rr_gate_run *run)
 {
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -254,6 +254,9 @@
 bool rr_try_part(struct rr_context *ctx, struct rr_gate *gate,
 		 struct rr_gate_run *run, size_t part, const char *why);
 void rr_fire_hedge(struct rr_context *ctx, struct rr_gate *gate, uint64_t id);
+/* Take back attempts that have not left: they were not run. */
+void rr_recall_unsent(struct rr_context *ctx, struct rr_gate *gate,
+		      struct rr_gate_run *run);
 /* The request is over, and with it its attempts. */
 void rr_leave_attempts(struct rr_context *ctx, struct rr_gate *gate,
 		       struct rr_gate_run *run);
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -230,6 +230,7 @@
 static void fail_run(struct rr_context *ctx, struct rr_gate *gate,
 		     struct rr_gate_run *run, const char *reason)
 {
+	rr_recall_unsent(ctx, gate, run);
 #ifdef RR_MUTANT_GATE_FALSE_PROMISE
 	run->n_run = 0;
 #endif
--- a/source/gateway/gateway-callers.c
+++ b/source/gateway/gateway-callers.c
@@ -67,6 +67,14 @@
 	rr_withdraw_from_replica(gateway->strong, attempt);
 }
 
+static bool recall_attempt(void *data, uint64_t attempt)
+{
+	struct rr_gateway *gateway = data;
+
+	return rr_recall_from_replica(gateway->replicas, attempt) ||
+	       rr_recall_from_replica(gateway->strong, attempt);
+}
+
 static void answer_own(struct rr_caller *caller,
 		       const struct rr_gate_answer *answer, bool handed)
 {
@@ -181,6 +189,7 @@
 	return (struct rr_gate_actions){
 		.send = send_attempt,
 		.withdraw = withdraw_attempt,
+		.recall = recall_attempt,
 		.answer = give_answer,
 		.open = open_endpoint,
 		.probe = probe_endpoint,
--- a/source/net/replica-port.c
+++ b/source/net/replica-port.c
@@ -221,6 +221,16 @@
 		rr_free_conn(conn);
 }
 
+bool rr_recall_from_replica(struct rr_replica_port *port, uint64_t attempt)
+{
+	struct rr_conn *conn = g_hash_table_lookup(port->attempts, &attempt);
+
+	if (!conn || conn->state != CONN_CONNECTING)
+		return false;
+	rr_free_conn(conn);
+	return true;
+}
+
 void rr_open_replica(struct rr_replica_port *port, int64_t now_us,
 		     const char *endpoint, const char *address)
 {
--- a/source/net/replica-port.h
+++ b/source/net/replica-port.h
@@ -59,6 +59,11 @@
 			const struct rr_request_bytes *request);
 /* End the connection of an attempt, which is not replied to any more. */
 void rr_withdraw_from_replica(struct rr_replica_port *port, uint64_t attempt);
+/*
+ * As above, but only if no byte of it has left: its connection does not stand
+ * yet.  False if it has, or is none of this port's.
+ */
+bool rr_recall_from_replica(struct rr_replica_port *port, uint64_t attempt);
 /* Have one idle connection to a replica, unless there is any already. */
 void rr_open_replica(struct rr_replica_port *port, int64_t now_us,
 		     const char *endpoint, const char *address);
--- a/tests/support/gate-scene.c
+++ b/tests/support/gate-scene.c
@@ -76,6 +76,16 @@
 	}
 }
 
+static bool note_recall(void *data, uint64_t attempt)
+{
+	struct gate_scene *scene = data;
+
+	if (!scene->nothing_leaves)
+		return false;
+	note_withdraw(data, attempt);
+	return true;
+}
+
 static void note_answer(void *data, const struct rr_gate_answer *answer)
 {
 	struct gate_scene *scene = data;
@@ -123,6 +133,7 @@
 		.actions = {
 			.send = note_send,
 			.withdraw = note_withdraw,
+			.recall = note_recall,
 			.answer = note_answer,
 			.open = note_open,
 			.probe = note_probe,
--- a/tests/support/gate-scene.h
+++ b/tests/support/gate-scene.h
@@ -38,9 +38,10 @@
 	struct rr_context *ctx;
 	struct rr_gate *gate;
 	int64_t now_us;
-	GPtrArray *sent;    /* struct test_sent */
-	GPtrArray *answers; /* struct test_answer */
-	GPtrArray *probes;  /* char *, endpoints */
+	bool nothing_leaves; /* attempts can be recalled */
+	GPtrArray *sent;     /* struct test_sent */
+	GPtrArray *answers;  /* struct test_answer */
+	GPtrArray *probes;   /* char *, endpoints */
 	GPtrArray *opened;
 	GPtrArray *forgotten;
 };
--- /dev/null
+++ b/tests/support/replica-scene.c
@@ -0,0 +1,117 @@
+/*
+ * replica-scene.c - a port to one replica, driven by raw bytes.
+ */
+#include "support/replica-scene.h"
+
+#include <string.h>
+
+static void take_reply(void *data, const struct rr_gate_reply *reply)
+{
+	struct replica_scene *scene = data;
+
+	scene->replies++;
+	scene->outcome = reply->outcome;
+	scene->status = reply->status;
+	scene->unreachable = reply->unreachable;
+	scene->other_instance = reply->other_instance;
+	g_free(scene->seal);
+	scene->seal = g_strdup(reply->seal);
+	g_string_truncate(scene->body, 0);
+	if (reply->length)
+		g_string_append_len(scene->body, (const char *)reply->body,
+				    (gssize)reply->length);
+}
+
+static void take_probe(void *data, const char *endpoint, bool reached)
+{
+	struct replica_scene *scene = data;
+
+	scene->probes++;
+	scene->reached = reached;
+}
+
+struct replica_scene *replica_start(void)
+{
+	struct replica_scene *scene = g_new0(struct replica_scene, 1);
+	struct rr_replica_port_options options = {
+		.request_id = "Id",
+		.seal = "Seal",
+		.not_run = "Not-Run",
+		.replied = take_reply,
+		.probed = take_probe,
+		.data = scene,
+	};
+
+	scene->ctx = rr_new_context(NULL);
+	scene->poller = rr_new_poller(NULL);
+	scene->body = g_string_new(NULL);
+	options.poller = scene->poller;
+	scene->port = rr_new_replica_port(scene->ctx, &options);
+	scene->listener = raw_listen();
+	return scene;
+}
+
+void replica_stop(struct replica_scene *scene)
+{
+	rr_drop_replica_port(scene->port);
+	rr_drop_poller(scene->poller);
+	rr_drop_context(scene->ctx);
+	raw_drop_listener(scene->listener);
+	g_string_free(scene->body, TRUE);
+	g_free(scene->seal);
+	g_free(scene);
+}
+
+uint64_t replica_send(struct replica_scene *scene, const char *head,
+		      const char *body, bool idempotent, bool no_body)
+{
+	struct rr_gate_send send = {
+		.attempt = ++scene->next_attempt,
+		.endpoint = "r",
+		.address = scene->listener->address,
+		.deadline_ms = 1000,
+		.idempotent = idempotent,
+		.kept_connections = 1,
+	};
+	struct rr_request_bytes request = {
+		.head = head,
+		.head_length = strlen(head),
+		.body = (const uint8_t *)body,
+		.body_length = body ? strlen(body) : 0,
+		.request_id = "one",
+		.no_body = no_body,
+	};
+
+	rr_send_to_replica(scene->port, g_get_monotonic_time(), &send,
+			   &request);
+	return send.attempt;
+}
+
+uint64_t replica_ask(struct replica_scene *scene)
+{
+	return replica_send(scene, REPLICA_GET, NULL, true, false);
+}
+
+struct raw_peer *replica_ask_and_accept(struct replica_scene *scene)
+{
+	struct raw_peer *peer;
+
+	replica_ask(scene);
+	peer = raw_accept(scene->listener);
+	raw_expect(peer, REPLICA_GET);
+	return peer;
+}
+
+struct raw_peer *replica_serve_once(struct replica_scene *scene)
+{
+	struct raw_peer *peer;
+
+	replica_ask(scene);
+	peer = raw_accept(scene->listener);
+	raw_expect(peer, "\r\n\r\n");
+	raw_send(peer, REPLICA_OK "\r\nab");
+	raw_turn_until(&scene->replies, 1);
+	assert_int_equal(scene->outcome, RR_GATE_ANSWERED);
+	g_string_truncate(peer->in, 0);
+	return peer;
+}
--- a/tests/test-gate.c
+++ b/tests/test-gate.c
@@ -368,6 +368,22 @@
 	test_drop_scene(scene);
 }
 
+/*
+ * Story: a connection hangs until the request's time is over.  No byte has
+ * left, so that the caller is told that it was not run, and may ask again.
+ */
+static void test_what_never_left_was_not_run(void **state)
+{
+	struct gate_scene *scene = test_start_scene(&test_once_route);
+
+	scene->nothing_leaves = true;
+	test_take(scene, "/once/1", 300);
+	test_pass(scene, 400 * TEST_MS);
+	assert_int_equal(test_last_answer(scene)->status, 503);
+	assert_true(test_sent_at(scene, 0)->withdrawn);
+	test_drop_scene(scene);
+}
+
 /* A caller that closed its side gets what comes soon, and costs nothing new. */
 static void test_a_caller_leaves(void **state)
 {
@@ -533,6 +549,7 @@
 		cmocka_unit_test(test_gather_that_cannot_be_served),
 		cmocka_unit_test(test_hedge_and_loser),
 		cmocka_unit_test(test_what_runs_once_is_not_hedged),
+		cmocka_unit_test(test_what_never_left_was_not_run),
 		cmocka_unit_test(test_a_caller_leaves),
 		cmocka_unit_test(test_a_caller_is_gone),
 		cmocka_unit_test(test_what_runs_once_outlives_its_caller),
