--- a/tests/support/replica-scene.c
+++ b/tests/support/replica-scene.c
@@ -111,7 +111,7 @@
 	raw_expect(peer, "\r\n\r\n");
 	raw_send(peer, REPLICA_OK "\r\nab");
 	raw_turn_until(&scene->replies, 1);
-	assert_int_equal(scene->outcome, RR_GATE_ANSWERED);
+	g_assert_cmpint(scene->outcome, ==, RR_GATE_ANSWERED);
 	g_string_truncate(peer->in, 0);
 	return peer;
 }
