--- a/source/tool/explain-print.c
+++ b/source/tool/explain-print.c
@@ -327,7 +327,7 @@
 	g_string_append(out, "cause: ");
 	rr_format_cause(story, out);
 	g_string_append_c(out, '\n');
-	if (story->lines->len > 1) {
+	if (story->lines->len > 1 || !find_end(story)) {
 		format_steps(story, out);
 		format_picture(story, out);
 	}
--- /dev/null
+++ b/tests/test-explain.c
@@ -0,0 +1,157 @@
+/*
+ * test-explain.c - `ragwort explain` as the engineer on call runs it: from a
+ * failed request's id and logs to its cause.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <string.h>
+
+#include "support/tool-run.h"
+
+/* Lines of two instances, with those of other programs between them. */
+static const char logs[] =
+	"  33.0794 front-1 time=2026-09-12T06:37:16.878969Z level=info "
+	"event=endpoint-suspected endpoint=i-9 service=s9 reason=silent "
+	"for_us=400000\n"
+	"time=2026-09-12T06:37:17.000000Z level=warning event=zone-silent "
+	"zone=athi unanswered=6 silent_us=479679\n"
+	"a line of some other program\n"
+	/* Refused. */
+	"time=2026-09-12T06:37:17.100000Z level=info event=answered "
+	"request=ref1 instance=front-1 after_us=120 route=r version=7 "
+	"version_age_us=9448107 status=503 reason=no-replica parts=20 "
+	"missing=20 may_have_run=0 late=false objective_us=73800 "
+	"end_us=1197000 retry_after_ms=214 steps_left_out=0\n"
+	/* Partial. */
+	"time=2026-09-12T06:37:17.200000Z level=info event=sent request=part1 "
+	"after_us=0 attempt=1 service=s1 endpoint=i-1 reason=first status=0 "
+	"in_flight=1 slowness=1 tokens=3\n"
+	"time=2026-09-12T06:37:17.200001Z level=info event=sent request=part1 "
+	"after_us=0 attempt=2 service=s9 endpoint=i-9 reason=first status=0 "
+	"in_flight=1 slowness=1.5 tokens=0.5\n"
+	"time=2026-09-12T06:37:17.200002Z level=info event=reply request=part1 "
+	"after_us=5210 attempt=1 service=s1 endpoint=i-1 reason=answered "
+	"status=200 in_flight=1 slowness=1 tokens=3\n"
+	"time=2026-09-12T06:37:17.200003Z level=info event=not-sent "
+	"request=part1 after_us=12000 service=s9 reason=no-token tokens=0.5\n"
+	"time=2026-09-12T06:37:17.200004Z level=info event=answered "
+	"request=part1 instance=front-1 after_us=74000 route=r version=7 "
+	"version_age_us=100 status=200 reason=partial parts=2 missing=1 "
+	"may_have_run=2 late=true objective_us=73800 end_us=1197000 "
+	"retry_after_ms=0 steps_left_out=0\n"
+	/* Outcome unknown, as JSON of another instance. */
+	"{\"time\":\"2026-09-12T06:37:18.000000Z\",\"event\":\"sent\","
+	"\"request\":\"once1\",\"after_us\":0,\"attempt\":7,"
+	"\"service\":\"k\",\"endpoint\":\"i-5\",\"reason\":\"first\","
+	"\"in_flight\":1,\"slowness\":1.0,\"tokens\":0}\n"
+	"{\"time\":\"2026-09-12T06:37:18.000001Z\",\"event\":\"reply\","
+	"\"request\":\"once1\",\"after_us\":4100,\"attempt\":7,"
+	"\"service\":\"k\",\"endpoint\":\"i-5\",\"reason\":\"broken\","
+	"\"status\":0,\"in_flight\":1,\"slowness\":1.0,\"tokens\":0}\n"
+	"{\"time\":\"2026-09-12T06:37:18.000002Z\",\"event\":\"answered\","
+	"\"request\":\"once1\",\"instance\":\"front-2\",\"after_us\":4100,"
+	"\"route\":\"p\",\"version\":7,\"status\":502,"
+	"\"reason\":\"no-replica\",\"parts\":1,\"missing\":1,"
+	"\"may_have_run\":1,\"late\":false}\n"
+	/* Only its steps: the end was cut off. */
+	"time=2026-09-12T06:37:19.000000Z level=info event=sent request=cut1 "
+	"after_us=0 attempt=9 service=s1 endpoint=i-1 reason=first\n"
+	"time=2026-09-12T06:37:19.000000Z level=info event=ans";
+
+static struct tool_run *explain(const char *request)
+{
+	char *path = test_write_file(logs);
+	struct tool_run *run =
+		test_run_tool("explain", request, "--logs", path, NULL);
+
+	test_remove_file(path);
+	return run;
+}
+
+static void assert_tells(const char *request, const char *const *words)
+{
+	struct tool_run *run = explain(request);
+
+	assert_int_equal(run->code, 0);
+	for (size_t i = 0; words[i]; i++) {
+		if (!strstr(run->out, words[i]))
+			fail_msg("no '%s' in:\n%s", words[i], run->out);
+	}
+	test_drop_run(run);
+}
+
+/* Refused: what was believed of its zone and replicas stands with it. */
+static void test_refused(void **state)
+{
+	static const char *const words[] = {
+		"at front-1",
+		"cause: refused, and not run: too few of the services",
+		"zone-silent",
+		"athi",
+		NULL,
+	};
+
+	assert_tells("ref1", words);
+}
+
+/* Late and partial: which service lacks, and why. */
+static void test_partial(void **state)
+{
+	static const char *const words[] = {
+		"1 of 2 parts",
+		"cause: partial; s9: the budget of extra attempts was spent",
+		"endpoint-suspected s9 i-9 silent",
+		"time line",
+		NULL,
+	};
+
+	assert_tells("part1", words);
+}
+
+/* Outcome unknown: it was sent, and its answer lost. */
+static void test_unknown_outcome(void **state)
+{
+	static const char *const words[] = {
+		"at front-2",
+		"ended with 502",
+		"1 attempts may have run",
+		"k: its replica's answer was lost or no good",
+		NULL,
+	};
+
+	assert_tells("once1", words);
+}
+
+static void test_cut_logs(void **state)
+{
+	static const char *const words[] = { "is not in these lines",
+					     "i-1", NULL };
+	struct tool_run *run = explain("cut1");
+
+	assert_non_null(strstr(run->err, "are no log lines"));
+	test_drop_run(run);
+	assert_tells("cut1", words);
+}
+
+static void test_no_such_request(void **state)
+{
+	test_expect(explain("nobody"), 1, "", "no line tells of");
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_refused),
+		cmocka_unit_test(test_partial),
+		cmocka_unit_test(test_unknown_outcome),
+		cmocka_unit_test(test_cut_logs),
+		cmocka_unit_test(test_no_such_request),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test-process-gateway.c
@@ -0,0 +1,372 @@
+/*
+ * test-process-gateway.c - ragwort-gateway as a process, from end to end: a
+ * store and replicas that speak the users' platform's protocol, callers over
+ * HTTP, and a stop that cuts nobody off.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include "support/process.h"
+#include "support/raw-http.h"
+#include "support/raw-peer.h"
+#include "support/tool-run.h"
+
+#define SHARDS 3
+
+struct world {
+	struct test_server store;
+	struct test_server replicas[SHARDS];
+	struct test_connection *watch; /* that waits; NULL: none does */
+	uint64_t watch_after;
+	GString *items; /* of the store, as JSON */
+	uint64_t revision;
+	int watches;
+	int runs;
+	bool hold; /* replicas keep their requests */
+	char *caller_address;
+	char *ready_address;
+	char *start_file;
+	struct test_process *gateway;
+};
+
+static char *code(const char *text)
+{
+	return g_base64_encode((const guchar *)text, strlen(text));
+}
+
+static void add_item(struct world *world, const char *key, const char *value)
+{
+	char *coded = code(value);
+
+	g_string_append_printf(
+		world->items,
+		"%s{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%u}",
+		world->items->len ? "," : "", key, coded,
+		(unsigned int)++world->revision);
+	g_free(coded);
+}
+
+static void answer_watch(struct world *world, const char *key,
+			 const char *value)
+{
+	char *coded = code(value);
+	char *body = g_strdup_printf(
+		"{\"events\":[{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%u"
+		"}],\"storeRevision\":%u}",
+		key, coded, (unsigned int)(world->revision + 1),
+		(unsigned int)(world->revision + 1));
+	struct test_connection *watch = world->watch;
+
+	world->revision++;
+	world->watch = NULL;
+	test_reply_to(watch, 200, "Content-Type: application/json\r\n", body,
+		      false);
+	g_free(body);
+	g_free(coded);
+}
+
+static void take_store_call(struct test_connection *connection)
+{
+	struct world *world = connection->server->data;
+	char *body = NULL;
+
+	if (strstr(connection->path, "kv-watch")) {
+		world->watch = connection;
+		world->watches++;
+		return;
+	}
+	if (strstr(connection->path, "kv-range"))
+		body = g_strdup_printf("{\"items\":[%s],\"hasMore\":false,"
+				       "\"storeRevision\":%u}",
+				       world->items->str,
+				       (unsigned int)world->revision);
+	else if (strstr(connection->path, "kv-txn"))
+		body = g_strdup("{\"revision\":99}");
+	else
+		body = g_strdup("{\"lease\":7,\"ttlMs\":12000}");
+	test_reply_to(connection, 200, "Content-Type: application/json\r\n",
+		      body, false);
+	g_free(body);
+}
+
+static void drop_store_call(struct test_connection *connection)
+{
+	struct world *world = connection->server->data;
+
+	if (world->watch == connection)
+		world->watch = NULL;
+}
+
+/* Each replica has one record of its own letter. */
+static void answer_run(struct test_connection *connection)
+{
+	struct world *world = connection->server->data;
+	long shard = connection->server - world->replicas;
+	char *extra = g_strdup_printf("Response-Seal: seal%ld\r\n"
+				      "Request-Id: %s\r\n",
+				      shard,
+				      test_header(connection, "request-id"));
+	char body[17];
+
+	memset(body, (char)('a' + shard), 16);
+	body[16] = '\0';
+	test_reply_to(connection, 200, extra, body, false);
+	g_free(extra);
+}
+
+static void take_run(struct test_connection *connection)
+{
+	struct world *world = connection->server->data;
+
+	world->runs++;
+	if (!world->hold)
+		answer_run(connection);
+}
+
+static char *config_of(int version, const char *prefix)
+{
+	return g_strdup_printf(
+		"{\"version\":%d,\"routes\":[{\"name\":\"all\",\"host\":\"h\","
+		"\"prefix\":\"%s\",\"routeType\":\"idempotent\","
+		"\"timeoutMs\":2000,\"targetLatencyMs\":1000,\"maxAttempts\":2,"
+		"\"shardServices\":[\"s0\",\"s1\",\"s2\"],\"topK\":2,"
+		"\"minShardRatio\":0.6},{\"name\":\"one\",\"host\":\"h\","
+		"\"prefix\":\"/one/\",\"routeType\":\"non_idempotent\","
+		"\"timeoutMs\":5000,\"maxAttempts\":2,\"service\":\"s0\"}],"
+		"\"services\":[{\"name\":\"s0\",\"maxConnections\":9},"
+		"{\"name\":\"s1\",\"maxConnections\":9},"
+		"{\"name\":\"s2\",\"maxConnections\":9}],"
+		"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":9999,"
+		"\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}",
+		version, prefix);
+}
+
+static void fill_store(struct world *world)
+{
+	char *config = config_of(3, "/all/");
+
+	add_item(world, "op/config", config);
+	for (int i = 0; i < SHARDS; i++) {
+		char *key = g_strdup_printf("servers/i-%d", i);
+		char *value = g_strdup_printf(
+			"{\"service\":\"s%d\",\"address\":\"127.0.0.1:%u\","
+			"\"zone\":\"a\",\"slots\":2,\"state\":\"ready\","
+			"\"coldRemainingMs\":0,\"sequence\":1}",
+			i, world->replicas[i].port);
+
+		add_item(world, key, value);
+		g_free(value);
+		g_free(key);
+	}
+	g_free(config);
+}
+
+static void start_gateway(struct world *world)
+{
+	char *text = g_strdup_printf(
+		"instance: gw-1\nzone: a\ncaller_address: \"%s\"\n"
+		"ready_address: \"%s\"\nstore_address: \"127.0.0.1:%u\"\n"
+		"stop_timeout_ms: 6000\n",
+		world->caller_address, world->ready_address,
+		world->store.port);
+	const char *arguments[] = { "--settings", NULL, NULL };
+
+	world->start_file = test_write_file(text);
+	arguments[1] = world->start_file;
+	world->gateway =
+		test_start_process("ragwort-gateway", arguments, false);
+	raw_turn_until(&world->watches, 1);
+	g_free(text);
+}
+
+static char *free_address(void)
+{
+	return g_strdup_printf("127.0.0.1:%u", test_draw_port());
+}
+
+static int set_up(void **state)
+{
+	struct world *world = g_new0(struct world, 1);
+
+	world->items = g_string_new(NULL);
+	world->store.data = world;
+	world->store.request = take_store_call;
+	world->store.closing = drop_store_call;
+	test_listen(&world->store, true);
+	for (int i = 0; i < SHARDS; i++) {
+		world->replicas[i].data = world;
+		world->replicas[i].request = take_run;
+		test_listen(&world->replicas[i], true);
+	}
+	fill_store(world);
+	world->caller_address = free_address();
+	world->ready_address = free_address();
+	start_gateway(world);
+	*state = world;
+	return 0;
+}
+
+static void close_server(struct test_server *server)
+{
+	test_listen(server, false);
+	while (server->connections->len)
+		test_close_connection(
+			g_ptr_array_index(server->connections, 0));
+	g_ptr_array_unref(server->connections);
+}
+
+static int tear_down(void **state)
+{
+	struct world *world = *state;
+
+	test_drop_process(world->gateway);
+	close_server(&world->store);
+	for (int i = 0; i < SHARDS; i++)
+		close_server(&world->replicas[i]);
+	test_remove_file(world->start_file);
+	g_string_free(world->items, TRUE);
+	g_free(world->caller_address);
+	g_free(world->ready_address);
+	g_free(world);
+	return 0;
+}
+
+static struct raw_peer *ask(struct world *world, const char *line)
+{
+	struct raw_peer *caller = raw_connect(world->caller_address);
+	char *text = g_strdup_printf("%s HTTP/1.1\r\nHost: h\r\n"
+				     "Request-Id: id1\r\nDeadline-Ms: 4000\r\n"
+				     "Content-Length: 0\r\n\r\n",
+				     line);
+
+	raw_send(caller, text);
+	g_free(text);
+	return caller;
+}
+
+static void test_search(void **state)
+{
+	struct world *world = *state;
+	struct raw_peer *caller = ask(world, "GET /all/x");
+
+	raw_expect(caller, "ccccccccccccccccbbbbbbbbbbbbbbbb");
+	assert_non_null(strstr(caller->in->str, "HTTP/1.1 200 OK"));
+	assert_non_null(strstr(caller->in->str, "Part-Seals: "));
+	assert_null(strstr(caller->in->str, "Missing-Parts"));
+	assert_int_equal(world->runs, SHARDS);
+	raw_drop(caller);
+}
+
+static void test_forwarded_request(void **state)
+{
+	struct world *world = *state;
+	struct raw_peer *caller = ask(world, "POST /one/x");
+
+	raw_expect(caller, "aaaaaaaaaaaaaaaa");
+	assert_non_null(strstr(caller->in->str, "Response-Seal: seal0"));
+	raw_drop(caller);
+}
+
+/* A new version is in force as soon as the store tells of it. */
+static void test_new_configuration(void **state)
+{
+	struct world *world = *state;
+	char *config = config_of(8, "/new/");
+	struct raw_peer *caller = ask(world, "GET /new/x");
+
+	raw_expect(caller, "HTTP/1.1 404 ");
+	raw_drop(caller);
+	answer_watch(world, "op/config", config);
+	raw_turn_until(&world->watches, 2);
+	caller = ask(world, "GET /new/x");
+	raw_expect(caller, "cccccccccccccccc");
+	raw_drop(caller);
+	g_free(config);
+}
+
+/* A draining replica gets nothing more: its part is lacking, and told so. */
+static void test_draining_replica(void **state)
+{
+	struct world *world = *state;
+	struct raw_peer *caller;
+
+	answer_watch(world, "servers/i-2",
+		     "{\"service\":\"s2\",\"address\":\"127.0.0.1:1\","
+		     "\"zone\":\"a\",\"slots\":2,\"state\":\"draining\"}");
+	raw_turn_until(&world->watches, 2);
+	caller = ask(world, "GET /all/x");
+	raw_expect(caller, "Missing-Parts: 1\r\n");
+	assert_int_equal(world->runs, 2);
+	raw_drop(caller);
+}
+
+static bool is_ready(struct world *world)
+{
+	struct raw_peer *asker = raw_connect(world->ready_address);
+	bool ready;
+
+	raw_send(asker, "GET /v1/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+	raw_expect(asker, "\r\n\r\n");
+	ready = strstr(asker->in->str, "HTTP/1.1 200") != NULL;
+	raw_drop(asker);
+	return ready;
+}
+
+/*
+ * Story: the platform stops an instance while a reservation runs and callers
+ * still come.  It says at once that it is not ready, serves them all, and
+ * ends by itself.
+ */
+static void test_stop_cuts_nobody_off(void **state)
+{
+	struct world *world = *state;
+	struct raw_peer *busy;
+	struct raw_peer *late;
+
+	assert_true(is_ready(world));
+	world->hold = true;
+	busy = ask(world, "POST /one/x");
+	raw_turn_until(&world->runs, 1);
+	test_signal_process(world->gateway, SIGTERM);
+	while (is_ready(world))
+		raw_turn_for(1000);
+	world->hold = false;
+	late = ask(world, "GET /all/x");
+	raw_expect(late, "Connection: close\r\n");
+	raw_expect(late, "cccccccccccccccc");
+	for (guint i = 0; i < world->replicas[0].connections->len; i++) {
+		struct test_connection *connection = g_ptr_array_index(
+			world->replicas[0].connections, i);
+
+		if (connection->busy)
+			answer_run(connection);
+	}
+	raw_expect(busy, "aaaaaaaaaaaaaaaa");
+	raw_drop(busy);
+	raw_drop(late);
+	assert_int_equal(test_wait_process(world->gateway), 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_search, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_forwarded_request, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_new_configuration, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_draining_replica, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(test_stop_cuts_nobody_off,
+						set_up, tear_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
