--- a/tests/test-explain.c
+++ b/tests/test-explain.c
@@ -129,8 +129,8 @@
 
 static void test_cut_logs(void **state)
 {
-	static const char *const words[] = { "is not in these lines",
-					     "i-1", NULL };
+	static const char *const words[] = { "is not in these lines", "i-1",
+					     NULL };
 	struct tool_run *run = explain("cut1");
 
 	assert_non_null(strstr(run->err, "are no log lines"));
--- a/tests/test-process-gateway.c
+++ b/tests/test-process-gateway.c
@@ -109,10 +109,10 @@
 {
 	struct world *world = connection->server->data;
 	long shard = connection->server - world->replicas;
-	char *extra = g_strdup_printf("Response-Seal: seal%ld\r\n"
-				      "Request-Id: %s\r\n",
-				      shard,
-				      test_header(connection, "request-id"));
+	char *extra =
+		g_strdup_printf("Response-Seal: seal%ld\r\n"
+				"Request-Id: %s\r\n",
+				shard, test_header(connection, "request-id"));
 	char body[17];
 
 	memset(body, (char)('a' + shard), 16);
@@ -174,8 +174,7 @@
 		"instance: gw-1\nzone: a\ncaller_address: \"%s\"\n"
 		"ready_address: \"%s\"\nstore_address: \"127.0.0.1:%u\"\n"
 		"stop_timeout_ms: 6000\n",
-		world->caller_address, world->ready_address,
-		world->store.port);
+		world->caller_address, world->ready_address, world->store.port);
 	const char *arguments[] = { "--settings", NULL, NULL };
 
 	world->start_file = test_write_file(text);
@@ -342,8 +341,8 @@
 	raw_expect(late, "Connection: close\r\n");
 	raw_expect(late, "cccccccccccccccc");
 	for (guint i = 0; i < world->replicas[0].connections->len; i++) {
-		struct test_connection *connection = g_ptr_array_index(
-			world->replicas[0].connections, i);
+		struct test_connection *connection =
+			g_ptr_array_index(world->replicas[0].connections, i);
 
 		if (connection->busy)
 			answer_run(connection);
--- a/tests/test-trail.c
+++ b/tests/test-trail.c
@@ -40,7 +40,8 @@
 {
 	GString *out = g_string_new(NULL);
 	struct rr_context_options options = {
-		.log = { .write = keep_line, .data = out,
+		.log = { .write = keep_line,
+			 .data = out,
 			 .max_level = RR_LOG_INFO },
 	};
 	struct rr_context *ctx = rr_new_context(&options);
