--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -370,19 +370,50 @@
 	return g_string_free(out, FALSE);
 }
 
+static char *make_gateway_file(struct slot *slot)
+{
+	GString *out = g_string_new(NULL);
+
+	put(out, slot, RR_IN_GATEWAY, "", "instance", "i");
+	put(out, slot, RR_IN_GATEWAY, "", "zone", "z");
+	put(out, slot, RR_IN_GATEWAY, "", "caller_address", "10.0.0.1:0");
+	put(out, slot, RR_IN_GATEWAY, "", "ready_address", "10.0.0.1:0");
+	put(out, slot, RR_IN_GATEWAY, "", "store_address", "10.0.0.1:1");
+	if (slot->scope == RR_IN_GATEWAY_LOG) {
+		g_string_append(out, "log:\n");
+		put_rest(out, slot, RR_IN_GATEWAY_LOG, "  ");
+	}
+	put_rest(out, slot, RR_IN_GATEWAY, "");
+	return g_string_free(out, FALSE);
+}
+
+static char *make_file(struct slot *slot)
+{
+	if (slot->scope >= RR_IN_GATEWAY)
+		return make_gateway_file(slot);
+	return slot->scope >= RR_IN_START ? make_start_file(slot) :
+					    make_site_file(slot);
+}
+
 /* Whether a file with that value is accepted; the fault must name the key. */
 static bool accepts(const struct rr_setting *setting, const char *value)
 {
 	struct slot slot = { setting->scope, setting->name, value, false };
 	bool start = setting->scope >= RR_IN_START;
-	char *text = start ? make_start_file(&slot) : make_site_file(&slot);
+	char *text = make_file(&slot);
 	struct rr_source source = source_of("file", text);
 	GPtrArray *faults = new_faults();
 	bool accepted;
 	bool named = false;
 
 	assert_true(slot.used);
-	if (start) {
+	if (setting->scope >= RR_IN_GATEWAY) {
+		struct rr_gateway_settings *settings =
+			rr_parse_gateway_settings(&source, faults);
+
+		accepted = settings != NULL;
+		rr_drop_gateway_settings(settings);
+	} else if (start) {
 		struct rr_start_settings *settings =
 			rr_parse_start_settings(&source, faults);
 
