tests: one queue of events in virtual time

Change: support/event-queue.h serves all four and tells when the next event is due. fake-carrier.c keeps the world, fake-actions.c has what the core's actions lead to. No test is touched.

--- a/tests/support/event-queue.c
+++ b/tests/support/event-queue.c
@@ -24,8 +24,10 @@
 	return g_new0(struct event_queue, 1);
 }
 
-void drop_event_queue(struct event_queue *queue)
+void drop_event_queue(struct event_queue *queue, void (*free_data)(void *data))
 {
+	for (size_t i = 0; free_data && i < queue->length; i++)
+		free_data(queue->heap[i].data);
 	g_free(queue->heap);
 	g_free(queue);
 }
@@ -87,6 +89,11 @@
 	}
 }
 
+int64_t next_event_us(const struct event_queue *queue)
+{
+	return queue->length ? queue->heap[0].at_us : INT64_MAX;
+}
+
 bool run_next_event(struct event_queue *queue, int64_t *now_us, void *context)
 {
 	struct event event;
@@ -96,7 +103,7 @@
 	event = *event_at(queue, 0);
 	swap_events(queue, 0, --queue->length);
 	sink_first(queue);
-	*now_us = event.at_us;
+	*now_us = MAX(*now_us, event.at_us);
 	event.run(context, event.data);
 	return true;
 }
--- a/tests/support/event-queue.h
+++ b/tests/support/event-queue.h
@@ -11,12 +11,18 @@
 struct event_queue;
 
 struct event_queue *new_event_queue(void);
-void drop_event_queue(struct event_queue *queue);
+/* Free the data of each event left; `free_data` NULL: it is left alone. */
+void drop_event_queue(struct event_queue *queue, void (*free_data)(void *data));
 
 /* Call `run(context, data)` at a time; `run` owns the data. */
 void push_event(struct event_queue *queue, int64_t at_us,
 		void (*run)(void *context, void *data), void *data);
-/* Set *now_us to the next event's time and run it; false if there is none. */
+/* When the next event is due; INT64_MAX for none. */
+int64_t next_event_us(const struct event_queue *queue);
+/*
+ * Move *now_us on to the next event's time, unless it is past, and run it;
+ * false if there is none.
+ */
 bool run_next_event(struct event_queue *queue, int64_t *now_us, void *context);
 
 #endif
--- /dev/null
+++ b/tests/support/fake-actions.c
@@ -0,0 +1,417 @@
+/*
+ * fake-actions.c - what the core's actions lead to: replies of replicas, of
+ * the store and of other instances.
+ */
+#include "support/fake-private.h"
+
+#include <string.h>
+
+#include "ragwort/wire.h"
+
+#define KEYS_PER_ROW 10
+
+struct fake_value {
+	GBytes *bytes;
+	uint64_t revision;
+};
+
+/* What reaches an instance. */
+struct event {
+	struct fake_instance *instance;
+	struct rr_reply reply;
+	struct rr_key_range range;
+	struct rr_health health;
+	struct rr_store_reply store;
+	struct rr_peer_message *message;
+	char *text; /* kept for the reply's pointers */
+};
+
+void fake_free_event(void *data)
+{
+	struct event *event = data;
+
+	rr_drop_rows(event->reply.rows);
+	rr_drop_peer_message(event->message);
+	g_free(event->text);
+	g_free(event);
+}
+
+static void run_reply(void *context, void *data)
+{
+	struct fake_world *world = context;
+	struct event *event = data;
+	struct fake_instance *to = event->instance;
+
+	if (to->core)
+		rr_core_reply(to->ctx, to->core, world->now_us, &event->reply);
+	fake_free_event(event);
+}
+
+static void run_health(void *context, void *data)
+{
+	struct fake_world *world = context;
+	struct event *event = data;
+	struct fake_instance *to = event->instance;
+
+	if (to->core)
+		rr_core_health(to->ctx, to->core, world->now_us,
+			       &event->health);
+	fake_free_event(event);
+}
+
+static void run_store_reply(void *context, void *data)
+{
+	struct fake_world *world = context;
+	struct event *event = data;
+	struct fake_instance *to = event->instance;
+
+	if (to->core)
+		rr_core_store_reply(to->ctx, to->core, world->now_us,
+				    &event->store);
+	fake_free_event(event);
+}
+
+static void run_message(void *context, void *data)
+{
+	struct fake_world *world = context;
+	struct event *event = data;
+	struct fake_instance *to = event->instance;
+
+	if (to->core)
+		rr_core_peer(to->ctx, to->core, world->now_us,
+			     fake_wall_us(world), event->message);
+	fake_free_event(event);
+}
+
+static struct event *add_event(struct fake_instance *instance,
+			       void (*run)(void *context, void *data),
+			       int64_t delay_us)
+{
+	struct fake_world *world = instance->world;
+	struct event *event = g_new0(struct event, 1);
+
+	event->instance = instance;
+	push_event(world->events, world->now_us + delay_us, run, event);
+	return event;
+}
+
+static struct rr_rows *make_rows(const struct fake_replica *replica,
+				 const struct rr_attempt *attempt,
+				 uint64_t version, bool *more)
+{
+	struct rr_rows *rows = rr_new_rows();
+	uint64_t from = MAX(replica->range.from, attempt->key_from);
+	uint64_t to = MIN(replica->range.to, attempt->key_to);
+
+	*more = false;
+	for (uint64_t key = from; key < to; key++) {
+		char *json;
+
+		if (key % KEYS_PER_ROW)
+			continue;
+		if (rr_count_rows(rows) == attempt->row_limit) {
+			*more = true;
+			break;
+		}
+		json = g_strdup_printf("%" G_GUINT64_FORMAT, version);
+		rr_append_row(rows, key, json, strlen(json));
+		g_free(json);
+	}
+	return rows;
+}
+
+static void run_reservation(struct fake_replica *replica,
+			    const struct rr_attempt *attempt)
+{
+	const char *id = attempt->idempotency_key;
+	int runs = GPOINTER_TO_INT(g_hash_table_lookup(replica->runs, id));
+
+	g_hash_table_insert(replica->runs, g_strdup(id),
+			    GINT_TO_POINTER(runs + 1));
+}
+
+static bool holds_version(const struct fake_replica *replica, uint64_t version)
+{
+	return !version ||
+	       (version >= replica->oldest && version <= replica->newest);
+}
+
+static void fill_refusal(struct event *event,
+			 const struct fake_replica *replica)
+{
+	event->reply.status = replica->mode == FAKE_SHED ? RR_REPLY_SHED :
+			      replica->mode == FAKE_DRAINING ?
+							   RR_REPLY_DRAINING :
+							   RR_REPLY_REFUSED;
+	event->reply.retry_after_ms = replica->retry_after_ms;
+}
+
+static void fill_ok(struct event *event, struct fake_replica *replica,
+		    const struct rr_attempt *attempt)
+{
+	uint64_t version = attempt->version;
+
+	if (!version || replica->mode == FAKE_WRONG_VERSION)
+		version = replica->newest;
+	event->reply.status = RR_REPLY_OK;
+	event->reply.version = version;
+	event->reply.state = replica->state;
+	event->reply.rows =
+		make_rows(replica, attempt, version, &event->reply.more);
+	event->reply.row_count = (uint32_t)rr_count_rows(event->reply.rows);
+	event->range = replica->range;
+	event->reply.ranges = &event->range;
+	event->reply.n_ranges = 1;
+	event->reply.end_mark = replica->mode != FAKE_CUT;
+	if (attempt->kind != RR_RESERVE)
+		return;
+	run_reservation(replica, attempt);
+	event->text = g_strdup_printf("{\"by\":\"%s\"}", replica->id);
+	event->reply.result = event->text;
+	event->reply.result_length = strlen(event->text);
+}
+
+static void send_attempt(void *data, const struct rr_attempt *attempt)
+{
+	struct fake_instance *instance = data;
+	struct fake_replica *replica =
+		fake_replica(instance->world, attempt->replica);
+	struct event *event;
+
+	replica->attempts++;
+	if (replica->mode == FAKE_HANG)
+		return;
+	event = add_event(instance, run_reply, replica->latency_us);
+	event->reply.attempt_id = attempt->id;
+	event->reply.load = -1;
+	event->reply.oldest_version = replica->oldest;
+	event->reply.newest_version = replica->newest;
+	event->reply.map_epoch = 1;
+	if (replica->mode == FAKE_SHED || replica->mode == FAKE_REFUSE ||
+	    replica->mode == FAKE_DOWN || replica->mode == FAKE_DRAINING) {
+		fill_refusal(event, replica);
+	} else if (replica->mode == FAKE_NO_VERSION ||
+		   (replica->mode == FAKE_OK &&
+		    !holds_version(replica, attempt->version))) {
+		event->reply.status = RR_REPLY_NO_VERSION;
+	} else if (replica->mode == FAKE_LOSE) {
+		event->reply.status = RR_REPLY_LOST;
+		if (attempt->kind == RR_RESERVE)
+			run_reservation(replica, attempt);
+	} else {
+		fill_ok(event, replica, attempt);
+	}
+}
+
+static void cancel_attempt(void *data, uint64_t attempt_id)
+{
+	struct fake_instance *instance = data;
+	GHashTableIter iter;
+	gpointer value;
+
+	(void)attempt_id;
+	g_hash_table_iter_init(&iter, instance->world->replicas);
+	if (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct fake_replica *)value)->cancelled++;
+}
+
+static void copy_rows(const struct rr_answer *answer, struct fake_answer *copy)
+{
+	for (size_t i = 0; i < answer->n_rows; i++) {
+		const struct rr_answer_row *row = &answer->rows[i];
+		uint64_t key = rr_row_key(row->rows, row->index);
+		size_t length;
+		const char *json = rr_row_json(row->rows, row->index, &length);
+		char *text = g_strndup(json, length);
+		uint64_t version = g_ascii_strtoull(text, NULL, 10);
+
+		g_array_append_val(copy->keys, key);
+		g_array_append_val(copy->versions, version);
+		g_free(text);
+	}
+}
+
+static void copy_lists(const struct rr_answer *answer, struct fake_answer *copy)
+{
+	for (size_t i = 0; i < answer->n_covered; i++)
+		g_ptr_array_add(copy->covered, g_strdup(answer->covered[i]));
+	for (size_t i = 0; i < answer->n_lacking; i++) {
+		const struct rr_lacking *lacking = &answer->lacking[i];
+
+		g_ptr_array_add(
+			copy->lacking,
+			g_strdup_printf("%s:%s", lacking->shard,
+					rr_lack_reason_name(lacking->reason)));
+	}
+}
+
+static void take_answer(void *data, const struct rr_answer *answer)
+{
+	struct fake_instance *instance = data;
+	struct fake_answer *copy = g_new0(struct fake_answer, 1);
+
+	copy->query_id = answer->query_id;
+	copy->outcome = answer->outcome;
+	copy->reason = g_strdup(answer->reason);
+	copy->version = answer->index_version;
+	copy->keys = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	copy->versions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	copy->covered = g_ptr_array_new_with_free_func(g_free);
+	copy->lacking = g_ptr_array_new_with_free_func(g_free);
+	copy->result = g_strdup(answer->result);
+	copy->cursor = g_strdup(answer->next_cursor);
+	copy->replayed = answer->replayed;
+	copy->rows_cut = answer->rows_cut;
+	copy->retry_after_ms = answer->retry_after_ms;
+	copy->attempts = answer->attempts;
+	copy->at_us = instance->world->now_us;
+	copy_rows(answer, copy);
+	copy_lists(answer, copy);
+	g_ptr_array_add(instance->answers, copy);
+}
+
+static struct fake_instance *find_instance(struct fake_world *world,
+					   const char *name)
+{
+	for (guint i = 0; name && i < world->instances->len; i++) {
+		struct fake_instance *instance =
+			g_ptr_array_index(world->instances, i);
+
+		if (instance->core && !strcmp(instance->name, name))
+			return instance;
+	}
+	return NULL;
+}
+
+/* Messages go by the wire's codec, as they do between processes. */
+static void send_peer(void *data, const char *instance, const char *address,
+		      const struct rr_peer_message *message)
+{
+	struct fake_instance *from = data;
+	struct fake_instance *to = find_instance(from->world, instance);
+	struct event *event;
+	GError *error = NULL;
+	GBytes *bytes;
+	size_t length;
+	const uint8_t *raw;
+
+	(void)address;
+	from->messages[message->kind]++;
+	if (!to || to->cut || from->cut)
+		return;
+	bytes = rr_encode_peer_message(message);
+	raw = g_bytes_get_data(bytes, &length);
+	event = add_event(to, run_message, from->world->link_us);
+	event->message = rr_decode_peer_message(raw, length, &error);
+	if (!event->message)
+		g_error("%s", error->message);
+	g_bytes_unref(bytes);
+}
+
+static void poll_health(void *data, const char *replica, const char *address)
+{
+	struct fake_instance *instance = data;
+	struct fake_replica *polled = fake_replica(instance->world, replica);
+	struct event *event;
+
+	(void)address;
+	polled->polls++;
+	if (polled->no_health)
+		return;
+	event = add_event(instance, run_health, FAKE_MS);
+	event->health = (struct rr_health){
+		.replica = polled->id,
+		.reachable = polled->mode != FAKE_DOWN,
+		.state = polled->state,
+		.load = -1,
+		.oldest_version = polled->oldest,
+		.newest_version = polled->newest,
+		.map_epoch = 1,
+	};
+}
+
+static void want_record(void *data, const char *record, size_t length)
+{
+	struct fake_instance *instance = data;
+
+	(void)length;
+	instance->record_wanted = g_ascii_strtoull(record, NULL, 10);
+}
+
+void fake_free_value(gpointer data)
+{
+	struct fake_value *value = data;
+
+	g_bytes_unref(value->bytes);
+	g_free(value);
+}
+
+/* A silent store's calls are given up by its adapter after a second. */
+static struct event *start_store_reply(struct fake_instance *instance,
+				       uint64_t call_id)
+{
+	const struct fake_world *world = instance->world;
+	int64_t delay_us =
+		world->store_silent ? G_USEC_PER_SEC : world->store_us;
+	struct event *event = add_event(instance, run_store_reply, delay_us);
+
+	event->store.call_id = call_id;
+	event->store.status = RR_STORE_OK;
+	if (world->store_silent)
+		event->store.status = RR_STORE_UNKNOWN;
+	else if (world->store_down)
+		event->store.status = RR_STORE_UNAVAILABLE;
+	return event;
+}
+
+static void store_get(void *data, uint64_t call_id, const char *key)
+{
+	struct fake_instance *instance = data;
+	struct fake_value *value =
+		g_hash_table_lookup(instance->world->values, key);
+	struct event *event = start_store_reply(instance, call_id);
+
+	if (!value || event->store.status != RR_STORE_OK)
+		return;
+	event->text = g_memdup2(g_bytes_get_data(value->bytes, NULL),
+				g_bytes_get_size(value->bytes));
+	event->store.value = event->text;
+	event->store.length = g_bytes_get_size(value->bytes);
+	event->store.revision = value->revision;
+}
+
+/* A silent store does what it is asked; only its reply is lost. */
+static void store_swap(void *data, uint64_t call_id, const char *key,
+		       uint64_t revision, const char *text, size_t length)
+{
+	struct fake_instance *instance = data;
+	struct fake_world *world = instance->world;
+	struct fake_value *value = g_hash_table_lookup(world->values, key);
+	uint64_t present = value ? value->revision : 0;
+	struct event *event = start_store_reply(instance, call_id);
+
+	if (event->store.status == RR_STORE_UNAVAILABLE)
+		return;
+	if (present != revision) {
+		if (event->store.status == RR_STORE_OK)
+			event->store.status = RR_STORE_CONFLICT;
+		return;
+	}
+	value = g_new0(struct fake_value, 1);
+	value->bytes = g_bytes_new(text, length);
+	value->revision = present + 1;
+	g_hash_table_insert(world->values, g_strdup(key), value);
+	event->store.revision = value->revision;
+}
+
+struct rr_core_actions fake_actions(struct fake_instance *instance)
+{
+	return (struct rr_core_actions){ send_attempt, cancel_attempt, take_answer,
+				    send_peer,	  poll_health,	  want_record,
+				    instance };
+}
+
+struct rr_store_port fake_store_actions(struct fake_instance *instance)
+{
+	return (struct rr_store_port){ store_get, store_swap, instance };
+}
--- a/tests/support/fake-carrier.h
+++ b/tests/support/fake-carrier.h
@@ -9,6 +9,7 @@
 
 #include "ragwort/core.h"
 #include "ragwort/counters.h"
+#include "support/event-queue.h"
 
 #define FAKE_MS 1000
 /* Wall-clock time of the world's start. */
@@ -80,13 +81,12 @@
 	int64_t now_us;
 	GPtrArray *instances;
 	GHashTable *replicas; /* id -> struct fake_replica */
-	GQueue events;	      /* by time */
-	GHashTable *values;   /* store: key -> struct fake_value */
-	bool store_down;      /* proof: never reached */
-	bool store_silent;    /* does it, and the reply is lost */
+	struct event_queue *events;
+	GHashTable *values; /* store: key -> struct fake_value */
+	bool store_down;    /* proof: never reached */
+	bool store_silent;  /* does it, and the reply is lost */
 	int64_t store_us;
 	int64_t link_us;
-	uint64_t next_order;
 	uint32_t seed;
 };
 
--- a/tests/support/fake-store.c
+++ b/tests/support/fake-store.c
@@ -1,7 +1,7 @@
 /*
  * fake-store.c - the platform's key-value service in memory.
  */
-#include "fake-store.h"
+#include "support/fake-store.h"
 
 #include <string.h>
 
@@ -11,16 +11,10 @@
 	uint64_t revision;
 };
 
-enum event_kind { EVENT_EFFECT, EVENT_REPLY };
-
-/* One call on its way; the effect event hands it on to the reply event. */
-struct event {
-	int64_t due_us;
-	uint64_t order;
-	enum event_kind kind;
+/* One call on its way: it takes effect, then its reply goes back. */
+struct call {
 	struct fake_client *client;
 	bool write;
-	bool silent; /* the effect gives no reply */
 	char *key;
 	char *bytes;
 	size_t length;
@@ -39,13 +33,13 @@
 	g_free(value);
 }
 
-static void free_event(gpointer data)
+static void free_call(void *data)
 {
-	struct event *event = data;
+	struct call *call = data;
 
-	g_free(event->key);
-	g_free(event->bytes);
-	g_free(event);
+	g_free(call->key);
+	g_free(call->bytes);
+	g_free(call);
 }
 
 struct fake_store *new_fake_store(uint32_t seed)
@@ -55,7 +49,7 @@
 	store->random = g_rand_new_with_seed(seed);
 	store->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      free_value);
-	store->events = g_sequence_new(free_event);
+	store->events = new_event_queue();
 	store->min_delay_us = 1000;
 	store->max_delay_us = 2500;
 	return store;
@@ -65,26 +59,10 @@
 {
 	g_rand_free(store->random);
 	g_hash_table_destroy(store->values);
-	g_sequence_free(store->events);
+	drop_event_queue(store->events, free_call);
 	g_free(store);
 }
 
-static int compare_events(gconstpointer a, gconstpointer b, gpointer data)
-{
-	const struct event *first = a;
-	const struct event *second = b;
-
-	if (first->due_us != second->due_us)
-		return first->due_us < second->due_us ? -1 : 1;
-	return first->order < second->order ? -1 : 1;
-}
-
-static void add_event(struct fake_store *store, struct event *event)
-{
-	event->order = store->last_event++;
-	g_sequence_insert_sorted(store->events, event, compare_events, NULL);
-}
-
 static int64_t draw_delay_us(struct fake_store *store)
 {
 	return g_rand_int_range(store->random, (gint32)store->min_delay_us,
@@ -118,20 +96,72 @@
 	return *free_us;
 }
 
-static void add_silent_effect(struct fake_store *store,
-			      const struct event *call, int64_t due_us)
+static void take_effect(struct fake_store *store, struct call *call)
+{
+	struct fake_value *value =
+		g_hash_table_lookup(store->values, call->key);
+	uint64_t revision = value ? value->revision : 0;
+
+	call->status = RR_STORE_OK;
+	call->revision = revision;
+	if (call->write && call->compare != revision) {
+		store->conflicts++;
+		call->status = RR_STORE_CONFLICT;
+	} else if (call->write) {
+		poke_fake_value(store, call->key, call->bytes, call->length);
+		call->revision = revision + 1;
+	} else if (value) {
+		call->found = true;
+		call->bytes = g_memdup2(value->bytes, value->length);
+		call->length = value->length;
+	}
+}
+
+static void run_reply(void *context, void *data)
+{
+	struct call *call = data;
+	const struct rr_store_reply reply = {
+		.call_id = call->call_id,
+		.status = call->status,
+		.value = call->found ? call->bytes : NULL,
+		.length = call->found ? call->length : 0,
+		.revision = call->revision,
+	};
+
+	(void)context;
+	if (call->client->reply)
+		call->client->reply(call->client->data, &reply);
+	free_call(call);
+}
+
+static void run_effect(void *context, void *data)
+{
+	struct fake_store *store = context;
+	struct call *call = data;
+
+	take_effect(store, call);
+	push_event(store->events, store->now_us + draw_delay_us(store),
+		   run_reply, call);
+}
+
+/* The effect of a call whose reply is lost. */
+static void run_silent_effect(void *context, void *data)
+{
+	take_effect(context, data);
+	free_call(data);
+}
+
+static void add_silent_effect(struct fake_store *store, const struct call *call,
+			      int64_t due_us)
 {
-	struct event *effect = g_memdup2(call, sizeof(*call));
+	struct call *effect = g_memdup2(call, sizeof(*call));
 
 	effect->key = g_strdup(call->key);
 	effect->bytes = g_memdup2(call->bytes, call->length);
-	effect->kind = EVENT_EFFECT;
-	effect->silent = true;
-	effect->due_us = due_us;
-	add_event(store, effect);
+	push_event(store->events, due_us, run_silent_effect, effect);
 }
 
-static void add_call(struct fake_client *client, struct event *call)
+static void add_call(struct fake_client *client, struct call *call)
 {
 	struct fake_store *store = client->store;
 	enum fake_fate fate = draw_fate(store, call->write);
@@ -139,13 +169,14 @@
 	int64_t late_us = store->late_us;
 
 	call->client = client;
-	call->kind = EVENT_REPLY;
 	call->status = RR_STORE_UNKNOWN;
-	call->due_us = arrival_us;
 	if (fate == FAKE_OK) {
-		call->kind = EVENT_EFFECT;
-		call->due_us = find_turn_us(store, call->write, arrival_us);
-	} else if (fate == FAKE_UNAVAILABLE) {
+		push_event(store->events,
+			   find_turn_us(store, call->write, arrival_us),
+			   run_effect, call);
+		return;
+	}
+	if (fate == FAKE_UNAVAILABLE) {
 		call->status = RR_STORE_UNAVAILABLE;
 	} else if (call->write && fate == FAKE_LOST_AFTER_EFFECT) {
 		add_silent_effect(store, call, arrival_us);
@@ -155,13 +186,13 @@
 						 0.9 * (double)late_us);
 		add_silent_effect(store, call, arrival_us + late_us);
 	}
-	add_event(store, call);
+	push_event(store->events, arrival_us, run_reply, call);
 }
 
 static void fake_get(void *data, uint64_t call_id, const char *key)
 {
 	struct fake_client *client = data;
-	struct event *call = g_new0(struct event, 1);
+	struct call *call = g_new0(struct call, 1);
 
 	client->store->reads++;
 	call->call_id = call_id;
@@ -173,7 +204,7 @@
 		      uint64_t revision, const char *value, size_t length)
 {
 	struct fake_client *client = data;
-	struct event *call = g_new0(struct event, 1);
+	struct call *call = g_new0(struct call, 1);
 
 	client->store->writes++;
 	client->store->bytes_written += length;
@@ -193,74 +224,12 @@
 
 int64_t fake_store_due_us(const struct fake_store *store)
 {
-	GSequenceIter *first = g_sequence_get_begin_iter(store->events);
-	const struct event *event;
-
-	if (g_sequence_iter_is_end(first))
-		return INT64_MAX;
-	event = g_sequence_get(first);
-	return event->due_us;
-}
-
-static void take_effect(struct fake_store *store, struct event *event)
-{
-	struct fake_value *value =
-		g_hash_table_lookup(store->values, event->key);
-	uint64_t revision = value ? value->revision : 0;
-
-	event->status = RR_STORE_OK;
-	event->revision = revision;
-	if (event->write && event->compare != revision) {
-		store->conflicts++;
-		event->status = RR_STORE_CONFLICT;
-	} else if (event->write) {
-		poke_fake_value(store, event->key, event->bytes, event->length);
-		event->revision = revision + 1;
-	} else if (value) {
-		event->found = true;
-		event->bytes = g_memdup2(value->bytes, value->length);
-		event->length = value->length;
-	}
-}
-
-static void give_reply(struct event *event)
-{
-	const struct rr_store_reply reply = {
-		.call_id = event->call_id,
-		.status = event->status,
-		.value = event->found ? event->bytes : NULL,
-		.length = event->found ? event->length : 0,
-		.revision = event->revision,
-	};
-
-	if (event->client->reply)
-		event->client->reply(event->client->data, &reply);
+	return next_event_us(store->events);
 }
 
 void run_fake_event(struct fake_store *store)
 {
-	GSequenceIter *first = g_sequence_get_begin_iter(store->events);
-	struct event *event = g_sequence_get(first);
-	struct event *copy = g_memdup2(event, sizeof(*event));
-
-	/* Emptied, so that removing it frees nothing of the copy. */
-	event->key = NULL;
-	event->bytes = NULL;
-	g_sequence_remove(first);
-	store->now_us = MAX(store->now_us, copy->due_us);
-	if (copy->kind == EVENT_REPLY) {
-		give_reply(copy);
-		free_event(copy);
-		return;
-	}
-	take_effect(store, copy);
-	if (copy->silent) {
-		free_event(copy);
-		return;
-	}
-	copy->kind = EVENT_REPLY;
-	copy->due_us = store->now_us + draw_delay_us(store);
-	add_event(store, copy);
+	run_next_event(store->events, &store->now_us, store);
 }
 
 const char *peek_fake_value(struct fake_store *store, const char *key,
--- a/tests/support/fake-store.h
+++ b/tests/support/fake-store.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "ragwort/store.h"
+#include "support/event-queue.h"
 
 /* What becomes of a call. */
 enum fake_fate {
@@ -45,8 +46,7 @@
 
 	GRand *random;
 	GHashTable *values;
-	GSequence *events;
-	uint64_t last_event;
+	struct event_queue *events;
 	int64_t write_free_us;
 	int64_t read_free_us;
 };
--- a/tests/support/member-net.c
+++ b/tests/support/member-net.c
@@ -11,59 +11,25 @@
 /* A tick of a node or a message on its way. */
 struct net_event {
 	int64_t at_us;
-	uint64_t order; /* among events of one time: as they were made */
 	guint node;
 	GBytes *bytes; /* NULL: a tick */
 	guint from;
 };
 
-static bool before(const struct net_event *a, const struct net_event *b)
+static void free_event(void *data)
 {
-	if (a->at_us != b->at_us)
-		return a->at_us < b->at_us;
-	return a->order < b->order;
-}
+	struct net_event *event = data;
 
-static struct net_event *event_at(GArray *queue, guint i)
-{
-	return &g_array_index(queue, struct net_event, i);
+	g_bytes_unref(event->bytes);
+	g_free(event);
 }
 
-static void push_event(struct member_net *net, struct net_event event)
-{
-	guint at = net->queue->len;
+static void run_event(void *context, void *data);
 
-	event.order = net->next_order++;
-	g_array_append_val(net->queue, event);
-	while (at > 0 && before(&event, event_at(net->queue, (at - 1) / 2))) {
-		*event_at(net->queue, at) = *event_at(net->queue, (at - 1) / 2);
-		at = (at - 1) / 2;
-	}
-	*event_at(net->queue, at) = event;
-}
-
-static struct net_event pop_event(struct member_net *net)
+static void add_event(struct member_net *net, const struct net_event *event)
 {
-	GArray *queue = net->queue;
-	struct net_event first = *event_at(queue, 0);
-	struct net_event last = *event_at(queue, queue->len - 1);
-	guint at = 0;
-
-	g_array_set_size(queue, queue->len - 1);
-	while (2 * at + 1 < queue->len) {
-		guint child = 2 * at + 1;
-
-		if (child + 1 < queue->len &&
-		    before(event_at(queue, child + 1), event_at(queue, child)))
-			child++;
-		if (before(&last, event_at(queue, child)))
-			break;
-		*event_at(queue, at) = *event_at(queue, child);
-		at = child;
-	}
-	if (queue->len)
-		*event_at(queue, at) = last;
-	return first;
+	push_event(net->events, event->at_us, run_event,
+		   g_memdup2(event, sizeof(*event)));
 }
 
 struct member_net *new_member_net(uint32_t seed)
@@ -74,7 +40,7 @@
 	net->ctx = rr_new_context(&options);
 	net->random = g_rand_new_with_seed(seed + 1);
 	net->nodes = g_ptr_array_new();
-	net->queue = g_array_new(FALSE, FALSE, sizeof(struct net_event));
+	net->events = new_event_queue();
 	net->min_delay_us = 200;
 	net->max_delay_us = 3000;
 	net->now_us = NET_SECOND;
@@ -92,10 +58,8 @@
 		g_hash_table_unref(node->reached);
 		g_free(node);
 	}
-	for (guint i = 0; i < net->queue->len; i++)
-		g_bytes_unref(event_at(net->queue, i)->bytes);
+	drop_event_queue(net->events, free_event);
 	g_ptr_array_unref(net->nodes);
-	g_array_unref(net->queue);
 	g_rand_free(net->random);
 	rr_drop_context(net->ctx);
 	g_free(net);
@@ -167,7 +131,7 @@
 	if (g_rand_double(net->random) < net->loss)
 		return;
 	event.bytes = g_bytes_ref(bytes);
-	push_event(net, event);
+	add_event(net, &event);
 }
 
 static void send_message(void *data, const char *instance, const char *address,
@@ -210,14 +174,13 @@
 
 static void schedule(struct net_node *node)
 {
-	int64_t wake_us = rr_members_wake_us(node->members);
+	struct net_event tick = { .node = node->index };
 
-	wake_us = MAX(wake_us, node->net->now_us);
-	if (wake_us >= node->scheduled_us)
+	tick.at_us = MAX(rr_members_wake_us(node->members), node->net->now_us);
+	if (tick.at_us >= node->scheduled_us)
 		return;
-	node->scheduled_us = wake_us;
-	push_event(node->net,
-		   (struct net_event){ .at_us = wake_us, .node = node->index });
+	node->scheduled_us = tick.at_us;
+	add_event(node->net, &tick);
 }
 
 static void hint_others(struct net_node *node, guint n_hints)
@@ -288,25 +251,26 @@
 	rr_drop_peer_message(message);
 }
 
-static void handle_event(struct member_net *net, struct net_event event)
+static void run_event(void *context, void *data)
 {
-	struct net_node *node = node_at(net, event.node);
+	struct member_net *net = context;
+	struct net_event *event = data;
+	struct net_node *node = node_at(net, event->node);
 
 	if (node->members && node->paused_until_us > net->now_us) {
 		/* It lies in the socket until the process runs again. */
-		event.at_us = node->paused_until_us;
-		push_event(net, event);
+		event->at_us = node->paused_until_us;
+		push_event(net->events, event->at_us, run_event, event);
 		return;
 	}
-	if (!event.bytes && event.at_us >= node->scheduled_us)
+	if (!event->bytes && event->at_us >= node->scheduled_us)
 		node->scheduled_us = INT64_MAX;
-	if (node->members && event.bytes)
-		deliver(node, &event);
+	if (node->members && event->bytes)
+		deliver(node, event);
 	else if (node->members &&
 		 rr_members_wake_us(node->members) <= net->now_us)
 		rr_tick_members(net->ctx, node->members, net->now_us);
-	if (event.bytes)
-		g_bytes_unref(event.bytes);
+	free_event(event);
 	if (node->members)
 		schedule(node);
 }
@@ -315,12 +279,8 @@
 {
 	int64_t until_us = net->now_us + for_us;
 
-	while (net->queue->len && event_at(net->queue, 0)->at_us <= until_us) {
-		struct net_event event = pop_event(net);
-
-		net->now_us = MAX(net->now_us, event.at_us);
-		handle_event(net, event);
-	}
+	while (next_event_us(net->events) <= until_us)
+		run_next_event(net->events, &net->now_us, net);
 	net->now_us = until_us;
 }
 
--- a/tests/support/member-net.h
+++ b/tests/support/member-net.h
@@ -11,6 +11,7 @@
 #include <time.h>
 
 #include "ragwort/member.h"
+#include "support/event-queue.h"
 
 #define NET_SECOND INT64_C(1000000)
 
@@ -36,8 +37,7 @@
 	GRand *random;
 	int64_t now_us;
 	GPtrArray *nodes; /* struct net_node */
-	GArray *queue;	  /* a heap of struct net_event */
-	uint64_t next_order;
+	struct event_queue *events;
 	double loss;
 	double duplicates;
 	int64_t min_delay_us;
