--- /dev/null
+++ b/tests/support/caller-scene.h
@@ -0,0 +1,38 @@
+/*
+ * caller-scene.h - a callers' server whose requests the test answers itself.
+ */
+#ifndef TESTS_SUPPORT_CALLER_SCENE_H
+#define TESTS_SUPPORT_CALLER_SCENE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ragwort/net-caller.h"
+
+struct caller_scene {
+	struct rr_context *ctx;
+	struct rr_caller_port *port;
+	uint16_t number;
+	/* The last request, and how to answer it. */
+	struct rr_request request;
+	char *body;
+	char *service;
+	char *key;
+	uint32_t requests;
+	bool hold;
+	bool left;
+	struct rr_answer answer;
+};
+
+/* For cmocka: *state becomes a scene with a port for short bodies. */
+int caller_set_up(void **state);
+int caller_tear_down(void **state);
+
+/* A port of its own for the scene, in place of the one it has. */
+void caller_reopen(struct caller_scene *scene, uint32_t max_body_bytes,
+		   const char *token_file);
+/* Answer the request that is held; for g_idle_add() as well. */
+gboolean caller_answer(gpointer scene);
+
+#endif
--- a/tests/support/fake-actions.c
+++ b/tests/support/fake-actions.c
@@ -406,9 +406,10 @@
 
 struct rr_core_actions fake_actions(struct fake_instance *instance)
 {
-	return (struct rr_core_actions){ send_attempt, cancel_attempt, take_answer,
-				    send_peer,	  poll_health,	  want_record,
-				    instance };
+	return (struct rr_core_actions){ send_attempt, cancel_attempt,
+					 take_answer,  send_peer,
+					 poll_health,  want_record,
+					 instance };
 }
 
 struct rr_store_port fake_store_actions(struct fake_instance *instance)
--- a/tests/support/paths.c
+++ b/tests/support/paths.c
@@ -3,6 +3,13 @@
  */
 #include "support/paths.h"
 
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
 #include <glib.h>
 
 static char *find_build(void)
@@ -35,3 +42,14 @@
 	g_free(build);
 	return path;
 }
+
+void rr_assert_page(const char *name, const char *made)
+{
+	char *path = rr_source_path(name);
+	char *page = NULL;
+
+	assert_true(g_file_get_contents(path, &page, NULL, NULL));
+	assert_string_equal(page, made);
+	g_free(page);
+	g_free(path);
+}
--- a/tests/test-caller.c
+++ b/tests/test-caller.c
@@ -1,156 +1,23 @@
 /*
  * test-caller.c - callers' HTTP: requests checked, answers written, callers
- * that leave, tokens.
+ * that leave.
  */
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
-#include <string.h>
-#include <unistd.h>
-#include <libsoup/soup.h>
+
 #include <cmocka.h>
+#include <string.h>
 
-#include "ragwort/net-caller.h"
+#include "support/caller-scene.h"
 #include "support/process.h"
 
-/*
- * LeakSanitizer of gcc 12 crashes at exit in its walk over the thread-local
- * memory of the threads that the TLS library made; without this interceptor
- * it leaves that walk out.  Leaks are still looked for.
- */
-const char *__asan_default_options(void);
-
-const char *__asan_default_options(void)
-{
-	return "intercept_tls_get_addr=0";
-}
-
 #define SEARCH "/v1/services/counter-desk/search"
 #define RESERVE "/v1/services/counter-desk/reserve"
 /* The largest max_body_bytes that a start file may have. */
 #define LARGEST_BODY 8388608
 
-struct fixture {
-	struct rr_context *ctx;
-	struct rr_caller_port *port;
-	uint16_t number;
-	uint32_t max_body_bytes;
-	char *token_file;
-	/* The last request, and how to answer it. */
-	struct rr_request request;
-	char *body;
-	char *service;
-	char *key;
-	uint32_t requests;
-	bool hold;
-	bool left;
-	struct rr_answer answer;
-};
-
-static gboolean answer_later(gpointer data)
-{
-	struct fixture *f = data;
-
-	f->answer.query_id = f->requests;
-	rr_give_answer(f->ctx, f->port, &f->answer);
-	return G_SOURCE_REMOVE;
-}
-
-static uint64_t take_request(void *data, const struct rr_request *request)
-{
-	struct fixture *f = data;
-
-	g_free(f->body);
-	g_free(f->service);
-	g_free(f->key);
-	f->request = *request;
-	f->body = g_strdup(request->body);
-	f->service = g_strdup(request->service);
-	f->key = g_strdup(request->idempotency_key);
-	f->requests++;
-	f->answer.request_id = "id-1";
-	if (!f->hold)
-		g_idle_add(answer_later, f);
-	return f->requests;
-}
-
-static void take_leaver(void *data, uint64_t query_id)
-{
-	struct fixture *f = data;
-
-	assert_int_equal(query_id, f->requests);
-	f->left = true;
-}
-
-static bool tell_ready(void *data, const char **reason)
-{
-	*reason = "no configuration";
-	return false;
-}
-
-static void tell_status(void *data, GString *out)
-{
-	g_string_append(out, "{\"instance\":\"x\"}");
-}
-
-static struct rr_caller_port *listen_port(struct fixture *f,
-					  const char *token_file)
-{
-	struct rr_caller_port_options options = {
-		.address = "127.0.0.1:0",
-		.max_body_bytes = f->max_body_bytes,
-		.idle_ms = 60000,
-		.token_file = token_file,
-		.request = take_request,
-		.left = take_leaver,
-		.ready = tell_ready,
-		.status = tell_status,
-		.data = f,
-	};
-	GError *error = NULL;
-	struct rr_caller_port *port =
-		rr_new_caller_port(f->ctx, &options, &error);
-
-	assert_null(error);
-	f->number = rr_caller_port_number(port);
-	return port;
-}
-
-static int set_up(void **state)
-{
-	struct fixture *f = g_new0(struct fixture, 1);
-
-	f->ctx = rr_new_context(NULL);
-	f->max_body_bytes = 4096;
-	f->port = listen_port(f, NULL);
-	*state = f;
-	return 0;
-}
-
-static int tear_down(void **state)
-{
-	struct fixture *f = *state;
-
-	rr_drop_caller_port(f->port);
-	while (g_main_context_iteration(NULL, FALSE))
-		;
-	rr_drop_context(f->ctx);
-	g_free(f->body);
-	g_free(f->service);
-	g_free(f->key);
-	g_free(f);
-	return 0;
-}
-
-/* The same port with longer bodies allowed. */
-static void reopen_port(struct fixture *f, uint32_t max_body_bytes)
-{
-	rr_drop_caller_port(f->port);
-	f->max_body_bytes = max_body_bytes;
-	f->port = listen_port(f, NULL);
-}
-
 static char *fill_body(const char *opening, char fill, size_t n,
 		       const char *ending)
 {
@@ -163,7 +30,7 @@
 	return g_string_free(body, FALSE);
 }
 
-static struct test_reply *post(struct fixture *f, const char *path,
+static struct test_reply *post(struct caller_scene *f, const char *path,
 			       const char *const *headers, const char *body)
 {
 	return test_call_meanwhile("POST", f->number, path, headers, body);
@@ -179,7 +46,7 @@
 	};
 	struct rr_rows *rows = rr_new_rows();
 	struct rr_answer_row taken[] = { { rows, 0 }, { rows, 1 } };
-	struct fixture *f = *state;
+	struct caller_scene *f = *state;
 	struct test_reply *reply;
 
 	rr_append_row(rows, 17, "{\"a\":1}", 7);
@@ -231,7 +98,7 @@
 	};
 	static const char *const headers[] = { "Idempotency-Key",
 					       "1700000000-abcdefgh", NULL };
-	struct fixture *f = *state;
+	struct caller_scene *f = *state;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		struct test_reply *reply;
@@ -264,9 +131,9 @@
 	static const char *const openings[] = { "{\"query\": /*\"*/",
 						"{\"query\": //\"\n",
 						"{\"query\": '\"'," };
-	struct fixture *f = *state;
+	struct caller_scene *f = *state;
 
-	reopen_port(f, LARGEST_BODY);
+	caller_reopen(f, LARGEST_BODY, NULL);
 	for (size_t i = 0; i < G_N_ELEMENTS(openings); i++) {
 		char *body = fill_body(openings[i], '[', 1000000, "");
 		struct test_reply *reply = post(f, SEARCH, NULL, body);
@@ -301,9 +168,9 @@
 		{ "{\"query\":\"", 9, LARGEST_BODY + 1, 413, 'x' },
 		{ "{\"query\":\"", 2000000, 0, 413, '\x7f' },
 	};
-	struct fixture *f = *state;
+	struct caller_scene *f = *state;
 
-	reopen_port(f, LARGEST_BODY);
+	caller_reopen(f, LARGEST_BODY, NULL);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		char *body = fill_body(cases[i].opening, cases[i].fill,
 				       cases[i].fills, "\"}");
@@ -351,7 +218,7 @@
 		{ "POST", "/v1/services/s/serach", "{}", 404, "no such path" },
 		{ "POST", "/nothing", "{}", 404, "no such path" },
 	};
-	struct fixture *f = *state;
+	struct caller_scene *f = *state;
 	GString *deep = g_string_new("{\"query\":");
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -389,7 +256,7 @@
 	static const char request[] =
 		"POST " SEARCH " HTTP/1.1\r\nHost: x\r\nContent-Length: 12"
 		"\r\n\r\n{\"query\": 1}";
-	struct fixture *f = *state;
+	struct caller_scene *f = *state;
 	GSocketClient *client = g_socket_client_new();
 	GSocketConnection *connection;
 
@@ -406,14 +273,14 @@
 	test_run_until(&f->left);
 	while (rr_count_calls(f->port))
 		g_main_context_iteration(NULL, TRUE);
-	answer_later(f);
+	caller_answer(f);
 	g_object_unref(connection);
 	g_object_unref(client);
 }
 
 static void test_serves_its_own_pages(void **state)
 {
-	struct fixture *f = *state;
+	struct caller_scene *f = *state;
 	struct test_reply *reply;
 
 	reply = test_call_meanwhile("GET", f->number, "/healthz", NULL, NULL);
@@ -432,159 +299,8 @@
 	test_drop_reply(reply);
 }
 
-static uint32_t status_with(struct fixture *f, const char *path,
-			    const char *authorization)
-{
-	const char *const headers[] = { "Authorization", authorization, NULL };
-	struct test_reply *reply = test_call_meanwhile(
-		"GET", f->number, path, authorization ? headers : NULL, NULL);
-	uint32_t status = reply->status;
-
-	test_drop_reply(reply);
-	return status;
-}
-
-static void test_asks_for_a_token(void **state)
-{
-	struct fixture *f = *state;
-	char *file = NULL;
-	GError *error = NULL;
-
-	close(g_file_open_tmp("ragwort-token-XXXXXX", &file, NULL));
-	g_file_set_contents(file, "first-token\nsecond-token\n", -1, NULL);
-	rr_drop_caller_port(f->port);
-	f->port = listen_port(f, file);
-	assert_int_equal(status_with(f, "/status", NULL), 401);
-	assert_int_equal(status_with(f, "/status", "Bearer "), 401);
-	assert_int_equal(status_with(f, "/status", "Bearer first-toke"), 401);
-	assert_int_equal(status_with(f, "/status", "Bearer first-tokenf"), 401);
-	assert_int_equal(status_with(f, "/status", "Basic first-token"), 401);
-	assert_int_equal(status_with(f, "/status", "Bearer first-token"), 200);
-	assert_int_equal(status_with(f, "/status", "Bearer second-token"), 200);
-	/* The balancer asks without one. */
-	assert_int_equal(status_with(f, "/healthz", NULL), 200);
-	/* A rotation; then a file that went wrong, which changes nothing. */
-	g_file_set_contents(file, "third-token\n", -1, NULL);
-	assert_true(rr_reload_caller_port(f->ctx, f->port, &error));
-	assert_int_equal(status_with(f, "/status", "Bearer first-token"), 401);
-	g_file_set_contents(file, "\n", -1, NULL);
-	assert_false(rr_reload_caller_port(f->ctx, f->port, &error));
-	g_clear_error(&error);
-	assert_int_equal(status_with(f, "/status", "Bearer third-token"), 200);
-	unlink(file);
-	g_free(file);
-}
-
-static void make_certificate(const char *file, const char *key,
-			     const char *subject)
-{
-	const char *const argv[] = { "openssl",	 "req",	   "-x509",   "-newkey",
-				     "rsa:2048", "-nodes", "-days",   "2",
-				     "-subj",	 subject,  "-keyout", key,
-				     "-out",	 file,	   NULL };
-	GSubprocess *process = g_subprocess_newv(
-		argv, G_SUBPROCESS_FLAGS_STDERR_SILENCE, NULL);
-
-	assert_true(g_subprocess_wait_check(process, NULL, NULL));
-	g_object_unref(process);
-}
-
-struct tls_call {
-	uint16_t number;
-	uint32_t status;
-	char *subject;
-	gint done;
-};
-
-static gboolean take_certificate(SoupMessage *message,
-				 GTlsCertificate *certificate,
-				 GTlsCertificateFlags faults, gpointer data)
-{
-	struct tls_call *call = data;
-
-	call->subject = g_tls_certificate_get_subject_name(certificate);
-	return TRUE;
-}
-
-static gpointer run_tls_call(gpointer data)
-{
-	struct tls_call *call = data;
-	SoupSession *session =
-		soup_session_new_with_options("proxy-resolver", NULL, NULL);
-	char *url =
-		g_strdup_printf("https://127.0.0.1:%u/healthz", call->number);
-	SoupMessage *message = soup_message_new("GET", url);
-	GBytes *body;
-
-	g_signal_connect(message, "accept-certificate",
-			 G_CALLBACK(take_certificate), call);
-	body = soup_session_send_and_read(session, message, NULL, NULL);
-	if (body)
-		g_bytes_unref(body);
-	call->status = soup_message_get_status(message);
-	g_object_unref(message);
-	g_object_unref(session);
-	g_free(url);
-	g_atomic_int_set(&call->done, 1);
-	g_main_context_wakeup(NULL);
-	return NULL;
-}
-
-static void check_subject(struct fixture *f, const char *subject)
-{
-	struct tls_call call = { .number = f->number };
-	GThread *thread = g_thread_new("tls", run_tls_call, &call);
-
-	while (!g_atomic_int_get(&call.done))
-		g_main_context_iteration(NULL, TRUE);
-	g_thread_join(thread);
-	assert_int_equal(call.status, 200);
-	assert_string_equal(call.subject, subject);
-	g_free(call.subject);
-}
-
-/*
- * A certificate is about to run out and the operator puts a new one in its
- * place.  New connections must get it without a restart.
- */
-static void test_serves_and_reloads_a_certificate(void **state)
-{
-	struct fixture *f = *state;
-	char *directory = g_dir_make_tmp("ragwort-tls-XXXXXX", NULL);
-	char *file = g_build_filename(directory, "cert.pem", NULL);
-	char *key = g_build_filename(directory, "key.pem", NULL);
-	struct rr_caller_port_options options = {
-		.address = "127.0.0.1:0",
-		.max_body_bytes = 4096,
-		.idle_ms = 60000,
-		.tls_certificate_file = file,
-		.tls_key_file = key,
-		.data = f,
-	};
-	GError *error = NULL;
-
-	make_certificate(file, key, "/CN=first");
-	rr_drop_caller_port(f->port);
-	f->port = rr_new_caller_port(f->ctx, &options, &error);
-	assert_null(error);
-	f->number = rr_caller_port_number(f->port);
-	check_subject(f, "CN=first");
-	make_certificate(file, key, "/CN=second");
-	check_subject(f, "CN=first");
-	assert_true(rr_reload_caller_port(f->ctx, f->port, &error));
-	check_subject(f, "CN=second");
-	unlink(file);
-	assert_false(rr_reload_caller_port(f->ctx, f->port, &error));
-	g_clear_error(&error);
-	check_subject(f, "CN=second");
-	unlink(key);
-	rmdir(directory);
-	g_free(file);
-	g_free(key);
-	g_free(directory);
-}
-
-#define TEST(name) cmocka_unit_test_setup_teardown(name, set_up, tear_down)
+#define TEST(name) \
+	cmocka_unit_test_setup_teardown(name, caller_set_up, caller_tear_down)
 
 int main(void)
 {
@@ -596,8 +312,6 @@
 		TEST(test_largest_bodies),
 		TEST(test_notices_a_caller_that_leaves),
 		TEST(test_serves_its_own_pages),
-		TEST(test_asks_for_a_token),
-		TEST(test_serves_and_reloads_a_certificate),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test-counters.c
+++ b/tests/test-counters.c
@@ -152,15 +152,10 @@
 static void test_reference_page_is_current(void **state)
 {
 	GString *made = g_string_new(NULL);
-	char *path = rr_source_path("docs/METRICS.md");
-	char *page = NULL;
 
 	(void)state;
 	rr_format_metrics_reference(made);
-	assert_true(g_file_get_contents(path, &page, NULL, NULL));
-	assert_string_equal(page, made->str);
-	g_free(page);
-	g_free(path);
+	rr_assert_page("docs/METRICS.md", made->str);
 	g_string_free(made, TRUE);
 }
 
