--- a/fuzz/settings.c
+++ b/fuzz/settings.c
@@ -11,11 +11,6 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t length);
 
-static void free_fault(gpointer fault)
-{
-	rr_free_fault(fault);
-}
-
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t length)
 {
 	const char *text = (const char *)data;
@@ -23,7 +18,7 @@
 		length ? g_strstr_len(text, (gssize)length, SEPARATOR) : NULL;
 	struct rr_source base = { "base.yaml", text, length };
 	struct rr_source overlay = { "overlay.yaml", NULL, 0 };
-	GPtrArray *faults = g_ptr_array_new_with_free_func(free_fault);
+	GPtrArray *faults = rr_new_faults();
 	struct rr_config *config;
 
 	if (second) {
--- a/include/ragwort/settings.h
+++ b/include/ragwort/settings.h
@@ -22,8 +22,6 @@
 	char *what;    /* what was found and what is allowed */
 };
 
-void rr_free_fault(struct rr_fault *fault);
-
 /* A new array for faults, which frees them. */
 GPtrArray *rr_new_faults(void);
 /* Print "FILE:LINE: WHAT" for each on stderr. */
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -124,8 +124,7 @@
 static void apply_record(struct rr_daemon *daemon, const char *text,
 			 size_t length)
 {
-	GPtrArray *faults =
-		g_ptr_array_new_with_free_func((GDestroyNotify)rr_free_fault);
+	GPtrArray *faults = rr_new_faults();
 	struct rr_config *config = NULL;
 	struct rr_record *record;
 	GError *error = NULL;
--- a/source/daemon/reload.c
+++ b/source/daemon/reload.c
@@ -20,8 +20,7 @@
 
 static struct rr_start_settings *read_again(const char *file, GError **error)
 {
-	GPtrArray *faults =
-		g_ptr_array_new_with_free_func((GDestroyNotify)rr_free_fault);
+	GPtrArray *faults = rr_new_faults();
 	struct rr_start_settings *settings =
 		rr_read_start_file(file, faults, error);
 
--- a/source/settings/fault.c
+++ b/source/settings/fault.c
@@ -9,20 +9,15 @@
 
 #define SHOWN_CHARACTERS 40
 
-void rr_free_fault(struct rr_fault *fault)
+static void free_fault(gpointer data)
 {
-	if (!fault)
-		return;
+	struct rr_fault *fault = data;
+
 	g_free(fault->file);
 	g_free(fault->what);
 	g_free(fault);
 }
 
-static void free_fault(gpointer fault)
-{
-	rr_free_fault(fault);
-}
-
 GPtrArray *rr_new_faults(void)
 {
 	return g_ptr_array_new_with_free_func(free_fault);
--- a/source/settings/push.c
+++ b/source/settings/push.c
@@ -91,8 +91,7 @@
 	push->options.author = g_strdup(options->author);
 	if (!push->options.max_tries)
 		push->options.max_tries = DEFAULT_TRIES;
-	push->result.faults =
-		g_ptr_array_new_with_free_func((GDestroyNotify)rr_free_fault);
+	push->result.faults = rr_new_faults();
 	push->step.key = RR_RECORD_KEY;
 	plan_read(push, 0);
 	if (message)
@@ -204,8 +203,7 @@
 /* 0 where the record makes no valid configuration. */
 static uint32_t find_buckets(const struct rr_record *record)
 {
-	GPtrArray *faults =
-		g_ptr_array_new_with_free_func((GDestroyNotify)rr_free_fault);
+	GPtrArray *faults = rr_new_faults();
 	char **sites = rr_record_sites(record);
 	struct rr_config *config;
 	uint32_t buckets = 0;
--- a/source/settings/settings-value.c
+++ b/source/settings/settings-value.c
@@ -312,8 +312,7 @@
 void rr_store_mapping(enum rr_scope scope, const struct rr_yaml_node *mapping,
 		      void *target)
 {
-	GPtrArray *faults =
-		g_ptr_array_new_with_free_func((GDestroyNotify)rr_free_fault);
+	GPtrArray *faults = rr_new_faults();
 
 	for (guint i = 0; i < mapping->entries->len; i++) {
 		const struct rr_yaml_entry *entry = mapping->entries->pdata[i];
--- a/tests/test-bench.c
+++ b/tests/test-bench.c
@@ -13,16 +13,11 @@
 #include "tool/bench-histogram.h"
 #include "tool/bench-scenario.h"
 
-static void free_fault(gpointer fault)
-{
-	rr_free_fault(fault);
-}
-
 static struct rr_bench_scenario *parse(const char *text, GPtrArray **faults)
 {
 	struct rr_source file = { "s.yaml", text, strlen(text) };
 
-	*faults = g_ptr_array_new_with_free_func(free_fault);
+	*faults = rr_new_faults();
 	return rr_parse_bench_scenario(&file, *faults);
 }
 
--- a/tests/test-record.c
+++ b/tests/test-record.c
@@ -195,14 +195,9 @@
 	rr_drop_record(record);
 }
 
-static GPtrArray *new_faults(void)
-{
-	return g_ptr_array_new_with_free_func((GDestroyNotify)rr_free_fault);
-}
-
 static bool check(const struct rr_record *record)
 {
-	GPtrArray *faults = new_faults();
+	GPtrArray *faults = rr_new_faults();
 	bool good = rr_check_record(record, faults);
 
 	assert_int_equal(good, !faults->len);
@@ -219,7 +214,7 @@
 static void test_every_site_is_checked(void **state)
 {
 	struct rr_record *record = rr_new_record();
-	GPtrArray *faults = new_faults();
+	GPtrArray *faults = rr_new_faults();
 	struct rr_config *config;
 
 	(void)state;
--- a/tests/test-settings-found.c
+++ b/tests/test-settings-found.c
@@ -11,11 +11,6 @@
 
 #include "ragwort/settings.h"
 
-static void free_fault(gpointer fault)
-{
-	rr_free_fault(fault);
-}
-
 /*
  * Story: an operator writes a dash too many, so that `defaults` is a list,
  * in the base and in the overlay.  `ragwort check` crashes and says nothing;
@@ -27,7 +22,7 @@
 	static const char text[] = "defaults:\n  - deadline_ms: 400\n";
 	struct rr_source base = { "base.yaml", text, strlen(text) };
 	struct rr_source overlay = { "overlay.yaml", text, strlen(text) };
-	GPtrArray *faults = g_ptr_array_new_with_free_func(free_fault);
+	GPtrArray *faults = rr_new_faults();
 	struct rr_config *config =
 		rr_parse_config(&base, &overlay, "nairobi", faults);
 
