tests: what two process tests waited for, and copies of a scene, once

Cause: search_is_complete() and the wait for work at the first shard stood in two programs each, the start of a slow search three times in one, a route that differs from the scene's in a number twice, and the walk over all replicas' versions twice. What is asserted is the same.

--- a/tests/support/deployment.c
+++ b/tests/support/deployment.c
@@ -346,3 +346,20 @@
 	}
 	return n_lacking;
 }
+
+bool test_search_is_complete(void *deployment)
+{
+	struct test_deployment *d = deployment;
+	struct test_reply *reply = test_search(d, 0);
+	bool complete = reply->status == 200 && !test_check_search(d, reply);
+
+	test_drop_reply(reply);
+	return complete;
+}
+
+bool test_first_shard_works(void *deployment)
+{
+	struct test_deployment *d = deployment;
+
+	return test_count(d->upstreams[0], 0, "running") > 0;
+}
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -81,6 +81,11 @@
  */
 int test_check_search(struct test_deployment *d,
 		      const struct test_reply *reply);
+/* For test_poll(), with a deployment as data. */
+/* A search at the first instance covers every shard. */
+bool test_search_is_complete(void *deployment);
+/* The first shard's first replica is at work. */
+bool test_first_shard_works(void *deployment);
 /* The reason of the first lacking shard; "" if none is. */
 const char *test_lack_reason(const struct test_reply *reply);
 
--- a/tests/test-caller-keys.c
+++ b/tests/test-caller-keys.c
@@ -177,7 +177,8 @@
 	g_free(directory);
 }
 
-#define TEST(name) cmocka_unit_test_setup_teardown(name, caller_set_up, caller_tear_down)
+#define TEST(name) \
+	cmocka_unit_test_setup_teardown(name, caller_set_up, caller_tear_down)
 
 int main(void)
 {
--- a/tests/test-core-list.c
+++ b/tests/test-core-list.c
@@ -107,6 +107,21 @@
 	}
 }
 
+/* The index moved on at every replica. */
+static void hold_versions(struct scene *scene, uint64_t oldest, uint64_t newest)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, scene->world->replicas);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct fake_replica *replica = value;
+
+		replica->oldest = oldest;
+		replica->newest = newest;
+	}
+}
+
 /*
  * Story: the nightly list has a part twice and lacks another: stock was
  * reindexed between two pages.  Cause: a page was given of another version
@@ -118,14 +133,7 @@
 	struct fake_answer *page = get_page(&scene, NULL, 25);
 
 	(void)state;
-	for (int i = 0; i < 8; i++) {
-		for (int c = 'a'; c <= 'b'; c++) {
-			char *id = g_strdup_printf("s%d%c", i, c);
-
-			fake_replica(scene.world, id)->newest = 9;
-			g_free(id);
-		}
-	}
+	hold_versions(&scene, 5, 9);
 	fake_run(scene.world, 3000 * FAKE_MS);
 	page = get_page(&scene, page->cursor, 25);
 	assert_int_equal(page->outcome, RR_COMPLETE);
@@ -140,15 +148,7 @@
 	struct fake_answer *page = get_page(&scene, NULL, 25);
 
 	(void)state;
-	for (int i = 0; i < 8; i++) {
-		for (int c = 'a'; c <= 'b'; c++) {
-			char *id = g_strdup_printf("s%d%c", i, c);
-
-			fake_replica(scene.world, id)->oldest = 8;
-			fake_replica(scene.world, id)->newest = 9;
-			g_free(id);
-		}
-	}
+	hold_versions(&scene, 8, 9);
 	page = get_page(&scene, page->cursor, 25);
 	assert_int_equal(page->outcome, RR_GONE);
 	assert_int_equal(page->keys->len, 0);
--- a/tests/test-gate-zone.c
+++ b/tests/test-gate-zone.c
@@ -20,19 +20,11 @@
  */
 static void test_a_zone_is_cut_off(void **state)
 {
-	const struct test_route route = {
-		.name = "search",
-		.prefix = "/search/",
-		.services = test_shards,
-		.gather = true,
-		.max_attempts = 2,
-		.objective_ms = 80,
-		.timeout_ms = 1200,
-		.least_share = 0.9,
-	};
+	struct test_route route = test_search_route;
 	struct gate_scene *scene = test_new_scene(7);
 	const char *reason;
 
+	route.least_share = 0.9;
 	test_list(scene, "s1.a", "s1", "a");
 	test_list(scene, "s2.a", "s2", "a");
 	test_list(scene, "s3.b", "s3", "b");
@@ -72,19 +64,12 @@
 static void test_two_zones_fall_silent_one_after_the_other(void **state)
 {
 	static const char *const three[] = { "s1", "s2", "s3", NULL };
-	const struct test_route route = {
-		.name = "search",
-		.prefix = "/search/",
-		.services = three,
-		.gather = true,
-		.max_attempts = 2,
-		.objective_ms = 80,
-		.timeout_ms = 1200,
-		.least_share = 0.9,
-	};
+	struct test_route route = test_search_route;
 	struct gate_scene *scene = test_new_scene(7);
 	const char *reason;
 
+	route.services = three;
+	route.least_share = 0.9;
 	test_list(scene, "s1.a", "s1", "a");
 	test_list(scene, "s2.b", "s2", "b");
 	test_list(scene, "s3.c", "s3", "c");
--- a/tests/test-process-change.c
+++ b/tests/test-process-change.c
@@ -174,13 +174,6 @@
 	test_drop_deployment(d);
 }
 
-static bool work_is_running(void *data)
-{
-	struct test_deployment *d = data;
-
-	return test_count(d->upstreams[0], 0, "running") > 0;
-}
-
 /*
  * An instance is stopped while it holds a reservation that runs.  Its result
  * must be recorded before the process ends: the caller who asks again, at
@@ -196,7 +189,7 @@
 	test_control(d->upstreams[0]->control_port, "{\"service_ms\":1000}");
 	pending = test_begin_call(d->ports[0], TEST_SERVICE "/reserve",
 				  "Idempotency-Key", id, "{\"key\":0}");
-	assert_true(test_poll(work_is_running, d));
+	assert_true(test_poll(test_first_shard_works, d));
 	test_signal_process(d->entries[0], SIGTERM);
 	reply = test_end_call(pending);
 	assert_int_equal(reply->status, 200);
--- a/tests/test-process-fault.c
+++ b/tests/test-process-fault.c
@@ -83,13 +83,6 @@
 	test_drop_deployment(d);
 }
 
-static bool work_is_running(void *data)
-{
-	struct test_deployment *d = data;
-
-	return test_count(d->upstreams[0], 0, "running") > 0;
-}
-
 static bool work_is_cancelled(void *data)
 {
 	struct test_deployment *d = data;
@@ -124,7 +117,7 @@
 	g_output_stream_write_all(
 		g_io_stream_get_output_stream(G_IO_STREAM(connection)), request,
 		strlen(request), NULL, NULL, NULL);
-	assert_true(test_poll(work_is_running, d));
+	assert_true(test_poll(test_first_shard_works, d));
 	g_io_stream_close(G_IO_STREAM(connection), NULL, NULL);
 	assert_true(test_poll(work_is_cancelled, d));
 	g_object_unref(connection);
@@ -249,16 +242,6 @@
 	test_drop_deployment(d);
 }
 
-static bool search_is_complete(void *data)
-{
-	struct test_deployment *d = data;
-	struct test_reply *reply = test_search(d, 0);
-	bool complete = reply->status == 200 && !test_check_search(d, reply);
-
-	test_drop_reply(reply);
-	return complete;
-}
-
 /*
  * A zone is cut off from the platform, from its peers and from the other
  * zone's upstreams.  Its counters go on searching: the answers have the own
@@ -279,7 +262,7 @@
 	int64_t revision = test_read_metric(d, 0, "config_revision");
 	struct test_reply *reply;
 
-	assert_true(test_poll(search_is_complete, d));
+	assert_true(test_poll(test_search_is_complete, d));
 	test_control(d->platform->control_port, "{\"outage\":\"refuse\"}");
 	test_signal_process(d->entries[1], SIGSTOP);
 	control(d, "{\"replica\":1,\"cut\":\"hang-up\"}");
@@ -300,7 +283,7 @@
 	control(d, "{\"cut\":\"none\"}");
 	test_control(d->platform->control_port, "{\"outage\":false}");
 	test_signal_process(d->entries[1], SIGCONT);
-	assert_true(test_poll(search_is_complete, d));
+	assert_true(test_poll(test_search_is_complete, d));
 	assert_int_equal(test_read_metric(d, 0, "config_revision"), revision);
 	g_free(id);
 	test_drop_deployment(d);
--- a/tests/test-process-stop.c
+++ b/tests/test-process-stop.c
@@ -49,6 +49,28 @@
 	g_free(json);
 }
 
+/* A search that the replicas work on for so long. */
+static struct test_pending *begin_search(struct test_deployment *d,
+					 int service_ms)
+{
+	struct test_pending *pending;
+
+	set_service_ms(d, service_ms);
+	pending = test_begin_call(d->ports[0], TEST_SERVICE "/search", NULL,
+				  NULL, "{\"query\":1}");
+	assert_true(test_poll(work_is_running, d));
+	return pending;
+}
+
+static void expect_whole_answer(struct test_deployment *d,
+				struct test_pending *pending)
+{
+	struct test_reply *reply = test_end_call(pending);
+
+	assert_int_equal(test_check_search(d, reply), 0);
+	test_drop_reply(reply);
+}
+
 /*
  * An operator replaces an instance while a contractor waits for its answer.
  * The instance gets SIGTERM with attempts in flight; the contractor must
@@ -57,17 +79,10 @@
 static void test_sigterm_answers_what_is_in_flight(void **state)
 {
 	struct test_deployment *d = start(1, 1, 1);
-	struct test_pending *pending;
-	struct test_reply *reply;
+	struct test_pending *pending = begin_search(d, 1500);
 
-	set_service_ms(d, 1500);
-	pending = test_begin_call(d->ports[0], TEST_SERVICE "/search", NULL,
-				  NULL, "{\"query\":1}");
-	assert_true(test_poll(work_is_running, d));
 	test_signal_process(d->entries[0], SIGTERM);
-	reply = test_end_call(pending);
-	assert_int_equal(test_check_search(d, reply), 0);
-	test_drop_reply(reply);
+	expect_whole_answer(d, pending);
 	assert_int_equal(test_wait_process(d->entries[0]), 0);
 	test_drop_deployment(d);
 }
@@ -79,20 +94,13 @@
 static void test_sigterm_of_an_owner_ends_its_relays(void **state)
 {
 	struct test_deployment *d = start(2, 2, 1);
-	struct test_pending *pending;
-	struct test_reply *reply;
+	struct test_pending *pending = begin_search(d, 1500);
 
-	set_service_ms(d, 1500);
-	pending = test_begin_call(d->ports[0], TEST_SERVICE "/search", NULL,
-				  NULL, "{\"query\":1}");
-	assert_true(test_poll(work_is_running, d));
 	/* Both zones' attempts have started when replica 2 (zone 1) works. */
 	while (!test_count(d->upstreams[0], 1, "running"))
 		g_usleep(10 * 1000);
 	test_signal_process(d->entries[1], SIGTERM);
-	reply = test_end_call(pending);
-	assert_int_equal(test_check_search(d, reply), 0);
-	test_drop_reply(reply);
+	expect_whole_answer(d, pending);
 	assert_int_equal(test_wait_process(d->entries[1]), 0);
 	test_drop_deployment(d);
 }
@@ -105,13 +113,9 @@
 static void test_sigkill_of_replicas_in_mid_query(void **state)
 {
 	struct test_deployment *d = start(1, 1, 2);
-	struct test_pending *pending;
+	struct test_pending *pending = begin_search(d, 1000);
 	struct test_reply *reply;
 
-	set_service_ms(d, 1000);
-	pending = test_begin_call(d->ports[0], TEST_SERVICE "/search", NULL,
-				  NULL, "{\"query\":1}");
-	assert_true(test_poll(work_is_running, d));
 	test_signal_process(d->upstreams[0]->process, SIGKILL);
 	reply = test_end_call(pending);
 	test_check_search(d, reply);
@@ -124,16 +128,6 @@
 	test_drop_deployment(d);
 }
 
-static bool search_is_complete(void *data)
-{
-	struct test_deployment *d = data;
-	struct test_reply *reply = test_search(d, 0);
-	bool complete = reply->status == 200 && !test_check_search(d, reply);
-
-	test_drop_reply(reply);
-	return complete;
-}
-
 /*
  * An instance is paused (a stopped virtual machine) with a reservation in
  * flight, long enough that its peers give it up, and wakes up believing that
@@ -165,7 +159,7 @@
 	assert_true(reply->status == 200 || reply->status == 504);
 	test_drop_reply(reply);
 	assert_int_equal(test_count_runs(d->upstreams[0], id), 1);
-	assert_true(test_poll(search_is_complete, d));
+	assert_true(test_poll(test_search_is_complete, d));
 	g_free(id);
 	test_drop_deployment(d);
 }
@@ -273,10 +267,10 @@
 	test_drop_reply(reply);
 	test_signal_process(d->entries[1], SIGKILL);
 	test_wait_process(d->entries[1]);
-	assert_true(test_poll(search_is_complete, d));
+	assert_true(test_poll(test_search_is_complete, d));
 	test_start_entry(d, 1);
 	test_wait_ready(d, 1);
-	assert_true(test_poll(search_is_complete, d));
+	assert_true(test_poll(test_search_is_complete, d));
 	test_drop_deployment(d);
 }
 
