gateway: the next tick is worked out once a turn of the loop

Cause: after each event, of which a turn takes up to 64, the gateway looked over all connections for what is due next, from ten places; and each change of the source's ready time woke the loop for a turn of its own. Change: the tick source says in prepare() how long the loop may wait and in check() whether something is due; no ready time, and no calls after events.

--- a/source/gateway/gateway-callers.c
+++ b/source/gateway/gateway-callers.c
@@ -260,7 +260,6 @@
 		g_hash_table_insert(gateway->requests, new_key(id), open);
 		gateway->taking = NULL;
 	}
-	rr_settle_gateway(gateway);
 }
 
 void rr_take_callers_request(void *data, struct rr_caller *caller,
@@ -281,7 +280,6 @@
 
 	rr_gate_leave(gateway->ctx, gateway->gate, rr_gateway_now_us(),
 		      rr_caller_mark(caller));
-	rr_settle_gateway(gateway);
 }
 
 void rr_take_gone(void *data, struct rr_caller *caller)
@@ -291,7 +289,6 @@
 
 	rr_gate_abandon(gateway->ctx, gateway->gate, rr_gateway_now_us(), id);
 	g_hash_table_remove(gateway->requests, &id);
-	rr_settle_gateway(gateway);
 }
 
 void rr_answer_ready(void *data, struct rr_caller *caller,
--- a/source/gateway/gateway-private.h
+++ b/source/gateway/gateway-private.h
@@ -24,6 +24,7 @@
 struct tick_source {
 	GSource source; /* first: GLib allocates the whole */
 	struct rr_gateway *gateway;
+	int64_t due_us;
 };
 
 /* A request that a caller waits for. */
@@ -62,8 +63,6 @@
 };
 
 int64_t rr_gateway_now_us(void);
-/* After each event: readiness, and the next tick. */
-void rr_settle_gateway(struct rr_gateway *gateway);
 /* Whether callers may come; else *reason (static) says why not. */
 bool rr_gateway_takes_callers(const struct rr_gateway *gateway,
 			      const char **reason);
--- a/source/gateway/gateway-store.c
+++ b/source/gateway/gateway-store.c
@@ -77,7 +77,6 @@
 		      &decoded);
 	if (decoded.items)
 		g_ptr_array_unref(decoded.items);
-	rr_settle_gateway(gateway);
 }
 
 static void take_routes(void *data, struct rr_route_table *table)
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -52,30 +52,6 @@
 	       RR_FIELD_STRING("reason", reason));
 }
 
-/* After each event: the next tick. */
-void rr_settle_gateway(struct rr_gateway *gateway)
-{
-	int64_t due_us = rr_gate_wake_us(gateway->gate);
-
-	look_at_readiness(gateway);
-	due_us = MIN(due_us, rr_feed_wake_us(gateway->feed));
-	due_us = MIN(due_us, rr_front_port_wake_us(gateway->callers));
-	due_us = MIN(due_us, rr_front_port_wake_us(gateway->ready));
-	if (gateway->peers)
-		due_us = MIN(due_us, rr_front_port_wake_us(gateway->peers));
-	due_us = MIN(due_us, rr_replica_port_wake_us(gateway->replicas));
-	due_us = MIN(due_us, rr_replica_port_wake_us(gateway->store));
-	due_us = MIN(due_us, rr_replica_port_wake_us(gateway->strong));
-	if (gateway->lifecycle.stop_us)
-		due_us = MIN(due_us, gateway->stop_check_us);
-	if (rr_log_waits() && !gateway->flush_us)
-		gateway->flush_us = rr_gateway_now_us() + FLUSH_US;
-	if (gateway->flush_us)
-		due_us = MIN(due_us, gateway->flush_us);
-	g_source_set_ready_time(&gateway->ticker->source,
-				due_us == INT64_MAX ? -1 : due_us);
-}
-
 static void check_stop(struct rr_gateway *gateway)
 {
 	size_t callers = rr_count_callers(gateway->callers);
@@ -116,18 +92,64 @@
 	}
 }
 
+/* What is due next, after whatever happened in a turn of the loop. */
+static int64_t next_tick_us(struct rr_gateway *gateway)
+{
+	int64_t due_us = rr_gate_wake_us(gateway->gate);
+
+	look_at_readiness(gateway);
+	due_us = MIN(due_us, rr_feed_wake_us(gateway->feed));
+	due_us = MIN(due_us, rr_front_port_wake_us(gateway->callers));
+	due_us = MIN(due_us, rr_front_port_wake_us(gateway->ready));
+	if (gateway->peers)
+		due_us = MIN(due_us, rr_front_port_wake_us(gateway->peers));
+	due_us = MIN(due_us, rr_replica_port_wake_us(gateway->replicas));
+	due_us = MIN(due_us, rr_replica_port_wake_us(gateway->store));
+	due_us = MIN(due_us, rr_replica_port_wake_us(gateway->strong));
+	if (gateway->lifecycle.stop_us)
+		due_us = MIN(due_us, gateway->stop_check_us);
+	if (rr_log_waits() && !gateway->flush_us)
+		gateway->flush_us = rr_gateway_now_us() + FLUSH_US;
+	if (gateway->flush_us)
+		due_us = MIN(due_us, gateway->flush_us);
+	return due_us;
+}
+
+/*
+ * Once a turn, before the loop waits.  No ready time of GLib's: each change
+ * of it wakes the loop for a turn of its own.
+ */
+static gboolean prepare_tick(GSource *source, gint *timeout_ms)
+{
+	struct tick_source *ticker = (struct tick_source *)source;
+	int64_t wait_us;
+
+	ticker->due_us = next_tick_us(ticker->gateway);
+	*timeout_ms = -1;
+	if (ticker->due_us == INT64_MAX)
+		return FALSE;
+	wait_us = MAX(ticker->due_us - rr_gateway_now_us(), 0);
+	*timeout_ms = (gint)MIN((wait_us + 999) / 1000, G_MAXINT);
+	return !wait_us;
+}
+
+static gboolean check_tick(GSource *source)
+{
+	return ((struct tick_source *)source)->due_us <= rr_gateway_now_us();
+}
+
 static gboolean dispatch_tick(GSource *source, GSourceFunc callback,
 			      gpointer data)
 {
-	struct rr_gateway *gateway = ((struct tick_source *)source)->gateway;
-
-	g_source_set_ready_time(source, -1);
-	tick(gateway);
-	rr_settle_gateway(gateway);
+	tick(((struct tick_source *)source)->gateway);
 	return G_SOURCE_CONTINUE;
 }
 
-static GSourceFuncs tick_funcs = { .dispatch = dispatch_tick };
+static GSourceFuncs tick_funcs = {
+	.prepare = prepare_tick,
+	.check = check_tick,
+	.dispatch = dispatch_tick,
+};
 
 /* Replicas. */
 
@@ -136,7 +158,6 @@
 	struct rr_gateway *gateway = data;
 
 	rr_gate_reply(gateway->ctx, gateway->gate, rr_gateway_now_us(), reply);
-	rr_settle_gateway(gateway);
 }
 
 static void take_probe(void *data, const char *endpoint, bool reached)
@@ -145,7 +166,6 @@
 
 	rr_gate_probed(gateway->ctx, gateway->gate, rr_gateway_now_us(),
 		       endpoint, reached);
-	rr_settle_gateway(gateway);
 }
 
 /* Signals. */
@@ -163,7 +183,6 @@
 	if (gateway->peers)
 		rr_close_front_port(gateway->peers);
 	rr_feed_leave(gateway->ctx, gateway->feed, rr_gateway_now_us());
-	rr_settle_gateway(gateway);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -174,7 +193,6 @@
 	rr_log(gateway->ctx, RR_LOG_INFO, "reload",
 	       RR_FIELD_STRING("reason", "nothing of the start file changes "
 					 "without a restart"));
-	rr_settle_gateway(gateway);
 	return G_SOURCE_CONTINUE;
 }
 
@@ -310,7 +328,6 @@
 	make_clients(gateway);
 	make_cores(gateway);
 	start_sources(gateway);
-	rr_settle_gateway(gateway);
 	return gateway;
 }
 
