daemons: one command line for both programs

Cause: ragwortd and ragwort-gateway each had their own argtable, help and exit codes, and their own wall clock for log stamps. Change: rr_run_program() and rr_read_wall_clock() in base/program.c. Conclusion: behaviour as before.

--- /dev/null
+++ b/source/base/program.c
@@ -0,0 +1,69 @@
+/*
+ * program.c - a daemon's command line.
+ */
+#include "ragwort/program.h"
+
+#include <argtable2.h>
+#include <glib.h>
+#include <stdio.h>
+
+#include "ragwort/version.h"
+
+static void print_help(const struct rr_program *program, void **table)
+{
+	printf("Usage: %s", program->name);
+	arg_print_syntax(stdout, table, "\n\n");
+	arg_print_glossary(stdout, table, "  %-20s %s\n");
+	printf("\n");
+	if (program->file_variable)
+		printf("Without --settings the variable %s names the file.\n",
+		       program->file_variable);
+	printf("Exit codes: 0 stopped as asked or check passed, 1 the system "
+	       "refused\nsomething such as an address in use, 2 bad command "
+	       "line or start file.\n%s",
+	       program->signals);
+}
+
+static const char *find_file(const struct rr_program *program,
+			     const struct arg_file *file)
+{
+	if (file->count)
+		return file->filename[0];
+	return program->file_variable ? g_getenv(program->file_variable) : NULL;
+}
+
+int rr_run_program(const struct rr_program *program, int argc, char **argv)
+{
+	struct arg_file *file =
+		arg_file0(NULL, "settings", "FILE", program->file_help);
+	struct arg_lit *check =
+		arg_lit0(NULL, "check", "check the start file and exit");
+	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
+	struct arg_lit *version =
+		arg_lit0(NULL, "version", "print the version and exit");
+	struct arg_end *end = arg_end(10);
+	void *table[] = { file, check, help, version, end };
+	int faults = arg_parse(argc, argv, table);
+	const char *name = find_file(program, file);
+	enum rr_program_exit code = RR_PROGRAM_OK;
+
+	if (help->count) {
+		print_help(program, table);
+	} else if (version->count) {
+		printf("%s %s\n", program->name, RR_VERSION);
+	} else if (faults || !name) {
+		arg_print_errors(stderr, end, program->name);
+		fprintf(stderr, "%s: --settings FILE is needed; see --help\n",
+			program->name);
+		code = RR_PROGRAM_SETTINGS;
+	} else {
+		code = program->run(name, check->count > 0);
+	}
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return (int)code;
+}
+
+int64_t rr_read_wall_clock(void *data)
+{
+	return g_get_real_time();
+}
--- a/source/daemon/daemon.h
+++ b/source/daemon/daemon.h
@@ -11,13 +11,6 @@
 #include "ragwort/net-peer.h"
 #include "ragwort/settings.h"
 
-/* Exit codes of ragwortd. */
-enum rr_daemon_exit {
-	RR_DAEMON_OK = 0,	/* stopped as asked, or the check passed */
-	RR_DAEMON_FAILED = 1,	/* the system said no: an address in use */
-	RR_DAEMON_SETTINGS = 2, /* bad command line or start file */
-};
-
 struct rr_daemon;
 
 /*
@@ -50,7 +43,6 @@
 
 /* Write log lines to stderr: for struct rr_log_options. */
 void rr_write_log_line(void *data, enum rr_log_level level, const char *line);
-int64_t rr_read_wall_clock(void *data);
 /*
  * Log as the operators' files say, and as the start file says where they say
  * nothing.
--- a/source/daemon/logger.c
+++ b/source/daemon/logger.c
@@ -1,5 +1,5 @@
 /*
- * logger.c - log lines to stderr, wall-clock stamps.
+ * logger.c - log lines to stderr, and which of them.
  */
 #include <stdio.h>
 
@@ -10,11 +10,6 @@
 	fprintf(stderr, "%s\n", line);
 }
 
-int64_t rr_read_wall_clock(void *data)
-{
-	return g_get_real_time();
-}
-
 void rr_apply_log_settings(struct rr_context *ctx,
 			   const struct rr_log_settings *start,
 			   const struct rr_log_settings *site)
--- a/source/daemon/main.c
+++ b/source/daemon/main.c
@@ -1,11 +1,10 @@
 /*
- * main.c - ragwortd's command line and start file.
+ * main.c - ragwortd: its start file, and a run by it.
  */
-#include <argtable2.h>
 #include <stdio.h>
 
 #include "daemon/daemon.h"
-#include "ragwort/version.h"
+#include "ragwort/program.h"
 
 #define PROGRAM "ragwortd"
 
@@ -26,7 +25,8 @@
 	return settings;
 }
 
-static int run(const char *file, const struct rr_start_settings *settings)
+static enum rr_program_exit run_by(const char *file,
+				   const struct rr_start_settings *settings)
 {
 	struct rr_context_options options = {
 		.seed = g_random_int(),
@@ -41,7 +41,7 @@
 	struct rr_context *ctx = rr_new_context(&options);
 	struct rr_daemon *daemon;
 	GError *error = NULL;
-	int code = RR_DAEMON_OK;
+	enum rr_program_exit code = RR_PROGRAM_OK;
 
 	daemon = rr_new_daemon(ctx, file, settings, &error);
 	if (daemon) {
@@ -49,56 +49,35 @@
 	} else {
 		fprintf(stderr, "%s: %s\n", PROGRAM, error->message);
 		g_error_free(error);
-		code = RR_DAEMON_FAILED;
+		code = RR_PROGRAM_FAILED;
 	}
 	rr_drop_daemon(daemon);
 	rr_drop_context(ctx);
 	return code;
 }
 
-static void print_help(void **table)
+static enum rr_program_exit run(const char *file, bool check_only)
 {
-	printf("Usage: %s", PROGRAM);
-	arg_print_syntax(stdout, table, "\n\n");
-	arg_print_glossary(stdout, table, "  %-20s %s\n");
-	printf("\nExit codes: 0 stopped as asked or check passed, 1 the system "
-	       "refused\nsomething such as an address in use, 2 bad command "
-	       "line or start file.\nSIGTERM stops gracefully, SIGHUP reads "
-	       "certificate, tokens and peers' keys again.\n");
+	struct rr_start_settings *settings = read_settings(file);
+	enum rr_program_exit code = RR_PROGRAM_OK;
+
+	if (!settings)
+		return RR_PROGRAM_SETTINGS;
+	if (!check_only)
+		code = run_by(file, settings);
+	rr_drop_start_settings(settings);
+	return code;
 }
 
 int main(int argc, char **argv)
 {
-	struct arg_file *file = arg_file0(NULL, "settings", "FILE",
-					  "the instance's start file");
-	struct arg_lit *check =
-		arg_lit0(NULL, "check", "check the start file and exit");
-	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
-	struct arg_lit *version =
-		arg_lit0(NULL, "version", "print the version and exit");
-	struct arg_end *end = arg_end(10);
-	void *table[] = { file, check, help, version, end };
-	struct rr_start_settings *settings;
-	int faults = arg_parse(argc, argv, table);
-	int code = RR_DAEMON_OK;
+	static const struct rr_program program = {
+		.name = PROGRAM,
+		.file_help = "the instance's start file",
+		.signals = "SIGTERM stops gracefully, SIGHUP reads "
+			   "certificate, tokens and peers' keys again.\n",
+		.run = run,
+	};
 
-	if (help->count) {
-		print_help(table);
-	} else if (version->count) {
-		printf("%s %s\n", PROGRAM, RR_VERSION);
-	} else if (faults || !file->count) {
-		arg_print_errors(stderr, end, PROGRAM);
-		fprintf(stderr, "%s: --settings FILE is needed; see --help\n",
-			PROGRAM);
-		code = RR_DAEMON_SETTINGS;
-	} else {
-		settings = read_settings(file->filename[0]);
-		if (!settings)
-			code = RR_DAEMON_SETTINGS;
-		else if (!check->count)
-			code = run(file->filename[0], settings);
-		rr_drop_start_settings(settings);
-	}
-	arg_freetable(table, G_N_ELEMENTS(table));
-	return code;
+	return rr_run_program(&program, argc, argv);
 }
--- a/source/gateway/log-writer.c
+++ b/source/gateway/log-writer.c
@@ -18,11 +18,6 @@
 static GString *kept;
 static uint64_t left_out;
 
-int64_t rr_log_clock(void *data)
-{
-	return g_get_real_time();
-}
-
 void rr_keep_log_line(void *data, enum rr_log_level level, const char *line)
 {
 	if (!kept)
--- a/source/gateway/log-writer.h
+++ b/source/gateway/log-writer.h
@@ -10,7 +10,6 @@
 
 /* For struct rr_log_options: keeps the line until it can be written. */
 void rr_keep_log_line(void *data, enum rr_log_level level, const char *line);
-int64_t rr_log_clock(void *data);
 /* Write what the reader takes at once; the rest stays. */
 void rr_flush_log(void);
 /* Whether lines wait to be written. */
--- a/source/gateway/main.c
+++ b/source/gateway/main.c
@@ -1,22 +1,13 @@
 /*
- * main.c - ragwort-gateway's command line and start file.
+ * main.c - ragwort-gateway: its start file, and a run by it.
  */
-#include <argtable2.h>
 #include <stdio.h>
 
 #include "gateway/gateway.h"
 #include "gateway/log-writer.h"
-#include "ragwort/version.h"
+#include "ragwort/program.h"
 
 #define PROGRAM "ragwort-gateway"
-/* Names the start file where the command line does not. */
-#define FILE_VARIABLE "RAGWORTROUTE_BOOT"
-
-enum exit_code {
-	EXIT_OK = 0,	   /* stopped as asked, or the check passed */
-	EXIT_FAILED = 1,   /* the system said no: an address in use */
-	EXIT_SETTINGS = 2, /* bad command line or start file */
-};
 
 /* NULL when the file is unreadable or faulty; all faults are printed. */
 static struct rr_gateway_settings *read_settings(const char *file)
@@ -40,20 +31,20 @@
 	return settings;
 }
 
-static enum exit_code run(const struct rr_gateway_settings *settings)
+static enum rr_program_exit run_by(const struct rr_gateway_settings *settings)
 {
 	struct rr_context_options options = {
 		.seed = g_random_int(),
 		.log = {
 			.write = rr_keep_log_line,
-			.clock = rr_log_clock,
+			.clock = rr_read_wall_clock,
 			.max_level = settings->log_level,
 			.format = settings->log_format,
 			.max_lines_per_s = settings->log_max_lines_per_s,
 		},
 	};
 	struct rr_context *ctx = rr_new_context(&options);
-	enum exit_code code = EXIT_OK;
+	enum rr_program_exit code = RR_PROGRAM_OK;
 	struct rr_gateway *gateway;
 	GError *error = NULL;
 
@@ -63,7 +54,7 @@
 	} else {
 		fprintf(stderr, "%s: %s\n", PROGRAM, error->message);
 		g_error_free(error);
-		code = EXIT_FAILED;
+		code = RR_PROGRAM_FAILED;
 	}
 	rr_drop_gateway(gateway);
 	rr_drop_context(ctx);
@@ -71,52 +62,28 @@
 	return code;
 }
 
-static void print_help(void **table)
+static enum rr_program_exit run(const char *file, bool check_only)
 {
-	printf("Usage: %s", PROGRAM);
-	arg_print_syntax(stdout, table, "\n\n");
-	arg_print_glossary(stdout, table, "  %-20s %s\n");
-	printf("\nWithout --settings the variable %s names the file.\n"
-	       "Exit codes: 0 stopped as asked or check passed, 1 the system "
-	       "refused\nsomething such as an address in use, 2 bad command "
-	       "line or start file.\nSIGTERM stops gracefully.\n",
-	       FILE_VARIABLE);
+	struct rr_gateway_settings *settings = read_settings(file);
+	enum rr_program_exit code = RR_PROGRAM_OK;
+
+	if (!settings)
+		return RR_PROGRAM_SETTINGS;
+	if (!check_only)
+		code = run_by(settings);
+	rr_drop_gateway_settings(settings);
+	return code;
 }
 
 int main(int argc, char **argv)
 {
-	struct arg_file *file =
-		arg_file0(NULL, "settings", "FILE", "the gateway's start file");
-	struct arg_lit *check =
-		arg_lit0(NULL, "check", "check the start file and exit");
-	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
-	struct arg_lit *version =
-		arg_lit0(NULL, "version", "print the version and exit");
-	struct arg_end *end = arg_end(10);
-	void *table[] = { file, check, help, version, end };
-	int faults = arg_parse(argc, argv, table);
-	const char *name =
-		file->count ? file->filename[0] : g_getenv(FILE_VARIABLE);
-	struct rr_gateway_settings *settings;
-	enum exit_code code = EXIT_OK;
+	static const struct rr_program program = {
+		.name = PROGRAM,
+		.file_help = "the gateway's start file",
+		.file_variable = "RAGWORTROUTE_BOOT",
+		.signals = "SIGTERM stops gracefully.\n",
+		.run = run,
+	};
 
-	if (help->count) {
-		print_help(table);
-	} else if (version->count) {
-		printf("%s %s\n", PROGRAM, RR_VERSION);
-	} else if (faults || !name) {
-		arg_print_errors(stderr, end, PROGRAM);
-		fprintf(stderr, "%s: --settings FILE is needed; see --help\n",
-			PROGRAM);
-		code = EXIT_SETTINGS;
-	} else {
-		settings = read_settings(name);
-		if (!settings)
-			code = EXIT_SETTINGS;
-		else if (!check->count)
-			code = run(settings);
-		rr_drop_gateway_settings(settings);
-	}
-	arg_freetable(table, G_N_ELEMENTS(table));
-	return (int)code;
+	return rr_run_program(&program, argc, argv);
 }
