gate: extra attempts in a sliding window; lost hand-overs are not served again

Searches failed for want of extra attempts: tokens were saved up to the slack once and came back only as requests earned them, though the slack is owed in each window. Sheds did not count as losses, so the same replicas were chosen again. A weak instance had less than one token for single requests. Ruled out: the number of attempts a route allows; the limit at replicas. Change: core/allowance.c counts both in slots of a window; services of single requests share it among all; a shed counts as a loss; a search lost with a strong instance ends at once; one refused goes to another strong instance, also of another zone.

--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -144,7 +144,9 @@
 	 */
 	double extra_ratio;
 	double extra_slack;
-	double strength; /* this instance's share of a processor */
+	uint32_t extra_window_ms;
+	int64_t began_us; /* when this process began */
+	double strength;  /* this instance's share of a processor */
 	/* Of requests' decisions; a request is told whole or not at all. */
 	uint32_t log_lines_per_s;
 };
--- a/include/ragwort/settings.h
+++ b/include/ragwort/settings.h
@@ -93,6 +93,7 @@
 	uint32_t news_bound_ms;
 	double extra_share;   /* of requests, that a service gets on top */
 	uint32_t extra_slack; /* and so many more in a window */
+	uint32_t extra_window_ms;
 	uint32_t stop_timeout_ms;
 	uint32_t max_connections; /* of callers at once */
 	enum rr_log_level log_level;
--- a/source/core/budget.c
+++ b/source/core/budget.c
@@ -77,12 +77,14 @@
 	return (int64_t)(SKETCH_FLOOR_US * pow(SKETCH_STEP, RR_SKETCH_BUCKETS));
 }
 
-int64_t rr_hedge_price_us(const struct rr_budget *budget, int64_t cheap_us,
-			  int64_t dear_us)
+double rr_budget_used(const struct rr_budget *budget)
 {
-	double poor = budget->cap > 0 ? 1.0 - budget->tokens / budget->cap : 1;
+	return budget->cap > 0 ? 1.0 - budget->tokens / budget->cap : 1;
+}
 
+int64_t rr_hedge_price_us(double used, int64_t cheap_us, int64_t dear_us)
+{
 	if (dear_us < cheap_us)
 		return cheap_us;
-	return cheap_us + (int64_t)(poor * (double)(dear_us - cheap_us));
+	return cheap_us + (int64_t)(used * (double)(dear_us - cheap_us));
 }
--- a/source/core/budget.h
+++ b/source/core/budget.h
@@ -32,12 +32,13 @@
 void rr_add_time(struct rr_sketch *sketch, int64_t took_us);
 /* In microseconds; 0 while there are too few. */
 int64_t rr_sketch_quantile(const struct rr_sketch *sketch, double quantile);
+/* The part of the cap that is spent, 0 to 1. */
+double rr_budget_used(const struct rr_budget *budget);
 /*
  * The price of a hedge as the time an attempt must have taken: the `cheap`
- * time while the budget is full, growing to `dear` as it empties, so that the
- * last tokens go to what is certainly slow.
+ * time while little of what is allowed is used, growing to `dear` as it runs
+ * out, so that the last goes to what is certainly slow.
  */
-int64_t rr_hedge_price_us(const struct rr_budget *budget, int64_t cheap_us,
-			  int64_t dear_us);
+int64_t rr_hedge_price_us(double used, int64_t cheap_us, int64_t dear_us);
 
 #endif
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -51,7 +51,8 @@
 		.status = status,
 		.in_flight = endpoint->live.length,
 		.slowness = rr_track_slowness(&endpoint->track, gate->now_us),
-		.tokens = endpoint->service->extras.tokens,
+		.extras_left = rr_extras_left(&endpoint->service->extras,
+					      gate->now_us),
 	};
 
 	rr_note_step(&run->trail, &step);
@@ -66,7 +67,8 @@
 		.kind = kind,
 		.reason = reason,
 		.service = part->service->name,
-		.tokens = part->service->extras.tokens,
+		.extras_left =
+			rr_extras_left(&part->service->extras, gate->now_us),
 	};
 
 	rr_note_step(&run->trail, &step);
@@ -92,7 +94,8 @@
 }
 
 /* The time after which an attempt is hedged, by what is left of the budget. */
-static int64_t hedge_after_us(const struct rr_gate_run *run,
+static int64_t hedge_after_us(const struct rr_gate *gate,
+			      const struct rr_gate_run *run,
 			      const struct rr_gate_part *part)
 {
 	int64_t typical_us = rr_typical_us(run->record, run->route);
@@ -105,8 +108,9 @@
 	cheap_us = MAX(cheap_us, LEAST_HEDGE_US);
 	/* A hedge that could not answer in time any more is worth little. */
 	last_us = run->cut_us - 2 * typical_us - part->last_sent_us;
-	return rr_hedge_price_us(&part->service->extras, cheap_us,
-				 MIN(DEAR_FACTOR * typical_us, last_us));
+	return rr_hedge_price_us(
+		rr_extras_used(&part->service->extras, gate->now_us), cheap_us,
+		MIN(DEAR_FACTOR * typical_us, last_us));
 }
 
 static void send_attempt(struct rr_context *ctx, struct rr_gate *gate,
@@ -154,7 +158,7 @@
 			MAX(run->deadline_us - gate->now_us, 0) / 1000 :
 			-1;
 	if (run->route->idempotent && !run->handed)
-		set_timer(gate, gate->now_us + hedge_after_us(run, part),
+		set_timer(gate, gate->now_us + hedge_after_us(gate, run, part),
 			  RR_TIMER_GATE_HEDGE, attempt->id);
 	gate->actions.send(gate->actions.data, &send);
 }
@@ -213,8 +217,8 @@
 	if (!may_try(run, part))
 		return false;
 #ifndef RR_MUTANT_GATE_NO_BUDGET
-	if (extra && part->service->extras.tokens < 1) {
-		note_refusal(gate, run, part, "no-token");
+	if (extra && rr_extras_left(&part->service->extras, gate->now_us) < 1) {
+		note_refusal(gate, run, part, "no-extra-left");
 		return false;
 	}
 #endif
@@ -228,7 +232,7 @@
 		return false;
 	}
 	if (extra)
-		rr_take_tokens(&part->service->extras, 1);
+		rr_take_extra(&part->service->extras, gate->now_us);
 	send_attempt(ctx, gate, run, index, endpoint, why);
 	return true;
 }
@@ -275,7 +279,7 @@
 	part = &run->parts[attempt->part];
 	if (part->last_sent_us != attempt->sent_us || !may_try(run, part))
 		return;
-	due_us = part->last_sent_us + hedge_after_us(run, part);
+	due_us = part->last_sent_us + hedge_after_us(gate, run, part);
 	if (gate->now_us < due_us) {
 		set_timer(gate, due_us, RR_TIMER_GATE_HEDGE, id);
 		return;
@@ -420,7 +424,7 @@
 /* Proof of "not run" takes an attempt off the counts it went into. */
 static void uncount(struct rr_gate_run *run, struct rr_gate_part *part,
 		    const struct rr_gate_attempt *attempt,
-		    const struct rr_gate_reply *reply)
+		    const struct rr_gate_reply *reply, int64_t now_us)
 {
 	if (reply->outcome != RR_GATE_REFUSED &&
 	    reply->outcome != RR_GATE_UNSENT)
@@ -431,9 +435,7 @@
 		return;
 	part->n_arrived--;
 	if (attempt->extra)
-		part->service->extras.tokens =
-			MIN(part->service->extras.tokens + 1,
-			    part->service->extras.cap);
+		rr_return_extra(&part->service->extras, now_us);
 }
 
 static const char *outcome_name(const struct rr_gate_reply *reply)
@@ -449,7 +451,7 @@
 
 /*
  * What another instance says of a request that was handed to it: its answer
- * stands, also one that it failed; refused or lost, it is served here.
+ * stands, also one that it failed; refused, it is served here.
  */
 static void take_handed_reply(struct rr_context *ctx, struct rr_gate *gate,
 			      struct rr_gate_run *run,
@@ -462,11 +464,13 @@
 	case RR_GATE_REFUSED:
 	case RR_GATE_UNSENT:
 		if (!rr_try_part(ctx, gate, run, 0, "repeat"))
-			rr_take_back(ctx, gate, run, false);
+			rr_take_back(ctx, gate, run);
 		return;
 	case RR_GATE_BROKEN:
 	case RR_GATE_SILENT:
-		rr_take_back(ctx, gate, run, true);
+		/* It may have used up what each shard may be asked. */
+		rr_give_up_part(run, &run->parts[0]);
+		rr_advance_run(ctx, gate, run);
 		return;
 	}
 }
@@ -531,7 +535,8 @@
 	track_reply(ctx, gate, attempt, reply);
 	end_attempt(gate, attempt);
 	if (run) {
-		uncount(run, &run->parts[attempt->part], attempt, reply);
+		uncount(run, &run->parts[attempt->part], attempt, reply,
+			now_us);
 		take_reply(ctx, gate, run, attempt->part, reply);
 	}
 	rr_free_attempt(attempt);
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -34,6 +34,7 @@
 
 enum tier {
 	TIER_GOOD,
+	TIER_AWAY,     /* an instance of another zone */
 	TIER_STALLED,  /* pauses, sheds or is stuck */
 	TIER_UNLISTED, /* its entry has just gone */
 	N_TIERS,
@@ -101,8 +102,9 @@
 {
 	if (!endpoint->listed)
 		return TIER_UNLISTED;
-	return is_stalled(gate, endpoint, typical_us) ? TIER_STALLED :
-							TIER_GOOD;
+	if (is_stalled(gate, endpoint, typical_us))
+		return TIER_STALLED;
+	return endpoint->away ? TIER_AWAY : TIER_GOOD;
 }
 
 static double expected_wait_us(const struct rr_gate *gate,
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -54,18 +54,14 @@
 		       struct rr_gate_service *service)
 {
 	double slack = gate->extra_slack * SLACK_PART;
-	double cap = slack / gate->instances;
+	uint32_t holders = rr_count_holders(gate);
+	double part = 1.0 / gate->instances;
 
 	/* Where some hand searches over, the others have the extra attempts. */
-	if (rr_count_holders(gate) < gate->instances)
-		cap = gate->weak ?
-			      slack * WEAK_PART / gate->instances :
-			      slack * (1 - WEAK_PART) / rr_count_holders(gate);
-	/*
-	 * It begins empty.  Guards against a restart that spends the
-	 * instance's part of one window twice.
-	 */
-	rr_set_budget(&service->extras, gate->extra_ratio, cap, 0);
+	if (service->searched && holders < gate->instances)
+		part = gate->weak ? WEAK_PART / (gate->instances - holders) :
+				    (1 - WEAK_PART) / holders;
+	rr_set_allowance(&service->extras, gate->extra_ratio, slack * part);
 }
 
 struct rr_gate_service *rr_gate_service_of(struct rr_gate *gate,
@@ -80,6 +76,8 @@
 	service->name = g_strdup(name);
 	service->endpoints = g_ptr_array_new();
 	rr_init_wait_queue(&service->waiting);
+	rr_init_allowance(&service->extras, gate->extra_window_us,
+			  gate->began_us);
 	set_extras(gate, service);
 	g_hash_table_insert(gate->services, service->name, service);
 	return service;
@@ -107,6 +105,26 @@
 		set_extras(gate, service);
 }
 
+void rr_mark_searched(struct rr_gate *gate)
+{
+	GHashTableIter iter;
+	gpointer service;
+
+	g_hash_table_iter_init(&iter, gate->services);
+	while (g_hash_table_iter_next(&iter, NULL, &service))
+		((struct rr_gate_service *)service)->searched = false;
+	for (size_t i = 0; i < rr_count_routes(gate->table); i++) {
+		const struct rr_route *route = rr_route_at(gate->table, i);
+
+		if (route->mode != RR_ROUTE_GATHER)
+			continue;
+		for (size_t j = 0; j < route->n_parts; j++)
+			rr_gate_service_of(gate, route->parts[j].service)
+				->searched = true;
+	}
+	rr_refresh_extras(gate);
+}
+
 /* This instance's part of a replica's connections, times `part`. */
 static uint32_t share_of_connections(const struct rr_gate *gate,
 				     const char *name, double part)
--- a/source/core/gate-peer.c
+++ b/source/core/gate-peer.c
@@ -78,9 +78,10 @@
 static void judge_peer(struct rr_context *ctx, struct rr_gate *gate,
 		       struct rr_gate_peer *peer)
 {
-	bool wanted = gate->weak && !strcmp(peer->zone, gate->zone) &&
+	bool wanted = gate->weak &&
 		      peer->strength >= MUCH_STRONGER * gate->strength &&
 		      *peer->address;
+	struct rr_endpoint *endpoint;
 	struct rr_listing listing = {
 		.id = peer->id,
 		.service = RR_STRONG_SERVICE,
@@ -93,10 +94,13 @@
 	if (wanted == peer->listed)
 		return;
 	peer->listed = wanted;
-	if (wanted)
-		rr_gate_list(ctx, gate, gate->now_us, &listing);
-	else
+	if (!wanted) {
 		rr_gate_unlist(ctx, gate, gate->now_us, peer->id);
+		return;
+	}
+	rr_gate_list(ctx, gate, gate->now_us, &listing);
+	endpoint = g_hash_table_lookup(gate->endpoints, peer->id);
+	endpoint->away = strcmp(peer->zone, gate->zone) != 0;
 }
 
 static void judge_peers(struct rr_context *ctx, struct rr_gate *gate)
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#include "core/allowance.h"
 #include "core/budget.h"
 #include "core/limit.h"
 #include "core/timer.h"
@@ -53,6 +54,7 @@
 	bool draining; /* or replaced: takes no new work, for good */
 	int64_t unlisted_us;
 	int64_t cold_until_us;
+	bool away; /* another zone's strong instance: where none here is good */
 	uint32_t slots;
 	struct rr_track track;
 	struct rr_limit limit; /* of open attempts, in usual times */
@@ -63,8 +65,9 @@
 struct rr_gate_service {
 	char *name;
 	GPtrArray *endpoints; /* struct rr_endpoint, not referenced */
-	struct rr_budget extras;
-	int64_t typical_us;	      /* of its last attempt's kind of work */
+	struct rr_allowance extras;
+	bool searched;	    /* a shard of a search, in the routes in force */
+	int64_t typical_us; /* of its last attempt's kind of work */
 	struct rr_wait_queue waiting; /* parts that found no room */
 };
 
@@ -153,6 +156,8 @@
 	struct rr_gate_actions actions;
 	double extra_ratio;
 	double extra_slack;
+	int64_t extra_window_us;
+	int64_t began_us;
 	uint32_t instances;
 	double strength;
 	GHashTable *peers;  /* id -> struct rr_gate_peer */
@@ -181,6 +186,8 @@
 void rr_free_gate_service(gpointer data);
 /* Share the allowances of extra attempts anew. */
 void rr_refresh_extras(struct rr_gate *gate);
+/* New routes: which services are shards of searches, and share anew. */
+void rr_mark_searched(struct rr_gate *gate);
 /* Connections to a replica of a service that are kept at rest. */
 uint32_t rr_kept_connections(const struct rr_gate *gate, const char *name);
 /* It takes no new work any more. */
@@ -266,12 +273,9 @@
 		     struct rr_gate_service *service);
 
 /* gate-run.c */
-/*
- * What was handed over is served here after all; `may_have_run` there.  Then
- * each part has had its first attempt.
- */
+/* What was handed over, and was not run there, is served here after all. */
 void rr_take_back(struct rr_context *ctx, struct rr_gate *gate,
-		  struct rr_gate_run *run, bool may_have_run);
+		  struct rr_gate_run *run);
 /* Look at a request: answer it if it is time. */
 void rr_advance_run(struct rr_context *ctx, struct rr_gate *gate,
 		    struct rr_gate_run *run);
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -275,6 +275,16 @@
 	}
 }
 
+/*
+ * Until when another instance's answer is waited for: as long again as its
+ * caller wants to wait.  Guards against requests that are held to their
+ * deadline by an instance that is frozen.
+ */
+static int64_t hand_over_end_us(const struct rr_gate_run *run)
+{
+	return run->cut_us + HAND_BACK_US + (run->cut_us - run->started_us);
+}
+
 void rr_advance_run(struct rr_context *ctx, struct rr_gate *gate,
 		    struct rr_gate_run *run)
 {
@@ -282,10 +292,9 @@
 		advance_gather(ctx, gate, run);
 		return;
 	}
-	if (run->handed && gate->now_us >= run->cut_us + HAND_BACK_US &&
-	    gate->now_us < run->end_us && !run->left) {
-		/* The other instance is frozen, or far too slow. */
-		rr_take_back(ctx, gate, run, true);
+	if (run->handed && gate->now_us >= hand_over_end_us(run) &&
+	    !run->n_lacking) {
+		fail_run(ctx, gate, run, "strong-instance-silent");
 		return;
 	}
 	if (run->n_lacking)
@@ -345,7 +354,7 @@
 
 	part->service = rr_gate_service_of(gate, service);
 	/* Earned by the request, whether an attempt arrives or not. */
-	rr_earn_token(&part->service->extras);
+	rr_earn_extra(&part->service->extras, gate->now_us);
 }
 
 static void add_parts(struct rr_context *ctx, struct rr_gate *gate,
@@ -455,17 +464,13 @@
 }
 
 void rr_take_back(struct rr_context *ctx, struct rr_gate *gate,
-		  struct rr_gate_run *run, bool may_have_run)
+		  struct rr_gate_run *run)
 {
-	rr_leave_attempts(ctx, gate, run);
 	g_clear_pointer(&run->parts, g_free);
 	run->handed = false;
 	run->n_parts = 0;
 	run->n_lacking = 0;
-	run->n_run = may_have_run ? 1 : 0;
 	add_parts(ctx, gate, run);
-	for (size_t i = 0; may_have_run && i < run->n_parts; i++)
-		run->parts[i].n_arrived = 1;
 	start_parts(ctx, gate, run);
 }
 
@@ -475,13 +480,13 @@
 	uint64_t id = run->id;
 
 	rr_set_timer(gate->timers,
-		     run->handed ? run->cut_us + HAND_BACK_US : run->cut_us,
+		     run->handed ? hand_over_end_us(run) : run->cut_us,
 		     RR_TIMER_GATE_LOOK, id, 0);
 	if (run->end_us != run->cut_us && run->end_us != INT64_MAX)
 		rr_set_timer(gate->timers, run->end_us, RR_TIMER_GATE_LOOK, id,
 			     0);
 	if (run->handed && !rr_try_part(ctx, gate, run, 0, "handed-over")) {
-		rr_take_back(ctx, gate, run, false);
+		rr_take_back(ctx, gate, run);
 		return;
 	}
 	if (!run->handed)
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -32,6 +32,8 @@
 	gate->actions = options->actions;
 	gate->extra_ratio = options->extra_ratio;
 	gate->extra_slack = options->extra_slack;
+	gate->extra_window_us = (int64_t)options->extra_window_ms * 1000;
+	gate->began_us = options->began_us;
 	gate->instances = ASSUMED_INSTANCES;
 	gate->strength = options->strength;
 	gate->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -90,6 +92,7 @@
 	rr_drop_route_table(gate->table);
 	gate->table = rr_keep_route_table(table);
 	gate->table_since_us = now_us;
+	rr_mark_searched(gate);
 	rr_judge_isolation(ctx, gate);
 	rr_count(ctx, RR_N_CONFIG_CHANGES, 1);
 	rr_set_gauge(ctx, RR_G_CONFIG_REVISION, new);
--- a/source/core/hedge.c
+++ b/source/core/hedge.c
@@ -43,7 +43,7 @@
 		DEAR_MEDIANS * (double)rr_sketch_quantile(&service->times, 0.5);
 
 	return rr_hedge_price_us(
-		&service->hedges,
+		rr_budget_used(&service->hedges),
 		rr_sketch_quantile(&service->times, HEDGE_QUANTILE),
 		(int64_t)dear);
 }
--- a/source/core/track.c
+++ b/source/core/track.c
@@ -110,6 +110,7 @@
 void rr_track_shed(struct rr_track *track, int64_t now_us)
 {
 	track->shed_until_us = now_us + SHED_US;
+	mix_losses(track, now_us, 1);
 	rr_track_seen(track, now_us);
 }
 
--- a/source/core/trail.c
+++ b/source/core/trail.c
@@ -70,7 +70,7 @@
 	       RR_FIELD_U64("status", step->status),
 	       RR_FIELD_U64("in_flight", step->in_flight),
 	       RR_FIELD_DOUBLE("slowness", step->slowness),
-	       RR_FIELD_DOUBLE("tokens", step->tokens));
+	       RR_FIELD_DOUBLE("extras_left", step->extras_left));
 }
 
 static void write_other(struct rr_context *ctx,
@@ -82,7 +82,7 @@
 	       RR_FIELD_I64("after_us", after_us),
 	       RR_FIELD_STRING("service", step->service),
 	       RR_FIELD_STRING("reason", step->reason),
-	       RR_FIELD_DOUBLE("tokens", step->tokens));
+	       RR_FIELD_DOUBLE("extras_left", step->extras_left));
 }
 
 void rr_write_steps(struct rr_context *ctx, const struct rr_trail *trail,
--- a/source/core/trail.h
+++ b/source/core/trail.h
@@ -34,7 +34,7 @@
 	uint32_t status;
 	uint32_t in_flight;
 	double slowness;
-	double tokens;
+	double extras_left; /* of the service, when it was decided */
 };
 
 struct rr_trail {
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -206,6 +206,8 @@
 		.actions = rr_gateway_gate_actions(gateway),
 		.extra_ratio = gateway->settings->extra_share,
 		.extra_slack = gateway->settings->extra_slack,
+		.extra_window_ms = gateway->settings->extra_window_ms,
+		.began_us = rr_gateway_now_us(),
 		.strength = gateway->settings->strength,
 		.log_lines_per_s = gateway->settings->log_request_lines_per_s,
 	};
--- a/source/tool/explain-print.c
+++ b/source/tool/explain-print.c
@@ -94,7 +94,7 @@
 		return "no replica of it had room";
 	if (rr_line_is(last, "not-sent") && !strcmp(reason, "no-replica"))
 		return "all its replicas were asked already or seem gone";
-	if (rr_line_is(last, "not-sent") && !strcmp(reason, "no-token"))
+	if (rr_line_is(last, "not-sent") && !strcmp(reason, "no-extra-left"))
 		return "the budget of extra attempts was spent";
 	if (rr_line_is(last, "reply") && !strcmp(reason, "refused"))
 		return "its replica refused for want of room";
@@ -226,11 +226,11 @@
 		rr_line_text(line, "reason"));
 	if (*rr_line_text(line, "endpoint"))
 		g_string_append_printf(
-			out, " %s (open %s, slowness %.1f, tokens %.1f)",
+			out, " %s (open %s, slowness %.1f, extras left %.1f)",
 			rr_line_text(line, "endpoint"),
 			rr_line_text(line, "in_flight"),
 			rr_line_number(line, "slowness"),
-			rr_line_number(line, "tokens"));
+			rr_line_number(line, "extras_left"));
 	if (rr_line_number(line, "status") > 0)
 		g_string_append_printf(out, " status %s",
 				       rr_line_text(line, "status"));
