--- a/include/ragwort/counter-list.h
+++ b/include/ragwort/counter-list.h
@@ -32,6 +32,8 @@
 RR_COUNTER(RR_N_RELOAD_FAILED, "reloads_failed_total", "times that something could not be read again and stayed as it was")
 RR_COUNTER(RR_N_PEER_STALE, "peer_messages_stale_total", "peer messages for another incarnation or past their deadline")
 RR_COUNTER(RR_N_STORE_CALLS, "store_calls_total", "calls to the platform's key-value service")
+RR_COUNTER(RR_N_PEER_NEWS_CALLS, "peer_news_calls_total", "calls to other instances for the store's news")
+RR_COUNTER(RR_N_NEWS_PASSED_ON, "news_passed_on_total", "answers with the store's news to other instances")
 RR_COUNTER(RR_N_STORE_FAILURES, "store_failures_total", "calls to the platform without a usable reply")
 RR_COUNTER(RR_N_CLAIMS, "claims_total", "reservation claims that took effect")
 RR_COUNTER(RR_N_CLAIM_DUPLICATES, "claims_duplicate_total", "reservations found claimed already")
--- a/include/ragwort/feed.h
+++ b/include/ragwort/feed.h
@@ -30,6 +30,7 @@
 
 struct rr_feed_call {
 	uint64_t id;
+	const char *peer; /* IP:PORT of an instance to ask; NULL: the store */
 	enum rr_feed_call_kind kind;
 	const char *after_key;	 /* range: the last key had; NULL: the first */
 	uint64_t after_revision; /* watch */
@@ -60,6 +61,7 @@
 	char *id; /* of a replica or instance */
 	uint64_t revision;
 	bool removed;
+	char *value; /* as the store has it, to be passed on; NULL: removed */
 	/* Unless removed; NULL where its value could not be read. */
 	struct rr_route_table *routes;
 	struct rr_listing *replica; /* its strings are the item's */
@@ -99,8 +101,19 @@
 	void *data;
 };
 
+/* An item as it is passed on to another instance. */
+struct rr_news_item {
+	const char *key;
+	const char *value; /* NULL: removed */
+	uint64_t revision;
+};
+
 struct rr_feed_options {
 	struct rr_feed_actions actions;
+	/* This instance; its strings may be NULL, its address is not used. */
+	struct rr_instance self;
+	/* IP:PORT of instances to read from while the store is away. */
+	const char *const *seeds; /* ends with NULL; NULL: none */
 	/* Longest time until a change has to be known here. */
 	uint32_t news_bound_ms;
 };
@@ -125,6 +138,20 @@
 /* Whether the store answered the last question. */
 bool rr_feed_is_reached(const struct rr_feed *feed);
 
+/*
+ * Whether this instance watches the store itself and is answered: only then
+ * does it pass changes on.
+ */
+bool rr_feed_passes_on(const struct rr_feed *feed);
+/* The revision up to which changes are known here. */
+uint64_t rr_feed_revision(const struct rr_feed *feed);
+/*
+ * Changes behind a revision as struct rr_news_item, for g_array_unref(); of
+ * revision 0 all items.  They point into the feed until its next event.
+ * NULL: some since then are no longer kept.
+ */
+GArray *rr_feed_changes(const struct rr_feed *feed, uint64_t after);
+
 void rr_free_feed_item(gpointer item);
 void rr_free_instance(struct rr_instance *instance);
 
--- a/include/ragwort/settings.h
+++ b/include/ragwort/settings.h
@@ -89,7 +89,9 @@
 	char *metrics_address; /* IP:PORT; NULL: none */
 	char *store_address;   /* IP:PORT of the platform's store */
 	char *peer_address;    /* IP:PORT other instances come to; NULL: none */
-	double strength;       /* share of a processor that this one has */
+	/* Instances to start from, IP:PORT, while the store is away. */
+	char **seed_peers; /* NULL-terminated, never NULL itself */
+	double strength;   /* share of a processor that this one has */
 	uint32_t news_bound_ms;
 	double extra_share;   /* of requests, that a service gets on top */
 	uint32_t extra_slack; /* and so many more in a window */
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -9,6 +9,8 @@
 
 #include <string.h>
 
+#include "core/feed-source.h"
+#include "core/news.h"
 #include "ragwort/counters.h"
 #include "ragwort/log.h"
 
@@ -19,13 +21,19 @@
 #define WATCH_MS 25000
 /* Beyond what a slow store (60 times its usual 4 ms) needs. */
 #define CALL_TIMEOUT_MS 1500
+/*
+ * Another instance answers after a part of the bound on news at the latest,
+ * and is given up after another part: the rest is left for the store.
+ */
+#define PEER_WAIT_PART 4
+#define PEER_TIMEOUT_PART 8
 /*
  * After news, so that a burst of changes costs one watch, not one each.  Each
- * change wakes every instance: the more there are, the longer they wait, up
- * to a part of the bound on news.
+ * change wakes every watch: the more there are, the longer they wait, up to a
+ * part of the bound on news.
  */
 #define MERGE_US (400 * 1000)
-#define MERGE_INSTANCES 9
+#define MERGE_WATCHERS 9
 #define MERGE_PART 3
 /* Far more than a merge brings on a calm day, far less than a cut answer. */
 #define MANY_CHANGES 64
@@ -42,6 +50,8 @@
  * force within three seconds, and a watch that fell silent shows only here.
  */
 #define KEEP_US (1500 * 1000)
+/* Of an instance that asks others: a third of the lease. */
+#define FOLLOWER_KEEP_US (4 * G_USEC_PER_SEC)
 /*
  * The count of instances shrinks only after this: budgets hold for windows
  * of ten seconds, and entries lapse when the store is away.
@@ -74,11 +84,14 @@
 	struct rr_feed_actions actions;
 	uint64_t next_call;
 	int64_t now_us;
-	int64_t most_merge_us;
+	uint32_t news_bound_ms;
+	struct rr_sources *sources;
+	struct rr_news *news;
 	bool reached;
 	bool leaving;
 	/* Reading. */
 	struct line reading;
+	char *asked; /* the peer of the call under way; NULL: the store */
 	bool has_read;
 	bool ranging;
 	char *after_key;
@@ -110,6 +123,7 @@
 		g_free(item->replica);
 	}
 	rr_free_instance(item->instance);
+	g_free(item->value);
 	g_free(item->key);
 	g_free(item->id);
 	g_free(item);
@@ -140,8 +154,9 @@
 	struct rr_feed *feed = g_new0(struct rr_feed, 1);
 
 	feed->actions = options->actions;
-	feed->most_merge_us =
-		(int64_t)options->news_bound_ms * 1000 / MERGE_PART;
+	feed->news_bound_ms = options->news_bound_ms;
+	feed->sources = rr_new_sources(&options->self, options->seeds);
+	feed->news = rr_new_news();
 	feed->now_us = now_us;
 	feed->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    free_known);
@@ -158,6 +173,9 @@
 	if (!feed)
 		return;
 	g_hash_table_unref(feed->known);
+	rr_drop_sources(feed->sources);
+	rr_drop_news(feed->news);
+	g_free(feed->asked);
 	g_free(feed->after_key);
 	g_free(feed);
 }
@@ -167,21 +185,33 @@
 {
 	call->id = line->call = ++feed->next_call;
 	line->kind = call->kind;
-	call->timeout_ms = CALL_TIMEOUT_MS + call->wait_ms;
-	rr_count(ctx, RR_N_STORE_CALLS, 1);
+	call->timeout_ms =
+		call->wait_ms +
+		(call->peer ? feed->news_bound_ms / PEER_TIMEOUT_PART :
+			      CALL_TIMEOUT_MS);
+	rr_count(ctx, call->peer ? RR_N_PEER_NEWS_CALLS : RR_N_STORE_CALLS, 1);
 	feed->actions.call(feed->actions.data, call);
 }
 
 static void read_on(struct rr_context *ctx, struct rr_feed *feed)
 {
 	struct rr_feed_call call = { .kind = RR_FEED_WATCH };
+	const char *source =
+		rr_pick_source(feed->sources, feed->now_us, feed->ranging,
+			       &feed->reading.due_us);
 
+	if (!source)
+		return;
+	g_free(feed->asked);
+	call.peer = feed->asked = *source ? g_strdup(source) : NULL;
 	if (feed->ranging) {
 		call.kind = RR_FEED_RANGE;
 		call.after_key = feed->after_key;
 	} else {
 		call.after_revision = feed->revision;
-		call.wait_ms = WATCH_MS;
+		call.wait_ms = call.peer ?
+				       feed->news_bound_ms / PEER_WAIT_PART :
+				       WATCH_MS;
 	}
 	start_call(ctx, feed, &feed->reading, &call);
 }
@@ -247,6 +277,7 @@
 
 static void tell_count(struct rr_feed *feed, uint32_t count)
 {
+	rr_allow_following(feed->sources);
 	feed->shrink_us = 0;
 	feed->told = count;
 	feed->actions.instances(feed->actions.data, count);
@@ -273,16 +304,23 @@
 		tell_count(feed, count);
 }
 
-static void forget_key(struct rr_feed *feed, const char *key)
+static void forget_instance(struct rr_feed *feed, const char *id)
+{
+	rr_note_source(feed->sources, id, NULL);
+	feed->actions.instance(feed->actions.data, id, NULL);
+}
+
+static void forget_key(struct rr_feed *feed, const char *key, uint64_t revision)
 {
 	struct known *known = g_hash_table_lookup(feed->known, key);
 
 	if (!known)
 		return;
+	rr_keep_news(feed->news, key, revision, NULL);
 	if (known->kind == RR_FEED_REPLICA)
 		feed->actions.unlisted(feed->actions.data, known->id);
 	else if (known->kind == RR_FEED_INSTANCE)
-		feed->actions.instance(feed->actions.data, known->id, NULL);
+		forget_instance(feed, known->id);
 	g_hash_table_remove(feed->known, key);
 }
 
@@ -299,9 +337,11 @@
 			feed->actions.listed(feed->actions.data, item->replica);
 		break;
 	case RR_FEED_INSTANCE:
-		if (item->instance)
-			feed->actions.instance(feed->actions.data, item->id,
-					       item->instance);
+		if (!item->instance)
+			break;
+		rr_note_source(feed->sources, item->id, item->instance);
+		feed->actions.instance(feed->actions.data, item->id,
+				       item->instance);
 		break;
 	case RR_FEED_OTHER:
 		return;
@@ -329,7 +369,7 @@
 		return;
 #endif
 	if (item->removed) {
-		forget_key(feed, item->key);
+		forget_key(feed, item->key, item->revision);
 		return;
 	}
 	if (!known) {
@@ -342,6 +382,9 @@
 	if (known->revision == item->revision)
 		return;
 	known->revision = item->revision;
+	if (item->value)
+		rr_keep_news(feed->news, item->key, item->revision,
+			     item->value);
 	learn(ctx, feed, item);
 }
 
@@ -359,7 +402,8 @@
 			g_ptr_array_add(gone, g_strdup(key));
 	}
 	for (guint i = 0; i < gone->len; i++)
-		forget_key(feed, g_ptr_array_index(gone, i));
+		forget_key(feed, g_ptr_array_index(gone, i),
+			   feed->range_revision);
 	g_ptr_array_unref(gone);
 }
 
@@ -398,11 +442,14 @@
  */
 static int64_t merge_us(const struct rr_feed *feed, guint n)
 {
-	int64_t many = MAX(1, count_instances(feed) / MERGE_INSTANCES);
+	int64_t many =
+		MAX(1, rr_count_watchers(feed->sources) / MERGE_WATCHERS);
 
-	if (n >= MANY_CHANGES)
+	/* What another instance tells is merged already. */
+	if (n >= MANY_CHANGES || feed->asked)
 		return 0;
-	return MIN(many * MERGE_US, feed->most_merge_us);
+	return MIN(many * MERGE_US,
+		   (int64_t)feed->news_bound_ms * 1000 / MERGE_PART);
 }
 
 static void take_changes(struct rr_context *ctx, struct rr_feed *feed,
@@ -417,38 +464,80 @@
 		feed->now_us + (news ? merge_us(feed, reply->items->len) : 0);
 }
 
+/* A range of an instance that has fallen behind would take things back. */
+static bool is_behind(const struct rr_feed *feed,
+		      const struct rr_feed_reply *reply)
+{
+	return feed->asked && feed->ranging && reply->revision < feed->revision;
+}
+
+static void take_good_reading(struct rr_context *ctx, struct rr_feed *feed,
+			      const struct rr_feed_reply *reply)
+{
+	rr_source_answered(feed->sources, feed->asked ? feed->asked : "");
+	if (!feed->asked)
+		note_reached(ctx, feed, true);
+	if (feed->ranging)
+		take_page(ctx, feed, reply);
+	else
+		take_changes(ctx, feed, reply);
+	look_at_count(feed);
+}
+
 static void take_reading(struct rr_context *ctx, struct rr_feed *feed,
 			 const struct rr_feed_reply *reply)
 {
+	bool forgotten = reply->status == RR_FEED_FORGOTTEN;
+
 	feed->reading.call = 0;
-	if (reply->status == RR_FEED_OK) {
-		feed->reading.backoff_us = 0;
-		note_reached(ctx, feed, true);
-		if (feed->ranging)
-			take_page(ctx, feed, reply);
-		else
-			take_changes(ctx, feed, reply);
-		look_at_count(feed);
+	feed->reading.due_us = feed->now_us;
+	if (reply->status == RR_FEED_OK && !is_behind(feed, reply)) {
+		take_good_reading(ctx, feed, reply);
 		return;
 	}
 	rr_count(ctx, RR_N_STORE_FAILURES, 1);
 	rr_log(ctx, RR_LOG_INFO, "read-failed",
-	       RR_FIELD_STRING("reason", reply->status == RR_FEED_FORGOTTEN ?
-						 "history-forgotten" :
-						 "no-answer"),
+	       RR_FIELD_STRING("reason",
+			       forgotten ? "history-forgotten" : "no-answer"),
+	       RR_FIELD_STRING("from", feed->asked ? feed->asked : "store"),
 	       RR_FIELD_BOOL("range", feed->ranging),
 	       RR_FIELD_U64("revision", feed->revision));
-	if (reply->status == RR_FEED_FORGOTTEN) {
+	if (forgotten && !feed->asked) {
 		start_range(feed);
-		feed->reading.due_us = feed->now_us;
 		return;
 	}
+	rr_source_failed(ctx, feed->sources, feed->asked ? feed->asked : "",
+			 feed->now_us);
 	if (feed->ranging) {
 		/* Pages belong together: from the first one again. */
 		start_range(feed);
-		note_reached(ctx, feed, false);
+		if (!feed->asked)
+			note_reached(ctx, feed, false);
 	}
-	wait_longer(ctx, feed, &feed->reading);
+}
+
+static void ask_anew(struct rr_feed *feed)
+{
+	if (feed->reading.call)
+		feed->actions.cancel(feed->actions.data, feed->reading.call);
+	feed->reading.call = 0;
+	feed->reading.due_us = feed->now_us;
+}
+
+/*
+ * One to ask before the one that is asked has come, or is well again: an
+ * instance in place of the store, or the store in place of an instance.
+ */
+static void turn_to_better(struct rr_feed *feed)
+{
+	int64_t due_us;
+	const char *better;
+
+	if (!feed->reading.call || feed->reading.kind != RR_FEED_WATCH)
+		return;
+	better = rr_pick_source(feed->sources, feed->now_us, false, &due_us);
+	if (better && strcmp(better, feed->asked ? feed->asked : ""))
+		ask_anew(feed);
 }
 
 /*
@@ -458,18 +547,23 @@
 static void end_suspicion(struct rr_context *ctx, struct rr_feed *feed)
 {
 	note_reached(ctx, feed, true);
+	rr_source_answered(feed->sources, "");
 	if (!feed->suspect)
 		return;
 	feed->suspect = false;
 #ifdef RR_MUTANT_FEED_TRUSTS_WATCH
 	return;
 #endif
-	if (feed->reading.call && feed->reading.kind == RR_FEED_WATCH) {
-		feed->actions.cancel(feed->actions.data, feed->reading.call);
-		feed->reading.call = 0;
-	}
-	if (!feed->reading.call)
-		feed->reading.due_us = feed->now_us;
+	if (!feed->asked &&
+	    (!feed->reading.call || feed->reading.kind == RR_FEED_WATCH))
+		ask_anew(feed);
+}
+
+static int64_t keep_us(struct rr_feed *feed)
+{
+	return feed->asked && rr_sources_follow(feed->sources) ?
+		       FOLLOWER_KEEP_US :
+		       KEEP_US;
 }
 
 static void take_entry(struct rr_context *ctx, struct rr_feed *feed,
@@ -486,7 +580,7 @@
 			feed->lease = reply->lease;
 		feed->entered = kind != RR_FEED_GRANT;
 		feed->entry.due_us =
-			feed->now_us + (feed->entered ? KEEP_US : 0);
+			feed->now_us + (feed->entered ? keep_us(feed) : 0);
 		return;
 	case RR_FEED_NO_LEASE:
 		end_suspicion(ctx, feed);
@@ -517,6 +611,7 @@
 void rr_feed_tick(struct rr_context *ctx, struct rr_feed *feed, int64_t now_us)
 {
 	feed->now_us = now_us;
+	turn_to_better(feed);
 	if (!feed->reading.call && feed->reading.due_us <= now_us)
 		read_on(ctx, feed);
 	if (!feed->entry.call && feed->entry.due_us <= now_us && !feed->leaving)
@@ -565,3 +660,19 @@
 {
 	return feed->reached;
 }
+
+bool rr_feed_passes_on(const struct rr_feed *feed)
+{
+	return feed->has_read && !feed->ranging && !feed->asked &&
+	       feed->reached && !feed->leaving;
+}
+
+uint64_t rr_feed_revision(const struct rr_feed *feed)
+{
+	return feed->revision;
+}
+
+GArray *rr_feed_changes(const struct rr_feed *feed, uint64_t after)
+{
+	return rr_news_after(feed->news, after);
+}
--- /dev/null
+++ b/source/core/news.c
@@ -0,0 +1,122 @@
+/*
+ * news.c - what the store told, by key, the removed ones too.
+ */
+#include "core/news.h"
+
+#include "ragwort/feed.h"
+
+/*
+ * Removed keys that are remembered: several times what a day's replacements
+ * leave in the longest time between two questions.
+ */
+#define MOST_REMOVED 2048
+
+struct kept {
+	char *key;
+	char *value; /* NULL: removed */
+	uint64_t revision;
+};
+
+struct rr_news {
+	GHashTable *items;  /* key -> struct kept */
+	uint32_t n_removed; /* of them */
+	uint64_t floor;	    /* removals up to here may be forgotten */
+};
+
+static void free_kept(gpointer data)
+{
+	struct kept *kept = data;
+
+	g_free(kept->key);
+	g_free(kept->value);
+	g_free(kept);
+}
+
+struct rr_news *rr_new_news(void)
+{
+	struct rr_news *news = g_new0(struct rr_news, 1);
+
+	news->items =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_kept);
+	return news;
+}
+
+void rr_drop_news(struct rr_news *news)
+{
+	if (!news)
+		return;
+	g_hash_table_unref(news->items);
+	g_free(news);
+}
+
+/* All removals at once: they are cheap to learn anew, and it is rare. */
+static void forget_removed(struct rr_news *news)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, news->items);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct kept *kept = value;
+
+		if (kept->value)
+			continue;
+		news->floor = MAX(news->floor, kept->revision);
+		g_hash_table_iter_remove(&iter);
+	}
+	news->n_removed = 0;
+}
+
+void rr_keep_news(struct rr_news *news, const char *key, uint64_t revision,
+		  const char *value)
+{
+	struct kept *kept = g_hash_table_lookup(news->items, key);
+
+	if (!kept) {
+		kept = g_new0(struct kept, 1);
+		kept->key = g_strdup(key);
+		g_hash_table_insert(news->items, kept->key, kept);
+	} else if (!kept->value) {
+		news->n_removed--;
+	}
+	g_free(kept->value);
+	kept->value = g_strdup(value);
+	kept->revision = revision;
+	if (!value && ++news->n_removed > MOST_REMOVED)
+		forget_removed(news);
+}
+
+static gint compare_revisions(gconstpointer a, gconstpointer b)
+{
+	const struct rr_news_item *one = a;
+	const struct rr_news_item *other = b;
+
+	return one->revision < other->revision ?
+		       -1 :
+		       one->revision > other->revision;
+}
+
+GArray *rr_news_after(const struct rr_news *news, uint64_t after)
+{
+	GArray *items;
+	GHashTableIter iter;
+	gpointer value;
+
+	if (after && after < news->floor)
+		return NULL;
+	items = g_array_new(FALSE, FALSE, sizeof(struct rr_news_item));
+	g_hash_table_iter_init(&iter, news->items);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct kept *kept = value;
+		struct rr_news_item item = {
+			.key = kept->key,
+			.value = kept->value,
+			.revision = kept->revision,
+		};
+
+		if (kept->revision > after && (after || kept->value))
+			g_array_append_val(items, item);
+	}
+	g_array_sort(items, compare_revisions);
+	return items;
+}
--- /dev/null
+++ b/source/core/news.h
@@ -0,0 +1,26 @@
+/*
+ * news.h - the store's items as they were told, to be passed on.
+ *
+ * A leaf: it knows no calls and no formats.  Values are kept as they came.
+ */
+#ifndef RAGWORT_CORE_NEWS_H
+#define RAGWORT_CORE_NEWS_H
+
+#include <glib.h>
+#include <stdint.h>
+
+struct rr_news;
+
+struct rr_news *rr_new_news(void);
+void rr_drop_news(struct rr_news *news);
+/* An item was written; `value` NULL: it was removed.  Strings are copied. */
+void rr_keep_news(struct rr_news *news, const char *key, uint64_t revision,
+		  const char *value);
+/*
+ * Changes behind a revision as struct rr_news_item, the oldest first; of
+ * revision 0 all items there are.  They point into `news` until it changes.
+ * NULL: some since then are no longer kept.
+ */
+GArray *rr_news_after(const struct rr_news *news, uint64_t after);
+
+#endif
--- a/source/gateway/gateway-callers.c
+++ b/source/gateway/gateway-callers.c
@@ -271,7 +271,13 @@
 void rr_take_peers_request(void *data, struct rr_caller *caller,
 			   const struct rr_http_message *message)
 {
-	take_request(data, caller, message, true);
+	struct rr_news_call call;
+
+	if (!rr_http_value(message, LEFT_HEADER) &&
+	    rr_parse_news_call(message->target, &call))
+		rr_take_news_call(data, caller, &call);
+	else
+		take_request(data, caller, message, true);
 }
 
 void rr_take_leaver(void *data, struct rr_caller *caller)
--- /dev/null
+++ b/source/gateway/gateway-news.c
@@ -0,0 +1,113 @@
+/*
+ * gateway-news.c - the store's news for other instances: those who ask wait
+ * here until there is something to tell.
+ */
+#include "gateway/gateway-private.h"
+
+#include "ragwort/counters.h"
+
+static void refuse(struct rr_caller *caller, uint16_t status)
+{
+	struct rr_front_answer answer = { .status = status };
+
+	rr_answer_caller(caller, &answer);
+}
+
+static void tell(struct rr_gateway *gateway, struct rr_caller *caller,
+		 const struct rr_news_call *call)
+{
+	GArray *items = rr_feed_changes(gateway->feed, call->after);
+	struct rr_front_answer answer = { .status = 200 };
+	GString *body;
+
+	if (!items) {
+		refuse(caller, rr_news_forgotten_status());
+		return;
+	}
+	body = rr_encode_news(call, items, rr_feed_revision(gateway->feed));
+	answer.body = (const uint8_t *)body->str;
+	answer.length = body->len;
+	rr_count(gateway->ctx, RR_N_NEWS_PASSED_ON, 1);
+	rr_answer_caller(caller, &answer);
+	g_string_free(body, TRUE);
+	g_array_unref(items);
+}
+
+/*
+ * Whether an answer can be given now.  One that cannot be, since this
+ * instance does not hear the store, is refused at once: whoever asks then
+ * turns to another.
+ */
+static bool answer_now(struct rr_gateway *gateway, struct rr_caller *caller,
+		       const struct rr_news_call *call, bool is_late)
+{
+	if (call->everything) {
+		if (rr_feed_has_read(gateway->feed))
+			tell(gateway, caller, call);
+		else
+			refuse(caller, 503);
+		return true;
+	}
+	if (!rr_feed_passes_on(gateway->feed)) {
+		refuse(caller, 503);
+		return true;
+	}
+	if (!is_late && rr_feed_revision(gateway->feed) <= call->after)
+		return false;
+	tell(gateway, caller, call);
+	return true;
+}
+
+void rr_take_news_call(struct rr_gateway *gateway, struct rr_caller *caller,
+		       const struct rr_news_call *call)
+{
+	struct asker asker = {
+		.caller = caller,
+		.call = *call,
+		.until_us = rr_gateway_now_us() + (int64_t)call->wait_ms * 1000,
+	};
+
+	if (!answer_now(gateway, caller, call, false))
+		g_array_append_val(gateway->askers, asker);
+}
+
+void rr_answer_askers(struct rr_gateway *gateway, int64_t now_us)
+{
+	guint i = 0;
+
+	while (i < gateway->askers->len) {
+		struct asker asker =
+			g_array_index(gateway->askers, struct asker, i);
+
+		if (answer_now(gateway, asker.caller, &asker.call,
+			       asker.until_us <= now_us))
+			g_array_remove_index_fast(gateway->askers, i);
+		else
+			i++;
+	}
+}
+
+int64_t rr_askers_wake_us(const struct rr_gateway *gateway)
+{
+	int64_t wake_us = INT64_MAX;
+
+	for (guint i = 0; i < gateway->askers->len; i++)
+		wake_us = MIN(wake_us,
+			      g_array_index(gateway->askers, struct asker, i)
+				      .until_us);
+	return wake_us;
+}
+
+void rr_take_peer_gone(void *data, struct rr_caller *caller)
+{
+	struct rr_gateway *gateway = data;
+
+	for (guint i = 0; i < gateway->askers->len; i++) {
+		if (g_array_index(gateway->askers, struct asker, i).caller !=
+		    caller)
+			continue;
+		g_array_remove_index_fast(gateway->askers, i);
+		return;
+	}
+	rr_take_gone(data, caller);
+}
--- a/source/gateway/gateway-private.h
+++ b/source/gateway/gateway-private.h
@@ -8,6 +8,7 @@
 #include "net/front-port.h"
 #include "net/poller.h"
 #include "net/replica-port.h"
+#include "platform/platform.h"
 #include "ragwort/feed.h"
 #include "ragwort/gate-names.h"
 #include "ragwort/gate.h"
@@ -27,6 +28,13 @@
 	int64_t due_us;
 };
 
+/* Another instance that waits for the store's news. */
+struct asker {
+	struct rr_caller *caller;
+	struct rr_news_call call;
+	int64_t until_us;
+};
+
 /* A request that a caller waits for. */
 struct open_request {
 	struct rr_caller *caller;
@@ -56,6 +64,7 @@
 	GHashTable *requests;	     /* gate's id -> struct open_request */
 	struct open_request *taking; /* being taken: its id is not known yet */
 	GHashTable *calls;	     /* id -> struct open_call */
+	GArray *askers;		     /* struct asker */
 	int64_t flush_us;	     /* 0: no line waits */
 	int64_t stop_check_us;
 	bool was_ready;
@@ -85,4 +94,12 @@
 struct rr_feed_actions rr_gateway_feed_actions(struct rr_gateway *gateway);
 void rr_take_gateway_store_reply(void *data, const struct rr_gate_reply *reply);
 
+/* gateway-news.c: the store's news for other instances */
+void rr_take_news_call(struct rr_gateway *gateway, struct rr_caller *caller,
+		       const struct rr_news_call *call);
+/* Answer those who have waited long enough, or for whom there is news. */
+void rr_answer_askers(struct rr_gateway *gateway, int64_t now_us);
+int64_t rr_askers_wake_us(const struct rr_gateway *gateway);
+void rr_take_peer_gone(void *data, struct rr_caller *caller);
+
 #endif
--- a/source/gateway/gateway-store.c
+++ b/source/gateway/gateway-store.c
@@ -6,7 +6,7 @@
 
 #include "platform/platform.h"
 
-/* The one endpoint of the port that makes the store's calls. */
+/* The endpoint of the store; other instances are named by address. */
 #define STORE "store"
 /* A watch, and one for the other calls. */
 #define STORE_CONNECTIONS 2
@@ -26,8 +26,9 @@
 		.address = gateway->settings->peer_address,
 		.strength = gateway->settings->strength,
 	};
-	GString *bytes = rr_encode_feed_call(
-		call, gateway->settings->store_address, &entry);
+	const char *address =
+		call->peer ? call->peer : gateway->settings->store_address;
+	GString *bytes = rr_encode_feed_call(call, address, &entry);
 	struct rr_request_bytes request = {
 		.head = bytes->str,
 		.head_length = bytes->len,
@@ -35,8 +36,8 @@
 	/* Sent once: a repeat is the feed's to decide. */
 	struct rr_gate_send send = {
 		.attempt = call->id,
-		.endpoint = STORE,
-		.address = gateway->settings->store_address,
+		.endpoint = call->peer ? call->peer : STORE,
+		.address = address,
 		.deadline_ms = call->timeout_ms,
 		.idempotent = false,
 		.kept_connections = STORE_CONNECTIONS,
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -80,6 +80,7 @@
 	rr_tick_replica_port(gateway->replicas, now);
 	rr_tick_replica_port(gateway->strong, now);
 	rr_feed_tick(gateway->ctx, gateway->feed, now);
+	rr_answer_askers(gateway, now);
 	rr_gate_tick(gateway->ctx, gateway->gate, now);
 	rr_tick_front_port(gateway->callers, now);
 	rr_tick_front_port(gateway->ready, now);
@@ -99,6 +100,7 @@
 
 	look_at_readiness(gateway);
 	due_us = MIN(due_us, rr_feed_wake_us(gateway->feed));
+	due_us = MIN(due_us, rr_askers_wake_us(gateway));
 	due_us = MIN(due_us, rr_front_port_wake_us(gateway->callers));
 	due_us = MIN(due_us, rr_front_port_wake_us(gateway->ready));
 	if (gateway->peers)
@@ -183,6 +185,7 @@
 	if (gateway->peers)
 		rr_close_front_port(gateway->peers);
 	rr_feed_leave(gateway->ctx, gateway->feed, rr_gateway_now_us());
+	rr_answer_askers(gateway, rr_gateway_now_us());
 	return G_SOURCE_CONTINUE;
 }
 
@@ -213,6 +216,12 @@
 	};
 	struct rr_feed_options feed = {
 		.actions = rr_gateway_feed_actions(gateway),
+		.self = {
+			.id = gateway->settings->instance,
+			.zone = gateway->settings->zone,
+			.strength = gateway->settings->strength,
+		},
+		.seeds = (const char *const *)gateway->settings->seed_peers,
 		.news_bound_ms = gateway->settings->news_bound_ms,
 	};
 
@@ -281,6 +290,7 @@
 	if (settings->peer_address) {
 		peers.address = settings->peer_address;
 		peers.request = rr_take_peers_request;
+		peers.gone = rr_take_peer_gone;
 		gateway->peers = rr_new_front_port(gateway->ctx, &peers, error);
 		if (!gateway->peers)
 			return false;
@@ -322,6 +332,7 @@
 						  g_free, rr_free_open_request);
 	gateway->calls = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, g_free);
+	gateway->askers = g_array_new(FALSE, FALSE, sizeof(struct asker));
 	gateway->poller = rr_new_poller(error);
 	if (!gateway->poller || !listen_all(gateway, error)) {
 		rr_drop_gateway(gateway);
@@ -356,6 +367,7 @@
 	rr_drop_gate(gateway->gate);
 	g_hash_table_unref(gateway->requests);
 	g_hash_table_unref(gateway->calls);
+	g_array_unref(gateway->askers);
 	rr_drop_poller(gateway->poller);
 	g_main_loop_unref(gateway->loop);
 	rr_drop_context(gateway->ctx);
--- a/source/settings/gateway-settings.c
+++ b/source/settings/gateway-settings.c
@@ -19,6 +19,7 @@
 void rr_init_gateway_settings(struct rr_gateway_settings *settings)
 {
 	*settings = (struct rr_gateway_settings){
+		.seed_peers = g_new0(char *, 1),
 		.extra_share = DEFAULT_EXTRA_SHARE,
 		.extra_slack = DEFAULT_EXTRA_SLACK,
 		.extra_window_ms = DEFAULT_EXTRA_WINDOW_MS,
@@ -57,5 +58,6 @@
 	g_free(settings->metrics_address);
 	g_free(settings->store_address);
 	g_free(settings->peer_address);
+	g_strfreev(settings->seed_peers);
 	g_free(settings);
 }
--- a/source/settings/settings-table.c
+++ b/source/settings/settings-table.c
@@ -275,8 +275,13 @@
 	  .help = "Where the platform's key-value store is reached." },
 	{ "peer_address", RR_IN_GATEWAY, RR_SET_LISTEN_ADDRESS,
 	  .offset = IN_GATEWAY(peer_address),
-	  .help = "Where weaker instances of the zone hand searches to. Left "
-		  "out: they do not." },
+	  .help = "Where other instances come to: weaker ones hand searches "
+		  "over, others ask for the store's news. Left out: they do "
+		  "not." },
+	{ "seed_peers", RR_IN_GATEWAY, RR_SET_ADDRESS_LIST,
+	  .offset = IN_GATEWAY(seed_peers),
+	  .help = "Peer addresses of instances to start from while the store "
+		  "is out of reach." },
 	{ "strength", RR_IN_GATEWAY, RR_SET_NUMBER, 0, 1024,
 	  .offset = IN_GATEWAY(strength), .unit = "cores",
 	  .help = "What this instance has of a processor. One that has half "
--- /dev/null
+++ b/tests/test-feed-source.c
@@ -0,0 +1,205 @@
+/*
+ * test-feed-source.c - who watches the store, and whom the others ask.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <string.h>
+
+#include "core/feed-source.h"
+
+#define MS ((int64_t)1000)
+
+struct scene {
+	struct rr_context *ctx;
+	struct rr_sources *sources;
+	int64_t now_us;
+};
+
+static void start(struct scene *scene, const char *name, double strength,
+		  const char *const *seeds)
+{
+	struct rr_instance self = {
+		.id = (char *)name,
+		.zone = (char *)"a",
+		.strength = strength,
+	};
+
+	scene->ctx = rr_new_context(NULL);
+	scene->sources = rr_new_sources(&self, seeds);
+	scene->now_us = 1000 * MS;
+}
+
+static void stop(struct scene *scene)
+{
+	rr_drop_sources(scene->sources);
+	rr_drop_context(scene->ctx);
+}
+
+static void note(struct scene *scene, const char *id, const char *zone,
+		 double strength)
+{
+	struct rr_instance instance = {
+		.id = (char *)id,
+		.zone = (char *)zone,
+		.address = (char *)id,
+		.strength = strength,
+	};
+
+	rr_note_source(scene->sources, id, &instance);
+}
+
+static const char *pick(struct scene *scene)
+{
+	int64_t due_us;
+
+	return rr_pick_source(scene->sources, scene->now_us, false, &due_us);
+}
+
+static void give_up_on(struct scene *scene, const char *address)
+{
+	rr_source_failed(scene->ctx, scene->sources, address, scene->now_us);
+}
+
+/*
+ * Story: eighty-four watches wake for each replica that comes or goes, and
+ * each is paid for.  Two instances of a zone watch, its others ask them; of
+ * the two half of the others ask each.
+ */
+static void test_weak_instances_ask_strong_ones(void **state)
+{
+	guint asked_first = 0;
+
+	for (int i = 0; i < 40; i++) {
+		char *name = g_strdup_printf("weak%d", i);
+		struct scene scene;
+
+		start(&scene, name, 1, NULL);
+		note(&scene, "strong1", "a", 4);
+		note(&scene, "strong2", "a", 4);
+		note(&scene, "far", "b", 9);
+		note(&scene, "weaker", "a", 0.5);
+		assert_string_equal(pick(&scene), "");
+		rr_allow_following(scene.sources);
+		assert_true(rr_sources_follow(scene.sources));
+		assert_true(g_str_has_prefix(pick(&scene), "strong"));
+		asked_first += !strcmp(pick(&scene), "strong1");
+		assert_int_equal(rr_count_watchers(scene.sources), 3);
+		stop(&scene);
+		g_free(name);
+	}
+	assert_in_range(asked_first, 10, 30);
+}
+
+static void test_strong_ones_watch(void **state)
+{
+	struct scene scene;
+
+	start(&scene, "strong1", 4, NULL);
+	note(&scene, "strong2", "a", 4);
+	note(&scene, "strong1", "a", 4); /* its own entry, read back */
+	note(&scene, "weak", "a", 1);
+	rr_allow_following(scene.sources);
+	assert_false(rr_sources_follow(scene.sources));
+	assert_string_equal(pick(&scene), "");
+	stop(&scene);
+}
+
+/*
+ * Story: one watcher freezes, the other's machine is cut off.  Who asked them
+ * turns to the store; when that fails too, to watchers of other zones.  The
+ * store is asked again first, it answers soonest.
+ */
+static void test_one_after_the_other(void **state)
+{
+	struct scene scene;
+	int64_t due_us;
+
+	start(&scene, "weak", 1, NULL);
+	note(&scene, "strong1", "a", 4);
+	note(&scene, "strong2", "a", 4);
+	note(&scene, "far", "b", 9);
+	rr_allow_following(scene.sources);
+	for (int i = 0; i < 2; i++) {
+		assert_true(g_str_has_prefix(pick(&scene), "strong"));
+		give_up_on(&scene, pick(&scene));
+	}
+	assert_string_equal(pick(&scene), "");
+	give_up_on(&scene, "");
+	assert_string_equal(pick(&scene), "far");
+	give_up_on(&scene, "far");
+	assert_null(
+		rr_pick_source(scene.sources, scene.now_us, false, &due_us));
+	assert_in_range(due_us, scene.now_us + 100 * MS,
+			scene.now_us + 200 * MS);
+	scene.now_us = due_us;
+	assert_string_equal(pick(&scene), "");
+	rr_source_answered(scene.sources, "");
+	/* Later the two are tried again, before the store. */
+	scene.now_us += 2000 * MS;
+	assert_true(g_str_has_prefix(pick(&scene), "strong"));
+	stop(&scene);
+}
+
+/* What is known of a source outlives new entries. */
+static void test_failures_are_remembered(void **state)
+{
+	struct scene scene;
+
+	start(&scene, "weak", 1, NULL);
+	note(&scene, "strong1", "a", 4);
+	note(&scene, "strong2", "a", 4);
+	rr_allow_following(scene.sources);
+	give_up_on(&scene, "strong1");
+	give_up_on(&scene, "strong2");
+	note(&scene, "weak2", "a", 1);
+	assert_string_equal(pick(&scene), "");
+	rr_note_source(scene.sources, "strong1", NULL);
+	note(&scene, "strong3", "a", 3);
+	assert_string_equal(pick(&scene), "strong3");
+	stop(&scene);
+}
+
+/*
+ * Story: all processes are killed while the store is down.  One that starts
+ * first finds nobody; the next ones read from those that they were given.
+ */
+static void test_seeds_tell_everything(void **state)
+{
+	static const char *const seeds[] = { "seed1", "seed2", NULL };
+	struct scene scene;
+	int64_t due_us;
+
+	start(&scene, "new", 1, seeds);
+	assert_string_equal(
+		rr_pick_source(scene.sources, scene.now_us, true, &due_us), "");
+	give_up_on(&scene, "");
+	assert_string_equal(
+		rr_pick_source(scene.sources, scene.now_us, true, &due_us),
+		"seed1");
+	give_up_on(&scene, "seed1");
+	assert_string_equal(
+		rr_pick_source(scene.sources, scene.now_us, true, &due_us),
+		"seed2");
+	/* Changes are asked of those only that are known to watch. */
+	assert_null(
+		rr_pick_source(scene.sources, scene.now_us, false, &due_us));
+	stop(&scene);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_weak_instances_ask_strong_ones),
+		cmocka_unit_test(test_strong_ones_watch),
+		cmocka_unit_test(test_one_after_the_other),
+		cmocka_unit_test(test_failures_are_remembered),
+		cmocka_unit_test(test_seeds_tell_everything),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test-feed.c
+++ b/tests/test-feed.c
@@ -17,6 +17,7 @@
 
 struct call {
 	uint64_t id;
+	char *peer; /* NULL: the store */
 	enum rr_feed_call_kind kind;
 	char *after_key;
 	uint64_t after_revision;
@@ -39,6 +40,7 @@
 	struct call *call = data;
 
 	g_free(call->after_key);
+	g_free(call->peer);
 	g_free(call);
 }
 
@@ -49,6 +51,7 @@
 
 	kept->id = call->id;
 	kept->kind = call->kind;
+	kept->peer = g_strdup(call->peer);
 	kept->after_key = g_strdup(call->after_key);
 	kept->after_revision = call->after_revision;
 	kept->wait_ms = call->wait_ms;
@@ -106,7 +109,7 @@
 			       id);
 }
 
-static struct scene *new_scene(void)
+static struct scene *new_scene_from(const char *const *seeds)
 {
 	struct scene *scene = g_new0(struct scene, 1);
 	struct rr_feed_options options = {
@@ -120,6 +123,8 @@
 			.instance = note_instance,
 			.data = scene,
 		},
+		.self = { .id = (char *)"inst0", .zone = (char *)"z" },
+		.seeds = seeds,
 		.news_bound_ms = 3000,
 	};
 
@@ -133,6 +138,11 @@
 	return scene;
 }
 
+static struct scene *new_scene(void)
+{
+	return new_scene_from(NULL);
+}
+
 static void drop_scene(struct scene *scene)
 {
 	rr_drop_feed(scene->feed);
@@ -179,6 +189,21 @@
 	return n;
 }
 
+/* "inst5" in a zone of its own; "inst5/z/3" in zone z with strength 3. */
+static struct rr_instance *make_instance(const char *what)
+{
+	struct rr_instance *instance = g_new0(struct rr_instance, 1);
+	char **words = g_strsplit(what, "/", 3);
+	bool placed = g_strv_length(words) == 3;
+
+	instance->id = g_strdup(what);
+	instance->zone = g_strdup(placed ? words[1] : what);
+	instance->address = g_strconcat(what, ":1", NULL);
+	instance->strength = placed ? g_ascii_strtod(words[2], NULL) : 1;
+	g_strfreev(words);
+	return instance;
+}
+
 static struct rr_feed_item *make_item(const char *what, uint64_t revision)
 {
 	struct rr_feed_item *item = g_new0(struct rr_feed_item, 1);
@@ -197,11 +222,13 @@
 		item->kind = RR_FEED_INSTANCE;
 		item->id = g_strdup(what);
 		if (!item->removed)
-			item->instance = g_new0(struct rr_instance, 1);
+			item->instance = make_instance(what);
 	} else if (!g_str_has_prefix(what, "other")) {
 		item->kind = RR_FEED_REPLICA;
 		item->id = g_strdup(what);
 	}
+	if (!item->removed)
+		item->value = g_strdup("dmFsdWU=");
 	if (item->kind == RR_FEED_REPLICA && !item->removed) {
 		item->replica = g_new0(struct rr_listing, 1);
 		item->replica->id = g_strdup(what);
@@ -326,7 +353,7 @@
 	drop_scene(scene);
 }
 
-/* Each change wakes all instances: the more there are, the longer they wait,
+/* Each change wakes all watches: the more there are, the longer they wait,
  * but never for more than a third of the bound. */
 static void test_many_instances_merge_more(void **state)
 {
@@ -561,6 +588,168 @@
 	drop_scene(scene);
 }
 
+/* Read everything in a zone with two stronger ones, and ask one of them. */
+static struct scene *following_scene(void)
+{
+	struct scene *scene = new_scene();
+
+	answer_ok(scene, RR_FEED_RANGE,
+		  "routes3@10 r1@11 inst1/z/4@12 inst2/z/4@13 inst3/z/1@14",
+		  20);
+	answer_ok(scene, RR_FEED_GRANT, NULL, 0);
+	answer_ok(scene, RR_FEED_ENTER, NULL, 0);
+	assert_news(scene, "routes 3 +r1 instances 3 ");
+	return scene;
+}
+
+static bool asks_peer(struct scene *scene)
+{
+	struct call *watch = find_call(scene, RR_FEED_WATCH);
+
+	return watch && watch->peer;
+}
+
+/*
+ * Story: each replica that comes or goes wakes every watch, and each is paid
+ * for.  Where two others of its zone watch, an instance asks one of them: the
+ * store sees its renewals only, fewer of them.
+ */
+static void test_others_tell(void **state)
+{
+	struct scene *scene = following_scene();
+
+	assert_true(asks_peer(scene));
+	assert_int_equal(find_call(scene, RR_FEED_WATCH)->after_revision, 20);
+	assert_int_equal(find_call(scene, RR_FEED_WATCH)->wait_ms, 750);
+	answer_ok(scene, RR_FEED_WATCH, "r2@21", 21);
+	assert_news(scene, "+r2 ");
+	assert_true(asks_peer(scene));
+	for (int i = 0; i < 16; i++) {
+		pass(scene, 750 * MS);
+		answer_ok(scene, RR_FEED_WATCH, NULL, 21);
+		assert_true(asks_peer(scene));
+		if (find_call(scene, RR_FEED_KEEP))
+			answer_ok(scene, RR_FEED_KEEP, NULL, 0);
+	}
+	assert_in_range(count_calls(scene, RR_FEED_KEEP), 2, 4);
+	drop_scene(scene);
+}
+
+/*
+ * Story: both watchers of a zone freeze just before a replica drains.  Who
+ * asks them gives each up and is at the store within the bound.
+ */
+static void test_others_fall_silent(void **state)
+{
+	struct scene *scene = following_scene();
+	struct call *first = find_call(scene, RR_FEED_WATCH);
+
+	answer(scene, first, RR_FEED_FAILED, NULL, 0, false);
+	assert_true(asks_peer(scene));
+	assert_string_not_equal(find_call(scene, RR_FEED_WATCH)->peer,
+				first->peer);
+	answer(scene, find_call(scene, RR_FEED_WATCH), RR_FEED_FAILED, NULL, 0,
+	       false);
+	assert_non_null(find_call(scene, RR_FEED_WATCH));
+	assert_false(asks_peer(scene));
+	answer_ok(scene, RR_FEED_WATCH, "-r1@30", 30);
+	assert_news(scene, "-r1 ");
+	/* When they answer again, they are asked again. */
+	pass(scene, 4000 * MS);
+	assert_true(asks_peer(scene));
+	drop_scene(scene);
+}
+
+/* What another no longer knows, the store may know. */
+static void test_others_have_forgotten(void **state)
+{
+	struct scene *scene = following_scene();
+
+	for (int i = 0; i < 2; i++)
+		answer(scene, find_call(scene, RR_FEED_WATCH),
+		       RR_FEED_FORGOTTEN, NULL, 0, false);
+	assert_false(asks_peer(scene));
+	answer(scene, find_call(scene, RR_FEED_WATCH), RR_FEED_FORGOTTEN, NULL,
+	       0, false);
+	assert_null(find_call(scene, RR_FEED_RANGE)->peer);
+	drop_scene(scene);
+}
+
+/*
+ * Two that ask each other would both believe that nothing changes: only who
+ * watches the store itself, and is answered, passes changes on.
+ */
+static void test_passing_on(void **state)
+{
+	struct scene *scene = following_scene();
+	struct scene *watcher;
+	GArray *changes;
+
+	assert_false(rr_feed_passes_on(scene->feed));
+	drop_scene(scene);
+	watcher = settled_scene();
+	assert_true(rr_feed_passes_on(watcher->feed));
+	answer_ok(watcher, RR_FEED_WATCH, "-r1@21 r3@22", 22);
+	assert_int_equal(rr_feed_revision(watcher->feed), 22);
+	changes = rr_feed_changes(watcher->feed, 20);
+	assert_int_equal(changes->len, 2);
+	assert_null(g_array_index(changes, struct rr_news_item, 0).value);
+	assert_string_equal(g_array_index(changes, struct rr_news_item, 1).key,
+			    "r3");
+	g_array_unref(changes);
+	pass(watcher, 1600 * MS);
+	answer(watcher, find_call(watcher, RR_FEED_KEEP), RR_FEED_FAILED, NULL,
+	       0, false);
+	assert_false(rr_feed_passes_on(watcher->feed));
+	drop_scene(watcher);
+}
+
+/*
+ * Story: all processes are killed while the store is down.  The first to
+ * start knows nothing and says so; those after it read from an instance that
+ * they were given to start from, and serve.
+ */
+static void test_start_while_the_store_is_away(void **state)
+{
+	static const char *const seeds[] = { "10.0.0.1:7", "10.0.0.2:7", NULL };
+	struct scene *scene = new_scene_from(seeds);
+
+	answer(scene, find_call(scene, RR_FEED_RANGE), RR_FEED_FAILED, NULL, 0,
+	       false);
+	assert_string_equal(find_call(scene, RR_FEED_RANGE)->peer, seeds[0]);
+	answer(scene, find_call(scene, RR_FEED_RANGE), RR_FEED_FAILED, NULL, 0,
+	       false);
+	assert_string_equal(find_call(scene, RR_FEED_RANGE)->peer, seeds[1]);
+	answer_ok(scene, RR_FEED_RANGE, "routes3@10 r1@11", 20);
+	assert_true(rr_feed_has_read(scene->feed));
+	assert_news(scene, "routes 3 +r1 ");
+	/* The store is back, with what has changed meanwhile. */
+	pass(scene, 2000 * MS);
+	assert_null(find_call(scene, RR_FEED_WATCH)->peer);
+	assert_int_equal(find_call(scene, RR_FEED_WATCH)->after_revision, 20);
+	drop_scene(scene);
+}
+
+/* One that has fallen behind must not unlist what came after. */
+static void test_an_older_copy_is_left_out(void **state)
+{
+	static const char *const seeds[] = { "10.0.0.1:7", NULL };
+	struct scene *scene = new_scene_from(seeds);
+
+	answer_ok(scene, RR_FEED_RANGE, "routes3@10 r1@11 r2@19", 20);
+	assert_news(scene, "routes 3 +r1 +r2 ");
+	answer(scene, find_call(scene, RR_FEED_WATCH), RR_FEED_FORGOTTEN, NULL,
+	       0, false);
+	answer(scene, find_call(scene, RR_FEED_RANGE), RR_FEED_FAILED, NULL, 0,
+	       false);
+	assert_non_null(find_call(scene, RR_FEED_RANGE)->peer);
+	answer_ok(scene, RR_FEED_RANGE, "routes3@10 r1@11", 15);
+	assert_news(scene, "");
+	pass(scene, 300 * MS);
+	assert_null(find_call(scene, RR_FEED_RANGE)->peer);
+	drop_scene(scene);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -580,6 +769,12 @@
 		cmocka_unit_test(test_first_of_all_waits_for_others),
 		cmocka_unit_test(test_leaving),
 		cmocka_unit_test(test_unreadable_items_change_nothing),
+		cmocka_unit_test(test_others_tell),
+		cmocka_unit_test(test_others_fall_silent),
+		cmocka_unit_test(test_others_have_forgotten),
+		cmocka_unit_test(test_passing_on),
+		cmocka_unit_test(test_start_while_the_store_is_away),
+		cmocka_unit_test(test_an_older_copy_is_left_out),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/tests/test-news.c
@@ -0,0 +1,90 @@
+/*
+ * test-news.c - what one instance passes on to another.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "core/news.h"
+#include "ragwort/feed.h"
+
+static void assert_after(const struct rr_news *news, uint64_t after,
+			 const char *expected)
+{
+	GArray *items = rr_news_after(news, after);
+	GString *told = g_string_new(NULL);
+
+	assert_non_null(items);
+	for (guint i = 0; i < items->len; i++) {
+		const struct rr_news_item *item =
+			&g_array_index(items, struct rr_news_item, i);
+
+		g_string_append_printf(told, "%s=%s@%u ", item->key,
+				       item->value ? item->value : "-",
+				       (unsigned int)item->revision);
+	}
+	assert_string_equal(told->str, expected);
+	g_string_free(told, TRUE);
+	g_array_unref(items);
+}
+
+static void test_changes_in_order(void **state)
+{
+	struct rr_news *news = rr_new_news();
+
+	rr_keep_news(news, "b", 5, "B");
+	rr_keep_news(news, "a", 3, "A");
+	rr_keep_news(news, "c", 4, "C");
+	rr_keep_news(news, "a", 9, "A2");
+	rr_keep_news(news, "c", 8, NULL);
+	assert_after(news, 4, "b=B@5 c=-@8 a=A2@9 ");
+	assert_after(news, 8, "a=A2@9 ");
+	assert_after(news, 9, "");
+	/* All there is: what was removed is not there. */
+	assert_after(news, 0, "b=B@5 a=A2@9 ");
+	rr_keep_news(news, "c", 12, "C3");
+	assert_after(news, 8, "a=A2@9 c=C3@12 ");
+	rr_drop_news(news);
+}
+
+/*
+ * Story: a fleet replaces its replicas for weeks.  Removed keys are not kept
+ * for good; whoever asks from before the forgotten ones has to read anew,
+ * rather than miss that a replica left.
+ */
+static void test_removed_keys_are_bounded(void **state)
+{
+	struct rr_news *news = rr_new_news();
+	uint64_t revision = 10;
+	GArray *recent;
+
+	rr_keep_news(news, "stays", 5, "S");
+	for (int i = 0; i < 5000; i++) {
+		char *key = g_strdup_printf("k%d", i);
+
+		rr_keep_news(news, key, ++revision, "v");
+		rr_keep_news(news, key, ++revision, NULL);
+		g_free(key);
+	}
+	assert_null(rr_news_after(news, 100));
+	recent = rr_news_after(news, revision - 20);
+	assert_non_null(recent);
+	assert_int_equal(recent->len, 10);
+	assert_after(news, 0, "stays=S@5 ");
+	g_array_unref(recent);
+	rr_drop_news(news);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_changes_in_order),
+		cmocka_unit_test(test_removed_keys_are_bounded),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test-platform-formats.c
+++ b/tests/test-platform-formats.c
@@ -281,6 +281,62 @@
 	}
 }
 
+/* An instance answers another in the store's own words. */
+static void test_news_of_instances(void **state)
+{
+	struct rr_news_item changes[] = {
+		{ "servers/i1", "e30=", 8 },
+		{ "op/config", NULL, 9 },
+	};
+	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct rr_news_item));
+	struct rr_feed_call asked = { .kind = RR_FEED_WATCH,
+				      .after_revision = 7,
+				      .wait_ms = 750 };
+	struct rr_feed_reply reply = { 0 };
+	struct rr_news_call call;
+	GString *bytes = rr_encode_feed_call(&asked, "10.0.0.1:9", NULL);
+	char **words = g_strsplit(bytes->str, " ", 3);
+	GString *body;
+
+	assert_true(rr_parse_news_call(words[1], &call));
+	assert_false(call.everything);
+	assert_int_equal(call.after, 7);
+	assert_int_equal(call.wait_ms, 750);
+	g_array_append_vals(items, changes, G_N_ELEMENTS(changes));
+	body = rr_encode_news(&call, items, 11);
+	rr_decode_feed_reply(RR_FEED_WATCH, 200, (const uint8_t *)body->str,
+			     body->len, &reply);
+	assert_int_equal(reply.status, RR_FEED_OK);
+	assert_int_equal(reply.revision, 11);
+	assert_int_equal(reply.items->len, 2);
+	assert_true(((struct rr_feed_item *)g_ptr_array_index(reply.items, 1))
+			    ->removed);
+	g_ptr_array_unref(reply.items);
+	g_string_free(body, TRUE);
+	g_string_free(bytes, TRUE);
+	g_strfreev(words);
+	g_array_unref(items);
+}
+
+static void test_what_is_no_news_call(void **state)
+{
+	static const char *const targets[] = {
+		"/",
+		"/v1/kv-watch",
+		"/v1/kv-watch?prefix=&after=&waitMs=1",
+		"/v1/kv-watch?prefix=&after=1x&waitMs=1",
+		"/v1/kv-watch?prefix=&after=1",
+		"/v1/kv-range?prefix=&after=a",
+		"/search/1?after=1&waitMs=2",
+	};
+	struct rr_news_call call;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++)
+		assert_false(rr_parse_news_call(targets[i], &call));
+	assert_true(rr_parse_news_call("/v1/kv-range?prefix=", &call));
+	assert_true(call.everything);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -293,6 +349,8 @@
 		cmocka_unit_test(test_watch_reply),
 		cmocka_unit_test(test_other_replies),
 		cmocka_unit_test(test_failures),
+		cmocka_unit_test(test_news_of_instances),
+		cmocka_unit_test(test_what_is_no_news_call),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
