--- a/Makefile
+++ b/Makefile
@@ -36,8 +36,9 @@
 	$(wildcard tests/standin/*.c))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(wildcard bench/*.c))
 FUZZERS := $(patsubst fuzz/%.c,$(BUILD)/fuzz/%,$(wildcard fuzz/*.c))
+SOAK_OBJ := $(patsubst %.c,$(BUILD)/obj/%.o,$(wildcard soak/*.c))
 PROGRAMS := $(if $(DAEMON_OBJ),$(BUILD)/ragwortd) $(BUILD)/ragwort-gateway \
-	$(if $(TOOL_OBJ),$(BUILD)/ragwort)
+	$(if $(TOOL_OBJ),$(BUILD)/ragwort) $(BUILD)/soak/soak
 LIB = $(BUILD)/libragwortroute.a
 
 .PHONY: all setup test demo check-format format lint clean programs fuzzers reference
@@ -80,6 +81,10 @@
 $(BUILD)/ragwort: $(TOOL_OBJ) $(LIB)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) $(TOOL_LIBS)
 
+$(BUILD)/soak/soak: $(SOAK_OBJ) $(SUPPORT_OBJ) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) $(TOOL_LIBS) -lcmocka
+
 $(BUILD)/tests/%: $(BUILD)/obj/tests/test-%.o $(SUPPORT_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) -lcmocka
--- a/include/ragwort/lifecycle.h
+++ b/include/ragwort/lifecycle.h
@@ -19,6 +19,8 @@
 	RR_STOP_RUN, /* serve on; answers end their connections */
 	/* Callers were led elsewhere: connections at rest may close. */
 	RR_STOP_CLOSE_IDLE,
+	/* The end is near: nothing new is taken, as it would be cut off. */
+	RR_STOP_REFUSE,
 	RR_STOP_EXIT,
 };
 
--- a/include/ragwort/net-platform.h
+++ b/include/ragwort/net-platform.h
@@ -15,6 +15,10 @@
 
 struct rr_platform_port_options {
 	const char *address; /* IP:PORT */
+	/* This instance's entry in the list; a name of NULL: it has none. */
+	const char *instance;
+	const char *zone;
+	const char *peer_address;
 	/* Answers a call of the store port, once each; from the main loop. */
 	void (*replied)(void *data, const struct rr_store_reply *reply);
 	/* The configuration record was read: it may be the known one. */
@@ -39,6 +43,8 @@
 	/* The same where this instance does not watch; 0: default 60000. */
 	uint32_t list_seldom_period_ms;
 	uint32_t retry_ms; /* after a failure; 0: default 1000 */
+	/* Without renewal the entry goes after this; 0: default 12000. */
+	uint32_t lease_ms;
 };
 
 struct rr_platform_port;
--- /dev/null
+++ b/soak/soak-fault.c
@@ -0,0 +1,499 @@
+/*
+ * soak-fault.c - what goes wrong, and what is planned, drawn at random.
+ *
+ * Each fault ends by a timer of its own, so that several overlap and the same
+ * one may come twice.
+ */
+#include <signal.h>
+#include <string.h>
+
+#include "soak.h"
+
+#define LEAST_FAULT_MS 200
+#define MOST_FAULT_MS 3500
+/* A process that was killed or has stopped is started again after this. */
+#define LEAST_DOWN_MS 50
+#define MOST_DOWN_MS 900
+/* A drained replica serves on for so long, and then goes. */
+#define DRAIN_MS 4500
+/* Never more than this part of the instances at once. */
+#define MOST_DOWN_PART 0.7
+
+static uint32_t draw_fault_ms(struct soak *soak)
+{
+	return LEAST_FAULT_MS + soak_draw(soak, MOST_FAULT_MS - LEAST_FAULT_MS);
+}
+
+static uint32_t draw_down_ms(struct soak *soak)
+{
+	return LEAST_DOWN_MS + soak_draw(soak, MOST_DOWN_MS - LEAST_DOWN_MS);
+}
+
+static struct soak_instance *draw_instance(struct soak *soak)
+{
+	return g_ptr_array_index(soak->instances,
+				 soak_draw(soak, soak->instances->len));
+}
+
+static struct soak_replica *draw_replica(struct soak *soak)
+{
+	return g_ptr_array_index(soak->replicas,
+				 soak_draw(soak, soak->replicas->len));
+}
+
+static void harm_instance(struct soak_instance *instance)
+{
+	instance->disturbed_us = g_get_monotonic_time();
+}
+
+static void harm_world(struct soak *soak)
+{
+	soak->harmed_us = g_get_monotonic_time();
+}
+
+/* Instances. */
+
+static bool may_take_down(const struct soak *soak)
+{
+	uint32_t down = 0;
+
+	for (guint i = 0; i < soak->instances->len; i++) {
+		const struct soak_instance *instance =
+			g_ptr_array_index(soak->instances, i);
+
+		down += !instance->process || instance->stopping_us ||
+			instance->frozen;
+	}
+	return down < MOST_DOWN_PART * soak->instances->len;
+}
+
+static gboolean restart(gpointer data)
+{
+	struct soak_instance *instance = data;
+
+	if (!soak_instance_ended(instance))
+		return G_SOURCE_CONTINUE;
+	soak_start_instance(instance);
+	return G_SOURCE_REMOVE;
+}
+
+static bool is_steady(const struct soak_instance *instance)
+{
+	return instance->process && !instance->stopping_us &&
+	       !instance->frozen && !instance->killed;
+}
+
+static void stop_instance(struct soak *soak)
+{
+	struct soak_instance *instance = draw_instance(soak);
+
+	if (!is_steady(instance) || !may_take_down(soak))
+		return;
+	instance->stopping_us = g_get_monotonic_time();
+	test_signal_process(instance->process, SIGTERM);
+	/* A signal that comes twice changes nothing. */
+	if (soak_chance(soak, 0.2))
+		test_signal_process(instance->process, SIGTERM);
+	g_timeout_add(draw_down_ms(soak), restart, instance);
+}
+
+static void kill_instance(struct soak *soak)
+{
+	struct soak_instance *instance = draw_instance(soak);
+
+	if (!is_steady(instance) || !may_take_down(soak))
+		return;
+	harm_instance(instance);
+	instance->killed = true;
+	test_signal_process(instance->process, SIGKILL);
+	g_timeout_add(draw_down_ms(soak), restart, instance);
+}
+
+static void kill_many(struct soak *soak)
+{
+	for (guint i = 0; i < soak->instances->len / 2; i++)
+		kill_instance(soak);
+}
+
+static gboolean thaw(gpointer data)
+{
+	struct soak_instance *instance = data;
+
+	if (instance->frozen && instance->process)
+		test_signal_process(instance->process, SIGCONT);
+	instance->frozen = false;
+	harm_instance(instance);
+	return G_SOURCE_REMOVE;
+}
+
+static void freeze_instance(struct soak *soak)
+{
+	struct soak_instance *instance = draw_instance(soak);
+
+	if (!is_steady(instance) || !may_take_down(soak))
+		return;
+	harm_instance(instance);
+	instance->frozen = true;
+	test_signal_process(instance->process, SIGSTOP);
+	g_timeout_add(draw_fault_ms(soak), thaw, instance);
+}
+
+static void hang_up_instance(struct soak *soak)
+{
+	struct soak_instance *instance = draw_instance(soak);
+
+	if (is_steady(instance))
+		test_signal_process(instance->process, SIGHUP);
+}
+
+/* Links. */
+
+static gboolean heal_store_link(gpointer data)
+{
+	struct soak_instance *instance = data;
+
+	soak_set_link(instance->store, SOAK_LINK_UP, 0);
+	harm_instance(instance);
+	return G_SOURCE_REMOVE;
+}
+
+static enum soak_link_state draw_link_state(struct soak *soak)
+{
+	return (enum soak_link_state)soak_draw(soak, SOAK_LINK_REFUSED + 1);
+}
+
+static void harm_store_link(struct soak *soak)
+{
+	struct soak_instance *instance = draw_instance(soak);
+
+	harm_instance(instance);
+	soak_set_link(instance->store, draw_link_state(soak),
+		      soak_draw(soak, 200));
+	g_timeout_add(draw_fault_ms(soak), heal_store_link, instance);
+}
+
+static gboolean heal_replica(gpointer data)
+{
+	struct soak_replica *replica = data;
+
+	soak_set_link(replica->link, SOAK_LINK_UP, 0);
+	replica->slow_ms = 0;
+	replica->shed = 0;
+	replica->lose = 0;
+	replica->garble = 0;
+	harm_world(replica->soak);
+	return G_SOURCE_REMOVE;
+}
+
+static void heal_later(struct soak_replica *replica)
+{
+	harm_world(replica->soak);
+	g_timeout_add(draw_fault_ms(replica->soak), heal_replica, replica);
+}
+
+static void harm_replica_link(struct soak *soak)
+{
+	struct soak_replica *replica = draw_replica(soak);
+
+	soak_set_link(replica->link, draw_link_state(soak),
+		      soak_draw(soak, 80));
+	heal_later(replica);
+}
+
+static void reset_replica_link(struct soak *soak)
+{
+	harm_world(soak);
+	soak_reset_link(draw_replica(soak)->link);
+}
+
+/* All of one zone at once. */
+static void cut_zone(struct soak *soak)
+{
+	uint32_t zone = soak_draw(soak, ZONES);
+
+	for (guint i = 0; i < soak->replicas->len; i++) {
+		struct soak_replica *replica =
+			g_ptr_array_index(soak->replicas, i);
+
+		if (replica->zone != zone)
+			continue;
+		soak_set_link(replica->link, SOAK_LINK_SILENT, 0);
+		heal_later(replica);
+	}
+}
+
+/* Replicas. */
+
+static void slow_replica(struct soak *soak)
+{
+	struct soak_replica *replica = draw_replica(soak);
+
+	replica->slow_ms = 20 + soak_draw(soak, 200);
+	heal_later(replica);
+}
+
+static void pause_replica(struct soak *soak)
+{
+	harm_world(soak);
+	draw_replica(soak)->paused_until_us =
+		g_get_monotonic_time() + (50 + soak_draw(soak, 250)) * MS;
+}
+
+static void shed_at_replica(struct soak *soak)
+{
+	struct soak_replica *replica = draw_replica(soak);
+
+	replica->shed = 0.6;
+	heal_later(replica);
+}
+
+static void lose_answers(struct soak *soak)
+{
+	struct soak_replica *replica = draw_replica(soak);
+
+	replica->lose = 0.3;
+	heal_later(replica);
+}
+
+static void garble_answers(struct soak *soak)
+{
+	struct soak_replica *replica = draw_replica(soak);
+
+	replica->garble = 0.3;
+	heal_later(replica);
+}
+
+static gboolean revive(gpointer data)
+{
+	struct soak_replica *replica = data;
+	char service[sizeof(replica->service)];
+
+	harm_world(replica->soak);
+	g_strlcpy(service, replica->service, sizeof(service));
+	if (!replica->up)
+		soak_revive_replica(replica, service);
+	return G_SOURCE_REMOVE;
+}
+
+static void crash_replica(struct soak *soak)
+{
+	struct soak_replica *replica = draw_replica(soak);
+
+	if (!replica->up || replica->draining_us)
+		return;
+	harm_world(soak);
+	soak_crash_replica(replica);
+	g_timeout_add(draw_fault_ms(soak), revive, replica);
+}
+
+/* Two replicas die, and each one's address goes to the other's service. */
+static void swap_addresses(struct soak *soak)
+{
+	struct soak_replica *one = draw_replica(soak);
+	struct soak_replica *other = draw_replica(soak);
+	char service[sizeof(one->service)];
+
+	if (one == other || !one->up || !other->up || one->draining_us ||
+	    other->draining_us)
+		return;
+	harm_world(soak);
+	soak_crash_replica(one);
+	soak_crash_replica(other);
+	g_strlcpy(service, one->service, sizeof(service));
+	soak_revive_replica(one, other->service);
+	soak_revive_replica(other, service);
+}
+
+static gboolean leave(gpointer data)
+{
+	struct soak_replica *replica = data;
+	char service[sizeof(replica->service)];
+
+	if (!replica->draining_us)
+		return G_SOURCE_REMOVE;
+	g_strlcpy(service, replica->service, sizeof(service));
+	soak_crash_replica(replica);
+	soak_revive_replica(replica, service);
+	return G_SOURCE_REMOVE;
+}
+
+static void drain_replica(struct soak *soak)
+{
+	struct soak_replica *replica = draw_replica(soak);
+
+	if (!replica->up || replica->draining_us ||
+	    soak->store.state != TEST_STORE_UP)
+		return;
+	replica->draining_us = g_get_monotonic_time();
+	soak_list_replica(replica);
+	g_timeout_add(DRAIN_MS, leave, replica);
+}
+
+/* The store. */
+
+static gboolean heal_store(gpointer data)
+{
+	struct soak *soak = data;
+
+	test_store_set_state(&soak->store, TEST_STORE_UP);
+	soak->store.slow_ms = 0;
+	soak->store.lost_share = 0;
+	soak->store.lapses = false;
+	harm_world(soak);
+	return G_SOURCE_REMOVE;
+}
+
+static void harm_store(struct soak *soak)
+{
+	harm_world(soak);
+	soak->store.lapses = soak_chance(soak, 0.5);
+	test_store_set_state(
+		&soak->store,
+		(enum test_store_state)(1 + soak_draw(soak, TEST_STORE_BUSY)));
+	g_timeout_add(draw_fault_ms(soak), heal_store, soak);
+}
+
+static void slow_store(struct soak *soak)
+{
+	harm_world(soak);
+	soak->store.slow_ms = 50 + soak_draw(soak, 400);
+	soak->store.lost_share = 0.3;
+	g_timeout_add(draw_fault_ms(soak), heal_store, soak);
+}
+
+static void forget_history(struct soak *soak)
+{
+	harm_world(soak);
+	test_store_forget(&soak->store);
+}
+
+/* The configuration. */
+
+static void append_route(GString *out, const char *name, const char *type,
+			 const char *target)
+{
+	g_string_append_printf(
+		out,
+		"%s{\"name\":\"%s\",\"host\":\"soak\",\"prefix\":\"/%s/\","
+		"\"routeType\":\"%s\",\"timeoutMs\":%d,\"targetLatencyMs\":150,"
+		"\"priority\":1,\"maxAttempts\":%d,%s}",
+		out->str[out->len - 1] == '[' ? "" : ",", name, name, type,
+		DEADLINE_MS, MOST_ATTEMPTS, target);
+}
+
+static void append_services(GString *out)
+{
+	static const char *const singles[] = { "a1", "b1" };
+
+	g_string_append(out, "],\"services\":[");
+	for (int i = 0; i < 2 * SHARDS; i++)
+		g_string_append_printf(
+			out, "{\"name\":\"%c%d\",\"maxConnections\":64},",
+			i < SHARDS ? 's' : 't', i % SHARDS);
+	for (gsize i = 0; i < G_N_ELEMENTS(singles); i++)
+		g_string_append_printf(
+			out, "%s{\"name\":\"%s\",\"maxConnections\":64}",
+			i ? "," : "", singles[i]);
+}
+
+void soak_write_config(struct soak *soak)
+{
+	GString *out = g_string_new(NULL);
+	GString *shards = g_string_new("\"shardServices\":[");
+	char *single = g_strdup_printf("\"service\":\"%s\"",
+				       soak->other_single ? "b1" : "a1");
+
+	for (int i = 0; i < SHARDS; i++)
+		g_string_append_printf(shards, "%s\"%c%d\"", i ? "," : "",
+				       soak->other_shards ? 't' : 's', i);
+	g_string_append_printf(shards, "],\"topK\":%d,\"minShardRatio\":0.6",
+			       TOP_RECORDS);
+	soak->version += 1 + soak_draw(soak, 5);
+	g_string_append_printf(
+		out, "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[",
+		soak->version);
+	append_route(out, "search", "idempotent", shards->str);
+	append_route(out, "often", "idempotent", single);
+	append_route(out, "once", "non_idempotent", single);
+	append_services(out);
+	g_string_append(out, "],\"limits\":{\"maxHeaderBytes\":16384,"
+			     "\"maxBodyBytes\":65536,\"headerTimeoutMs\":5000,"
+			     "\"idleTimeoutMs\":15000}}");
+	test_store_put(&soak->store, "op/config", out->str);
+	g_string_free(shards, TRUE);
+	g_string_free(out, TRUE);
+	g_free(single);
+}
+
+static void change_config(struct soak *soak)
+{
+	soak->other_shards = soak_chance(soak, 0.5);
+	soak->other_single = soak_chance(soak, 0.5);
+	soak_write_config(soak);
+}
+
+/* Versions in quick succession. */
+static void storm_config(struct soak *soak)
+{
+	for (int i = 0; i < 8; i++)
+		change_config(soak);
+}
+
+static void begin_one(struct soak *soak, void (*const *faults)(struct soak *),
+		      uint32_t n)
+{
+	soak->faults++;
+	faults[soak_draw(soak, n)](soak);
+}
+
+void soak_begin_fault(struct soak *soak, enum soak_phase phase)
+{
+	static void (*const all[])(struct soak * soak) = {
+		stop_instance,	   stop_instance,      kill_instance,
+		kill_many,	   freeze_instance,    hang_up_instance,
+		harm_store_link,   harm_store_link,    harm_replica_link,
+		harm_replica_link, reset_replica_link, cut_zone,
+		slow_replica,	   pause_replica,      shed_at_replica,
+		lose_answers,	   garble_answers,     crash_replica,
+		crash_replica,	   swap_addresses,     drain_replica,
+		drain_replica,	   harm_store,	       slow_store,
+		forget_history,	   change_config,      change_config,
+		storm_config,
+	};
+	static void (*const stops[])(struct soak * soak) = {
+		stop_instance,
+		hang_up_instance,
+		change_config,
+	};
+	static void (*const drains[])(struct soak * soak) = {
+		drain_replica,
+		change_config,
+		storm_config,
+	};
+
+	switch (phase) {
+	case SOAK_STORM:
+		begin_one(soak, all, G_N_ELEMENTS(all));
+		return;
+	case SOAK_STOPS:
+		begin_one(soak, stops, G_N_ELEMENTS(stops));
+		return;
+	case SOAK_DRAINS:
+		begin_one(soak, drains, G_N_ELEMENTS(drains));
+		return;
+	}
+}
+
+void soak_heal_all(struct soak *soak)
+{
+	heal_store(soak);
+	for (guint i = 0; i < soak->replicas->len; i++)
+		heal_replica(g_ptr_array_index(soak->replicas, i));
+	for (guint i = 0; i < soak->instances->len; i++) {
+		struct soak_instance *instance =
+			g_ptr_array_index(soak->instances, i);
+
+		heal_store_link(instance);
+		thaw(instance);
+	}
+}
--- /dev/null
+++ b/soak/soak-instance.c
@@ -0,0 +1,124 @@
+/*
+ * soak-instance.c - gateways as processes: started, asked to stop, killed,
+ * frozen.
+ */
+#include <signal.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "soak.h"
+#include "support/tool-run.h"
+
+/* Instances that the others are told to start from. */
+#define SEEDS 3
+
+static uint16_t peer_port_of(const struct soak *soak, uint32_t number)
+{
+	const struct soak_instance *instance =
+		g_ptr_array_index(soak->instances, number);
+
+	return instance->peer_port;
+}
+
+static char *make_start_file(const struct soak_instance *instance)
+{
+	const struct soak *soak = instance->soak;
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(
+		text,
+		"instance: %s\nzone: z%u\ncaller_address: \"127.0.0.1:%u\"\n"
+		"ready_address: \"127.0.0.1:%u\"\n"
+		"peer_address: \"127.0.0.1:%u\"\n"
+		"store_address: \"127.0.0.1:%u\"\n"
+		"strength: %s\nextra_share: 0.2\nextra_slack: 100\n"
+		"news_bound_ms: 3000\nstop_timeout_ms: 6000\nseed_peers: [",
+		instance->name, instance->number % ZONES, instance->port,
+		instance->ready_port, instance->peer_port,
+		soak_link_port(instance->store),
+		instance->number < ZONES ? "0.5" : "0.2");
+	for (uint32_t i = 0; i < MIN(SEEDS, soak->instances->len); i++)
+		g_string_append_printf(text, "%s\"127.0.0.1:%u\"",
+				       i ? ", " : "", peer_port_of(soak, i));
+	g_string_append(text, "]\nlog: {level: info}\n");
+	return g_string_free(text, FALSE);
+}
+
+struct soak_instance *soak_new_instance(struct soak *soak, uint32_t number)
+{
+	struct soak_instance *instance = g_new0(struct soak_instance, 1);
+
+	instance->soak = soak;
+	instance->number = number;
+	instance->name = g_strdup_printf("gw-%u", number);
+	instance->port = soak_next_port(soak);
+	instance->ready_port = soak_next_port(soak);
+	instance->peer_port = soak_next_port(soak);
+	instance->store = soak_new_link(soak, soak->store.server.port);
+	return instance;
+}
+
+void soak_start_instance(struct soak_instance *instance)
+{
+	const char *arguments[] = { "--settings", NULL, NULL };
+	const char *log_dir = instance->soak->options.log_dir;
+	char *log_file =
+		log_dir ? g_strdup_printf("%s/%s-%u.log", log_dir,
+					  instance->name, instance->starts++) :
+			  g_strdup("/dev/null");
+
+	if (!instance->start_file) {
+		char *text = make_start_file(instance);
+
+		instance->start_file = test_write_file(text);
+		g_free(text);
+	}
+	arguments[1] = instance->start_file;
+	instance->process = test_start_logged_process("ragwort-gateway",
+						      arguments, log_file);
+	instance->stopping_us = 0;
+	instance->frozen = false;
+	instance->killed = false;
+	instance->disturbed_us = g_get_monotonic_time();
+	g_free(log_file);
+}
+
+/* Looked at without reaping: that is for whoever started it. */
+static bool has_ended(const struct soak_instance *instance)
+{
+	siginfo_t info = { 0 };
+
+	return waitid(P_PID, (id_t)instance->process->pid, &info,
+		      WEXITED | WNOHANG | WNOWAIT) < 0 ||
+	       info.si_pid;
+}
+
+void soak_check_instance(struct soak_instance *instance)
+{
+	if (instance->process && !instance->killed && !instance->stopping_us &&
+	    has_ended(instance))
+		soak_violation(instance->soak, "ENDED", "%s ended by itself",
+			       instance->name);
+}
+
+bool soak_instance_ended(struct soak_instance *instance)
+{
+	if (!instance->process)
+		return true;
+	if (!has_ended(instance))
+		return false;
+	test_drop_process(instance->process);
+	instance->process = NULL;
+	return true;
+}
+
+void soak_drop_instance(struct soak_instance *instance)
+{
+	if (instance->process)
+		test_drop_process(instance->process);
+	if (instance->start_file)
+		test_remove_file(instance->start_file);
+	soak_drop_link(instance->store);
+	g_free(instance->name);
+	g_free(instance);
+}
--- /dev/null
+++ b/soak/soak-replica.c
@@ -0,0 +1,333 @@
+/*
+ * soak-replica.c - replicas that work, fail and leave, and check what comes.
+ */
+#include <string.h>
+
+#include "soak.h"
+
+/* A replica's usual work, and what is drawn on top. */
+#define WORK_MS 3
+#define MOST_MORE_MS 12
+/* What is drained gets nothing after this, and as much for the machine. */
+#define DRAIN_BOUND_US (4000 * MS)
+
+/* A request that a replica works on. */
+struct work {
+	struct soak_replica *replica;
+	struct test_connection *connection; /* NULL: its caller has gone */
+	char *request_id;
+};
+
+void soak_part_records(const char *request_id, const char *service, char *out)
+{
+	for (int i = 0; i < PART_RECORDS; i++) {
+		char *text =
+			g_strdup_printf("%s/%s/%d", request_id, service, i);
+		char *sum =
+			g_compute_checksum_for_string(G_CHECKSUM_MD5, text, -1);
+
+		memcpy(out + i * RECORD_BYTES, sum, RECORD_BYTES);
+		g_free(sum);
+		g_free(text);
+	}
+	out[PART_RECORDS * RECORD_BYTES] = '\0';
+}
+
+static void free_work(struct work *work)
+{
+	if (work->connection)
+		work->connection->user = NULL;
+	g_free(work->request_id);
+	g_free(work);
+}
+
+/* An answer that is not what it should be, in one of several ways. */
+static void answer_garbled(struct soak *soak, struct work *work,
+			   const char *extra, const char *body)
+{
+	struct test_connection *connection = work->connection;
+	char *foreign;
+	char *text;
+
+	switch (soak_draw(soak, 3)) {
+	case 0: /* breaks off in the middle */
+		test_reply_to(connection, 200, extra, body, true);
+		return;
+	case 1: /* is the answer to another request, which nobody sent */
+		foreign = g_strdup_printf("Response-Seal: %s.%s.none\r\n"
+					  "Request-Id: none\r\n",
+					  work->replica->service,
+					  work->replica->id);
+		test_reply_to(connection, 200, foreign, body, false);
+		g_free(foreign);
+		return;
+	default: /* comes twice */
+		text = g_strdup_printf(
+			"HTTP/1.1 200 -\r\nContent-Length: %d\r\n"
+			"%s\r\n%sHTTP/1.1 200 -\r\n"
+			"Content-Length: 1\r\n\r\nx",
+			PART_RECORDS * RECORD_BYTES, extra, body);
+		g_socket_send(connection->socket, text, strlen(text), NULL,
+			      NULL);
+		test_close_connection(connection);
+		g_free(text);
+		return;
+	}
+}
+
+static void answer_work(struct soak *soak, struct work *work)
+{
+	struct soak_replica *replica = work->replica;
+	char body[PART_RECORDS * RECORD_BYTES + 1];
+	char *extra =
+		g_strdup_printf("Response-Seal: %s.%s.%s\r\nRequest-Id: %s\r\n",
+				replica->service, replica->id, work->request_id,
+				work->request_id);
+
+	soak_part_records(work->request_id, replica->service, body);
+	if (soak_chance(soak, replica->lose))
+		test_close_connection(work->connection);
+	else if (soak_chance(soak, replica->garble))
+		answer_garbled(soak, work, extra, body);
+	else
+		test_reply_to(work->connection, 200, extra, body, false);
+	g_free(extra);
+}
+
+static gboolean end_work(gpointer data)
+{
+	struct work *work = data;
+	struct test_connection *connection = work->connection;
+
+	if (connection) {
+		connection->user = NULL;
+		answer_work(work->replica->soak, work);
+		work->connection = NULL;
+	}
+	free_work(work);
+	return G_SOURCE_REMOVE;
+}
+
+/* Its caller has closed: the work is dropped. */
+static void drop_connection(struct test_connection *connection)
+{
+	struct work *work = connection->user;
+
+	if (work)
+		work->connection = NULL;
+	connection->user = NULL;
+}
+
+static uint32_t count_replicas(const struct soak_request *request,
+			       const char *service)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < request->n_runs; i++)
+		n += !strcmp(request->runs[i].service, service);
+	return n;
+}
+
+/* What a run of a request must not do, whatever fails. */
+static void check_run(struct soak_replica *replica,
+		      struct soak_request *request,
+		      const struct test_connection *connection)
+{
+	struct soak *soak = replica->soak;
+	static const char *const prefixes[] = { "/search/", "/often/",
+						"/once/" };
+	const char *prefix = prefixes[request->kind];
+
+	if (!g_str_has_prefix(connection->path, prefix) ||
+	    strcmp(connection->path + strlen(prefix), request->id) ||
+	    strcmp(connection->method,
+		   request->kind == SOAK_ONCE ? "POST" : "GET"))
+		soak_violation(soak, "UNASKED", "%s %s ran for %s",
+			       connection->method, connection->path,
+			       request->id);
+	if (request->kind == SOAK_ONCE && request->n_runs)
+		soak_violation(soak, "TWICE", "%s ran at %s after %s",
+			       request->id, replica->id,
+			       request->runs[0].service);
+	if (request->promised && request->kind == SOAK_ONCE)
+		soak_violation(soak, "REFUSED",
+			       "%s ran at %s after the promise", request->id,
+			       replica->id);
+	if (!request->lost_a_replica &&
+	    count_replicas(request, replica->service) >= MOST_ATTEMPTS)
+		soak_violation(soak, "BUDGET", "%s ran %u times at %s",
+			       request->id, MOST_ATTEMPTS + 1,
+			       replica->service);
+	if ((request->kind == SOAK_SEARCH) !=
+	    (replica->service[0] == 's' || replica->service[0] == 't'))
+		soak_violation(soak, "ROUTE", "%s ran at service %s",
+			       connection->path, replica->service);
+}
+
+static void check_drain(struct soak_replica *replica, const char *id)
+{
+	struct soak *soak = replica->soak;
+	int64_t now_us = g_get_monotonic_time();
+
+	if (!soak->options.timing || !replica->draining_us ||
+	    now_us - replica->draining_us < DRAIN_BOUND_US)
+		return;
+	if (soak_is_calm_since(soak, NULL, replica->draining_us))
+		soak_violation(soak, "DRAIN", "%s came to %s after %d ms", id,
+			       replica->id,
+			       (int)((now_us - replica->draining_us) / MS));
+}
+
+static void note_run(struct soak_replica *replica, struct soak_request *request)
+{
+	struct soak_run *run;
+
+	replica->soak->runs++;
+	if (request->n_runs == MOST_RUNS)
+		return;
+	run = &request->runs[request->n_runs++];
+	run->replica = replica->number;
+	g_strlcpy(run->service, replica->service, sizeof(run->service));
+}
+
+static void start_work(struct soak_replica *replica,
+		       struct test_connection *connection,
+		       struct soak_request *request)
+{
+	struct soak *soak = replica->soak;
+	struct work *work = g_new0(struct work, 1);
+	int64_t pause_us = replica->paused_until_us - g_get_monotonic_time();
+	uint32_t work_ms =
+		WORK_MS + soak_draw(soak, MOST_MORE_MS) + replica->slow_ms;
+
+	work->replica = replica;
+	work->connection = connection;
+	work->request_id = g_strdup(request->id);
+	connection->user = work;
+	if (pause_us > 0)
+		work_ms += (uint32_t)(pause_us / MS);
+	g_timeout_add(work_ms, end_work, work);
+}
+
+static void take_request(struct test_connection *connection)
+{
+	struct soak_replica *replica = connection->server->data;
+	const char *id = test_header(connection, "request-id");
+	const char *expected = test_header(connection, "expect-instance");
+	struct soak_request *request =
+		id ? g_hash_table_lookup(replica->soak->requests, id) : NULL;
+
+	if (!request) {
+		soak_violation(replica->soak, "UNASKED",
+			       "%s came to %s, which nobody sent",
+			       id ? id : "a request without id", replica->id);
+		test_reply_to(connection, 400, "Not-Executed: 1\r\n", "",
+			      false);
+		return;
+	}
+	if (!expected || strcmp(expected, replica->id)) {
+		test_reply_to(connection, 421, "Not-Executed: 1\r\n", "",
+			      false);
+		return;
+	}
+	check_drain(replica, id);
+	if (soak_chance(replica->soak, replica->shed)) {
+		test_reply_to(connection, 503, "Not-Executed: 1\r\n", "",
+			      false);
+		return;
+	}
+	check_run(replica, request, connection);
+	note_run(replica, request);
+	start_work(replica, connection, request);
+}
+
+static void begin_lifetime(struct soak_replica *replica, const char *service)
+{
+	replica->number = ++replica->soak->next_replica;
+	g_snprintf(replica->id, sizeof(replica->id), "i-%u", replica->number);
+	g_strlcpy(replica->service, service, sizeof(replica->service));
+	replica->draining_us = 0;
+	replica->up = true;
+	test_listen(&replica->server, true);
+}
+
+struct soak_replica *soak_new_replica(struct soak *soak, const char *service,
+				      uint32_t zone)
+{
+	struct soak_replica *replica = g_new0(struct soak_replica, 1);
+
+	replica->soak = soak;
+	replica->zone = zone;
+	replica->server.data = replica;
+	replica->server.request = take_request;
+	replica->server.closing = drop_connection;
+	begin_lifetime(replica, service);
+	replica->link = soak_new_link(soak, replica->server.port);
+	return replica;
+}
+
+static void end_connections(struct soak_replica *replica)
+{
+	while (replica->server.connections->len)
+		test_close_connection(
+			g_ptr_array_index(replica->server.connections, 0));
+}
+
+void soak_drop_replica(struct soak_replica *replica)
+{
+	test_listen(&replica->server, false);
+	end_connections(replica);
+	g_ptr_array_unref(replica->server.connections);
+	soak_drop_link(replica->link);
+	g_free(replica);
+}
+
+void soak_list_replica(struct soak_replica *replica)
+{
+	char *key = g_strdup_printf("servers/%s", replica->id);
+	char *value = g_strdup_printf(
+		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
+		"\"zone\":\"z%u\",\"version\":\"1\",\"slots\":4,"
+		"\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":1}",
+		replica->service, soak_link_port(replica->link), replica->zone,
+		replica->draining_us ? "draining" : "ready");
+
+	replica->listed = true;
+	test_store_put(&replica->soak->store, key, value);
+	g_free(value);
+	g_free(key);
+}
+
+/* Requests that it had: its runs count no more for the bound on attempts. */
+static void note_lost(struct soak_replica *replica)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, replica->soak->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct soak_request *request = value;
+
+		for (uint32_t i = 0; i < request->n_runs; i++)
+			request->lost_a_replica |=
+				request->runs[i].replica == replica->number;
+	}
+}
+
+void soak_crash_replica(struct soak_replica *replica)
+{
+	replica->up = false;
+	note_lost(replica);
+	test_listen(&replica->server, false);
+	end_connections(replica);
+}
+
+void soak_revive_replica(struct soak_replica *replica, const char *service)
+{
+	char *key = g_strdup_printf("servers/%s", replica->id);
+
+	test_store_remove(&replica->soak->store, key);
+	begin_lifetime(replica, service);
+	soak_list_replica(replica);
+	g_free(key);
+}
--- /dev/null
+++ b/soak/soak.c
@@ -0,0 +1,284 @@
+/*
+ * soak.c - start the world, let faults come, heal it, and report.
+ */
+#include "soak.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Between faults of a storm, and between steps of planned work. */
+#define LEAST_GAP_MS 60
+#define MOST_GAP_MS 400
+#define PLANNED_GAP_MS 700
+#define STORM_MS 8000
+#define PLANNED_MS 9000
+/* Longer than any fault, and than the span that rules ask to be calm. */
+#define LULL_MS 8000
+/* The span that the rules with bounds of time ask to be without harm. */
+#define CALM_US (4000 * MS)
+/* Each instance serves a search again within this, however slow the machine. */
+#define RECOVERY_LIMIT_MS 60000
+#define REPLICAS_OF_SINGLE 3
+
+void soak_violation(struct soak *soak, const char *rule, const char *format,
+		    ...)
+{
+	char *text;
+	va_list args;
+
+	va_start(args, format);
+	text = g_strdup_vprintf(format, args);
+	va_end(args);
+	printf("soak: seed=%u broken %s: %s\n", soak->options.seed, rule, text);
+	soak->violations++;
+	g_free(text);
+}
+
+uint32_t soak_draw(struct soak *soak, uint32_t below)
+{
+	return below ? (uint32_t)g_rand_int_range(soak->rand, 0,
+						  (gint32)below) :
+		       0;
+}
+
+bool soak_chance(struct soak *soak, double share)
+{
+	return g_rand_double(soak->rand) < share;
+}
+
+bool soak_is_calm_since(const struct soak *soak,
+			const struct soak_instance *instance, int64_t since_us)
+{
+	int64_t from_us = since_us - CALM_US;
+
+	if (soak->harmed_us > from_us)
+		return false;
+	if (instance)
+		return instance->disturbed_us <= from_us;
+	for (guint i = 0; i < soak->instances->len; i++) {
+		const struct soak_instance *each =
+			g_ptr_array_index(soak->instances, i);
+
+		if (each->disturbed_us > from_us || each->frozen ||
+		    !each->process)
+			return false;
+	}
+	return true;
+}
+
+static void free_request(gpointer data)
+{
+	struct soak_request *request = data;
+
+	g_free(request->id);
+	g_free(request);
+}
+
+static void add_replicas(struct soak *soak, const char *service, uint32_t n)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		struct soak_replica *replica = soak_new_replica(
+			soak, service, (soak->replicas->len + i) % ZONES);
+
+		g_ptr_array_add(soak->replicas, replica);
+		soak_list_replica(replica);
+	}
+}
+
+static void make_world(struct soak *soak)
+{
+	char name[4];
+
+	test_open_store(&soak->store, soak->options.seed);
+	for (int i = 0; i < 2 * SHARDS; i++) {
+		g_snprintf(name, sizeof(name), "%c%d", i < SHARDS ? 's' : 't',
+			   i % SHARDS);
+		add_replicas(soak, name, 2);
+	}
+	add_replicas(soak, "a1", REPLICAS_OF_SINGLE);
+	add_replicas(soak, "b1", REPLICAS_OF_SINGLE);
+	soak_write_config(soak);
+	for (uint32_t i = 0; i < soak->options.instances; i++)
+		g_ptr_array_add(soak->instances, soak_new_instance(soak, i));
+	for (uint32_t i = 0; i < soak->options.instances; i++)
+		soak_start_instance(g_ptr_array_index(soak->instances, i));
+}
+
+static void start_callers(struct soak *soak)
+{
+	for (uint32_t i = 0;
+	     i < soak->options.instances * soak->options.callers; i++)
+		g_ptr_array_add(
+			soak->callers,
+			soak_new_caller(soak, i % soak->options.instances));
+}
+
+static gboolean end_wait(gpointer data)
+{
+	*(bool *)data = true;
+	return G_SOURCE_REMOVE;
+}
+
+uint16_t soak_next_port(struct soak *soak)
+{
+	return soak->options.first_port ? soak->options.first_port++ :
+					  test_free_port();
+}
+
+static void run_for(uint32_t ms)
+{
+	bool over = false;
+
+	g_timeout_add(ms, end_wait, &over);
+	while (!over)
+		g_main_context_iteration(NULL, TRUE);
+}
+
+/* Searches that were answered whole reach `n` more; false in vain. */
+static bool wait_for_whole(struct soak *soak, uint32_t n)
+{
+	uint32_t wanted = soak->whole + n;
+
+	for (int ms = 0; ms < RECOVERY_LIMIT_MS && soak->whole < wanted;
+	     ms += LEAST_GAP_MS)
+		run_for(LEAST_GAP_MS);
+	return soak->whole >= wanted;
+}
+
+static void check_instances(struct soak *soak)
+{
+	for (guint i = 0; i < soak->instances->len; i++)
+		soak_check_instance(g_ptr_array_index(soak->instances, i));
+}
+
+static void run_phase(struct soak *soak, enum soak_phase phase,
+		      uint32_t phase_ms, uint32_t most_gap_ms)
+{
+	int64_t end_us = g_get_monotonic_time() + (int64_t)phase_ms * MS;
+
+	while (g_get_monotonic_time() < end_us && !soak->violations) {
+		check_instances(soak);
+		soak_begin_fault(soak, phase);
+		run_for(LEAST_GAP_MS +
+			soak_draw(soak, most_gap_ms - LEAST_GAP_MS));
+	}
+}
+
+/*
+ * A storm, and what is planned after a lull: only there do the rules apply
+ * that have a bound of time.
+ */
+static void run_faults(struct soak *soak)
+{
+	int64_t end_us = g_get_monotonic_time() +
+			 (int64_t)soak->options.seconds * 1000 * MS;
+
+	while (g_get_monotonic_time() < end_us && !soak->violations) {
+		run_phase(soak, SOAK_STORM, STORM_MS, MOST_GAP_MS);
+		soak_heal_all(soak);
+		run_for(LULL_MS);
+		run_phase(soak,
+			  soak_chance(soak, 0.5) ? SOAK_STOPS : SOAK_DRAINS,
+			  PLANNED_MS, PLANNED_GAP_MS);
+	}
+}
+
+static void drop_all(struct soak *soak)
+{
+	for (guint i = 0; i < soak->callers->len; i++)
+		soak_drop_caller(g_ptr_array_index(soak->callers, i));
+	for (guint i = 0; i < soak->instances->len; i++)
+		soak_drop_instance(g_ptr_array_index(soak->instances, i));
+	for (guint i = 0; i < soak->replicas->len; i++)
+		soak_drop_replica(g_ptr_array_index(soak->replicas, i));
+	test_close_store(&soak->store);
+	g_hash_table_unref(soak->requests);
+	g_ptr_array_unref(soak->callers);
+	g_ptr_array_unref(soak->instances);
+	g_ptr_array_unref(soak->replicas);
+	g_rand_free(soak->rand);
+}
+
+static int run(const struct soak_options *options)
+{
+	struct soak soak = {
+		.options = *options,
+		.rand = g_rand_new_with_seed(options->seed),
+		.replicas = g_ptr_array_new(),
+		.instances = g_ptr_array_new(),
+		.callers = g_ptr_array_new(),
+		.requests = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						  free_request),
+	};
+
+	make_world(&soak);
+	start_callers(&soak);
+	if (!wait_for_whole(&soak, options->instances))
+		soak_violation(&soak, "RECOVER", "never served at first");
+	run_faults(&soak);
+	soak_heal_all(&soak);
+	/* Timers of faults run out, processes are back. */
+	run_for(LULL_MS);
+	check_instances(&soak);
+	if (!wait_for_whole(&soak, 10 * options->instances))
+		soak_violation(&soak, "RECOVER", "does not serve any more");
+	printf("soak: seed=%u %s faults=%u requests=%u whole=%u partial=%u "
+	       "refused=%u unknown=%u cut=%u runs=%u violations=%u\n",
+	       options->seed, soak.violations ? "FAILED" : "ok", soak.faults,
+	       (unsigned int)g_hash_table_size(soak.requests), soak.whole,
+	       soak.partial, soak.refused, soak.unknown, soak.cut, soak.runs,
+	       soak.violations);
+	fflush(stdout);
+	drop_all(&soak);
+	return soak.violations ? 1 : 0;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *seed = arg_int0(NULL, "seed", "N", "what is drawn");
+	struct arg_int *seconds =
+		arg_int0(NULL, "seconds", "N", "of faults, 30 if left out");
+	struct arg_int *instances =
+		arg_int0(NULL, "instances", "N", "gateways, 6 if left out");
+	struct arg_int *callers = arg_int0(NULL, "callers", "N",
+					   "of each gateway, 4 if left out");
+	struct arg_lit *timing =
+		arg_lit0(NULL, "timing", "check bounds of time as well");
+	struct arg_str *logs =
+		arg_str0(NULL, "logs", "DIR", "keep the gateways' lines there");
+	struct arg_int *first_port =
+		arg_int0(NULL, "first-port", "N",
+			 "of its gateways and links, for soaks side by side");
+	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
+	struct arg_end *end = arg_end(10);
+	void *table[] = { seed, seconds,    instances, callers, timing,
+			  logs, first_port, help,      end };
+	struct soak_options options = {
+		.seed = 1, .seconds = 30, .instances = 6, .callers = 4
+	};
+	int faults = arg_parse(argc, argv, table);
+	int code = 0;
+
+	if (help->count || faults) {
+		arg_print_errors(stderr, end, "soak");
+		printf("Usage: soak");
+		arg_print_syntax(stdout, table, "\n\n");
+		arg_print_glossary(stdout, table, "  %-20s %s\n");
+		code = faults ? 2 : 0;
+	} else {
+		options.seed = seed->count ? (uint32_t)*seed->ival : 1;
+		options.seconds =
+			seconds->count ? (uint32_t)*seconds->ival : 30;
+		options.instances =
+			instances->count ? (uint32_t)*instances->ival : 6;
+		options.callers = callers->count ? (uint32_t)*callers->ival : 4;
+		options.timing = timing->count > 0;
+		options.first_port =
+			first_port->count ? (uint16_t)*first_port->ival : 0;
+		options.log_dir = logs->count ? *logs->sval : NULL;
+		code = run(&options);
+	}
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
--- a/source/core/allowance.c
+++ b/source/core/allowance.c
@@ -58,8 +58,12 @@
 {
 	size_t oldest = (slot + 1) % SLOTS;
 	uint32_t earned = sum_of(allowance->earned) - allowance->earned[oldest];
-	double slack =
-		now_us >= allowance->slack_from_us ? allowance->slack : 0;
+	double slack = allowance->slack;
+
+#ifndef RR_MUTANT_ALLOWANCE_AT_ONCE
+	if (now_us < allowance->slack_from_us)
+		slack = 0;
+#endif
 
 	return allowance->ratio * earned + slack;
 }
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -468,6 +468,9 @@
 static bool is_behind(const struct rr_feed *feed,
 		      const struct rr_feed_reply *reply)
 {
+#ifdef RR_MUTANT_FEED_OLDER_COPY
+	return false;
+#endif
 	return feed->asked && feed->ranging && reply->revision < feed->revision;
 }
 
@@ -663,6 +666,9 @@
 
 bool rr_feed_passes_on(const struct rr_feed *feed)
 {
+#ifdef RR_MUTANT_FEED_PASSES_ON_HEARSAY
+	return feed->has_read;
+#endif
 	return feed->has_read && !feed->ranging && !feed->asked &&
 	       feed->reached && !feed->leaving;
 }
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -468,6 +468,10 @@
 		return;
 	case RR_GATE_BROKEN:
 	case RR_GATE_SILENT:
+#ifdef RR_MUTANT_GATE_SERVES_LOST_SEARCH
+		rr_take_back(ctx, gate, run);
+		return;
+#endif
 		/* It may have used up what each shard may be asked. */
 		rr_give_up_part(run, &run->parts[0]);
 		rr_advance_run(ctx, gate, run);
--- a/source/core/lifecycle.c
+++ b/source/core/lifecycle.c
@@ -8,6 +8,12 @@
  * misses; until then they still come, and are served.
  */
 #define LED_ELSEWHERE_US (2600 * 1000)
+/*
+ * Before the end nothing new is taken for so long: nearly every request takes
+ * less.  Guards against callers that come to the last, whose requests would
+ * be read and then cut.
+ */
+#define LAST_TAKEN_US (500 * 1000)
 /* Left before the platform kills: an exit and its closes take a moment. */
 #define LAST_MOMENT_US (400 * 1000)
 
@@ -36,5 +42,6 @@
 		return RR_STOP_RUN;
 	if (!requests && !connections)
 		return RR_STOP_EXIT;
-	return RR_STOP_CLOSE_IDLE;
+	return since_us >= end_us - LAST_TAKEN_US ? RR_STOP_REFUSE :
+						    RR_STOP_CLOSE_IDLE;
 }
--- a/source/core/news.c
+++ b/source/core/news.c
@@ -61,7 +61,9 @@
 
 		if (kept->value)
 			continue;
+#ifndef RR_MUTANT_NEWS_FORGETS
 		news->floor = MAX(news->floor, kept->revision);
+#endif
 		g_hash_table_iter_remove(&iter);
 	}
 	news->n_removed = 0;
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -391,6 +391,9 @@
 {
 	struct rr_platform_port_options options = {
 		.address = settings->platform_address,
+		.instance = settings->instance,
+		.zone = settings->zone,
+		.peer_address = settings->peer_address,
 		.replied = take_store_reply,
 		.record = take_record,
 		.member = take_member,
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -52,6 +52,20 @@
 	       RR_FIELD_STRING("reason", reason));
 }
 
+static void refuse_all(struct rr_gateway *gateway)
+{
+	rr_refuse_callers(gateway->callers);
+	if (gateway->peers)
+		rr_refuse_callers(gateway->peers);
+}
+
+static void close_idle(struct rr_gateway *gateway)
+{
+	rr_close_idle_callers(gateway->callers);
+	if (gateway->peers)
+		rr_close_idle_callers(gateway->peers);
+}
+
 static void check_stop(struct rr_gateway *gateway)
 {
 	size_t callers = rr_count_callers(gateway->callers);
@@ -63,11 +77,10 @@
 	gateway->stop_check_us = rr_gateway_now_us() + STOP_CHECK_US;
 	step = rr_next_stop_step(&gateway->lifecycle, rr_gateway_now_us(),
 				 rr_gate_open_requests(gateway->gate), callers);
-	if (step == RR_STOP_CLOSE_IDLE) {
-		rr_close_idle_callers(gateway->callers);
-		if (gateway->peers)
-			rr_close_idle_callers(gateway->peers);
-	}
+	if (step == RR_STOP_REFUSE)
+		refuse_all(gateway);
+	if (step == RR_STOP_CLOSE_IDLE || step == RR_STOP_REFUSE)
+		close_idle(gateway);
 	if (step == RR_STOP_EXIT)
 		g_main_loop_quit(gateway->loop);
 }
--- a/source/net/front-port.c
+++ b/source/net/front-port.c
@@ -429,6 +429,16 @@
 	return NULL;
 }
 
+void rr_refuse_callers(struct rr_front_port *port)
+{
+	if (port->listener.fd < 0)
+		return;
+	rr_remove_poll(port->poller, &port->listener);
+	close(port->listener.fd);
+	port->listener.fd = -1;
+	port->full = false;
+}
+
 void rr_drop_front_port(struct rr_front_port *port)
 {
 	GList *link;
@@ -437,10 +447,7 @@
 		return;
 	while ((link = g_queue_pop_head_link(&port->callers)))
 		end_caller(link->data);
-	if (port->listener.fd >= 0) {
-		rr_remove_poll(port->poller, &port->listener);
-		close(port->listener.fd);
-	}
+	rr_refuse_callers(port);
 	rr_drop_context(port->ctx);
 	g_free(port);
 }
--- a/source/net/front-port.h
+++ b/source/net/front-port.h
@@ -64,6 +64,8 @@
 
 /* Answers end their connections from now on: the instance is leaving. */
 void rr_close_front_port(struct rr_front_port *port);
+/* Connections are refused from now on. */
+void rr_refuse_callers(struct rr_front_port *port);
 /* Close connections on which nothing is under way. */
 void rr_close_idle_callers(struct rr_front_port *port);
 size_t rr_count_callers(const struct rr_front_port *port);
--- /dev/null
+++ b/source/net/platform-entry.c
@@ -0,0 +1,91 @@
+/*
+ * platform-entry.c - this instance's entry in the platform's list: a lease,
+ * the key under it, and its renewal.
+ */
+#include "net/platform-private.h"
+#include "ragwort/log.h"
+
+/* Renewals in a lease: two may be lost. */
+#define RENEWALS 3
+
+static gboolean renew_entry(gpointer data);
+
+static void renew_after(struct rr_platform_port *port, uint32_t delay_ms)
+{
+	port->entry_timer = g_timeout_add(delay_ms, renew_entry, port);
+}
+
+/* What is to be done next: a lease, the entry under it, or its renewal. */
+static enum rr_feed_call_kind next_call(const struct rr_platform_port *port)
+{
+	if (!port->lease)
+		return RR_FEED_GRANT;
+	return port->entered ? RR_FEED_KEEP : RR_FEED_ENTER;
+}
+
+static void take_entry_reply(void *data,
+			     const struct rr_exchange_result *result)
+{
+	struct rr_platform_port *port = data;
+	enum rr_feed_call_kind kind = next_call(port);
+	struct rr_feed_reply reply;
+
+	rr_read_platform_reply(kind, result, &reply);
+	switch (reply.status) {
+	case RR_FEED_OK:
+		if (kind == RR_FEED_GRANT)
+			port->lease = reply.lease;
+		port->entered = kind != RR_FEED_GRANT;
+		renew_after(port, port->entered ?
+					  port->options.lease_ms / RENEWALS :
+					  0);
+		return;
+	case RR_FEED_NO_LEASE:
+		rr_log(port->ctx, RR_LOG_INFO, "entry-lapsed",
+		       RR_FIELD_U64("lease", port->lease));
+		port->lease = 0;
+		port->entered = false;
+		renew_after(port, 0);
+		return;
+	case RR_FEED_FORGOTTEN:
+	case RR_FEED_FAILED:
+		rr_note_platform_failure(port, "entry-not-renewed", result);
+		renew_after(port, port->options.retry_ms);
+		return;
+	}
+}
+
+static gboolean renew_entry(gpointer data)
+{
+	struct rr_platform_port *port = data;
+	struct rr_platform_entry entry = {
+		.instance = port->options.instance,
+		.zone = port->options.zone,
+		.address = port->options.peer_address,
+		.strength = 1,
+	};
+	struct rr_feed_call wanted = {
+		.kind = next_call(port),
+		.ttl_ms = port->options.lease_ms,
+		.lease = port->lease,
+	};
+	struct rr_store_call call;
+
+	port->entry_timer = 0;
+	rr_make_feed_call(&call, &wanted, &entry);
+	rr_start_platform_call(port, &call, port->options.call_timeout_ms,
+			       take_entry_reply, port);
+	return G_SOURCE_REMOVE;
+}
+
+void rr_start_platform_entry(struct rr_platform_port *port)
+{
+	if (port->options.instance)
+		renew_after(port, 0);
+}
+
+void rr_stop_platform_entry(struct rr_platform_port *port)
+{
+	if (port->entry_timer)
+		g_source_remove(port->entry_timer);
+}
--- a/source/net/platform-private.h
+++ b/source/net/platform-private.h
@@ -5,11 +5,11 @@
 #define RAGWORT_PLATFORM_PRIVATE_H
 
 #include "net/exchange-private.h"
+#include "platform/platform.h"
 #include "ragwort/net-platform.h"
 
-/* The platform holds values up to a megabyte. */
-#define MAX_VALUE_BYTES (1u << 20)
-#define MAX_LIST_BYTES (8u << 20)
+/* A page of the store's: a megabyte of values, coded, and what is round it. */
+#define MAX_REPLY_BYTES (4u << 20)
 
 struct rr_platform_port {
 	struct rr_context *ctx;
@@ -19,17 +19,31 @@
 	guint watch_timer;
 	guint list_timer;
 	int64_t list_seldom_us;	  /* read the list then, watching or not */
-	uint64_t record_revision; /* the key's, as last read */
+	uint64_t record_revision; /* the store's, up to which it was read */
 	bool record_read;
+	guint entry_timer;
+	uint64_t lease; /* 0: none */
+	bool entered;
 };
 
-/* The path of a key, escaped; freed with g_free(). */
-char *rr_format_key_path(const char *key);
-/* The X-Revision header; false if there is none. */
-bool rr_read_revision(const struct rr_exchange_result *result,
-		      uint64_t *revision);
+/* Make a call, which is cleared; `done` is called once, later. */
+void rr_start_platform_call(
+	struct rr_platform_port *port, struct rr_store_call *call,
+	uint32_t timeout_ms,
+	void (*done)(void *data, const struct rr_exchange_result *result),
+	void *data);
+/* Count and log a call without a usable reply. */
+void rr_note_platform_failure(struct rr_platform_port *port, const char *what,
+			      const struct rr_exchange_result *result);
+/* Fill a feed's reply from an exchange; its items are for the caller. */
+void rr_read_platform_reply(enum rr_feed_call_kind kind,
+			    const struct rr_exchange_result *result,
+			    struct rr_feed_reply *reply);
 /* Start watching the record and reading the list. */
 void rr_start_platform_watch(struct rr_platform_port *port);
 void rr_stop_platform_watch(struct rr_platform_port *port);
+/* Keep this instance's entry in the list. */
+void rr_start_platform_entry(struct rr_platform_port *port);
+void rr_stop_platform_entry(struct rr_platform_port *port);
 
 #endif
--- a/source/net/platform-watch.c
+++ b/source/net/platform-watch.c
@@ -2,11 +2,9 @@
  * platform-watch.c - the configuration record's watch and the list of
  * instances.
  */
-#include <json-glib/json-glib.h>
 #include <string.h>
 
 #include "net/platform-private.h"
-#include "ragwort/counters.h"
 #include "ragwort/log.h"
 #include "ragwort/record.h"
 
@@ -26,133 +24,119 @@
 	port->list_timer = g_timeout_add(delay_ms, read_list, port);
 }
 
-static void note_failure(struct rr_platform_port *port, const char *what,
-			 const struct rr_exchange_result *result)
+void rr_read_platform_reply(enum rr_feed_call_kind kind,
+			    const struct rr_exchange_result *result,
+			    struct rr_feed_reply *reply)
 {
-	rr_count(port->ctx, RR_N_STORE_FAILURES, 1);
-	rr_log(port->ctx, RR_LOG_WARNING, what,
-	       RR_FIELD_U64("status", result->status),
-	       RR_FIELD_STRING("error", result->error));
+	*reply = (struct rr_feed_reply){ .status = RR_FEED_FAILED };
+	if (result->whole)
+		rr_decode_feed_reply(kind, (uint16_t)result->status,
+				     (const uint8_t *)result->body,
+				     result->length, reply);
+}
+
+/* The newest value of the record's own key, if there is news of it. */
+static void tell_record(struct rr_platform_port *port, const GPtrArray *items)
+{
+	const struct rr_feed_item *newest = NULL;
+	gsize length;
+	guchar *value;
+
+	for (guint i = 0; i < items->len; i++) {
+		const struct rr_feed_item *item = g_ptr_array_index(items, i);
+
+		if (!strcmp(item->key, RR_RECORD_KEY) && item->value)
+			newest = item;
+	}
+	if (!newest)
+		return;
+	value = g_base64_decode(newest->value, &length);
+	port->options.record(port->options.data, (const char *)value, length);
+	g_free(value);
 }
 
 static void take_record(void *data, const struct rr_exchange_result *result)
 {
 	struct rr_platform_port *port = data;
-	uint64_t revision;
-
-	if (result->whole && result->status == SOUP_STATUS_NO_CONTENT) {
+	struct rr_feed_reply reply;
+
+	rr_read_platform_reply(port->record_read ? RR_FEED_WATCH :
+						   RR_FEED_RANGE,
+			       result, &reply);
+	if (reply.status == RR_FEED_OK) {
+		port->record_read = true;
+		port->record_revision = reply.revision;
+		tell_record(port, reply.items);
 		watch_after(port, 0);
-		return;
-	}
-	if (!result->whole || !rr_read_revision(result, &revision) ||
-	    (result->status != SOUP_STATUS_OK &&
-	     result->status != SOUP_STATUS_NOT_FOUND)) {
-		note_failure(port, "record-not-read", result);
+	} else if (reply.status == RR_FEED_FORGOTTEN) {
+		/* What has changed is no longer told: it is read anew. */
+		port->record_read = false;
+		watch_after(port, 0);
+	} else {
+		rr_note_platform_failure(port, "record-not-read", result);
 		watch_after(port, port->options.retry_ms);
-		return;
 	}
-	port->record_read = true;
-	port->record_revision = revision;
-	if (result->status == SOUP_STATUS_OK)
-		port->options.record(port->options.data, result->body,
-				     result->length);
-	watch_after(port, 0);
+	if (reply.items)
+		g_ptr_array_unref(reply.items);
 }
 
 /*
- * The first read is plain; later ones wait for another revision.  Instances
- * that do not watch (others of their zone do, and tell them) look again later
- * whether that has changed.
+ * The first read is plain; later ones wait for changes.  Instances that do
+ * not watch (others of their zone do, and tell them) look again later whether
+ * that has changed.
  */
 static gboolean watch_record(gpointer data)
 {
 	struct rr_platform_port *port = data;
-	char *key_path;
-	char *path;
-	struct rr_exchange_options options = {
-		.method = "GET",
-		.address = port->address,
-		.max_reply_bytes = 2 * MAX_VALUE_BYTES,
-		.timeout_ms = port->options.call_timeout_ms,
-		.done = take_record,
-		.data = port,
-	};
+	uint32_t timeout_ms = port->options.call_timeout_ms;
+	struct rr_store_call call;
 
 	port->watch_timer = 0;
 	if (port->record_read && !port->options.watches(port->options.data)) {
 		watch_after(port, port->options.list_period_ms);
 		return G_SOURCE_REMOVE;
 	}
-	key_path = rr_format_key_path(RR_RECORD_KEY);
-	path = g_strdup(key_path);
 	if (port->record_read) {
-		g_free(path);
-		path = g_strdup_printf("%s?after=%" G_GUINT64_FORMAT
-				       "&timeout_ms=%u",
-				       key_path, port->record_revision,
-				       port->options.watch_ms);
-		options.timeout_ms = port->options.watch_ms + WATCH_GRACE_MS;
+		rr_make_watch(&call, RR_RECORD_KEY, port->record_revision,
+			      port->options.watch_ms);
+		timeout_ms = port->options.watch_ms + WATCH_GRACE_MS;
+	} else {
+		rr_make_range(&call, RR_RECORD_KEY, NULL);
 	}
-	options.path = path;
-	rr_count(port->ctx, RR_N_STORE_CALLS, 1);
-	rr_start_exchange(port->exchanger, &options);
-	g_free(path);
-	g_free(key_path);
+	rr_start_platform_call(port, &call, timeout_ms, take_record, port);
 	return G_SOURCE_REMOVE;
 }
 
-static const char *member_text(JsonObject *object, const char *name)
+static void tell_replica(struct rr_platform_port *port,
+			 const struct rr_listing *replica)
 {
-	JsonNode *node = json_object_get_member(object, name);
-	const char *text = NULL;
-
-	if (node && JSON_NODE_HOLDS_VALUE(node))
-		text = json_node_get_string(node);
-	return text ? text : "";
+	port->options.replica(port->options.data, replica->id,
+			      replica->draining ? RR_UPSTREAM_DRAINING :
+						  RR_UPSTREAM_READY);
 }
 
-static void take_instance(struct rr_platform_port *port, JsonObject *object)
+static void tell_member(struct rr_platform_port *port,
+			const struct rr_instance *instance)
 {
-	const char *kind = member_text(object, "kind");
-	const char *name = member_text(object, "name");
-	const char *state = member_text(object, "state");
-	bool leaving = !strcmp(state, "leaving");
-
-	if (!*name)
-		return;
-	if (!strcmp(kind, "entry") && !leaving)
-		port->options.member(port->options.data, name,
-				     member_text(object, "zone"),
-				     member_text(object, "address"));
-	if (!strcmp(kind, "upstream"))
-		port->options.replica(port->options.data, name,
-				      leaving ? RR_UPSTREAM_DRAINING :
-						RR_UPSTREAM_READY);
-}
-
-static void parse_list(struct rr_platform_port *port,
-		       const struct rr_exchange_result *result)
-{
-	JsonParser *parser = json_parser_new_immutable();
-	JsonNode *root = NULL;
-	JsonArray *array;
-
-	if (json_parser_load_from_data(parser, result->body,
-				       (gssize)result->length, NULL))
-		root = json_parser_get_root(parser);
-	if (!root || !JSON_NODE_HOLDS_ARRAY(root)) {
-		note_failure(port, "instance-list-malformed", result);
-		g_object_unref(parser);
-		return;
-	}
-	array = json_node_get_array(root);
-	for (guint i = 0; i < json_array_get_length(array); i++) {
-		JsonNode *node = json_array_get_element(array, i);
+	if (instance->zone && instance->address &&
+	    g_strcmp0(instance->id, port->options.instance))
+		port->options.member(port->options.data, instance->id,
+				     instance->zone, instance->address);
+}
 
-		if (JSON_NODE_HOLDS_OBJECT(node))
-			take_instance(port, json_node_get_object(node));
+static void tell_list(struct rr_platform_port *port, const GPtrArray *items)
+{
+	for (guint i = 0; i < items->len; i++) {
+		const struct rr_feed_item *item = g_ptr_array_index(items, i);
+
+		if (item->replica)
+			tell_replica(port, item->replica);
+		else if (item->instance)
+			tell_member(port, item->instance);
+		else
+			rr_log(port->ctx, RR_LOG_WARNING, "item-unreadable",
+			       RR_FIELD_STRING("key", item->key));
 	}
-	g_object_unref(parser);
 }
 
 /*
@@ -170,16 +154,58 @@
 			 rr_random_u64(port->ctx) % (period_us / 2));
 }
 
-static void take_list(void *data, const struct rr_exchange_result *result)
-{
-	struct rr_platform_port *port = data;
+static void read_page(struct rr_platform_port *port,
+		      enum rr_feed_item_kind kind, const char *after_key);
 
-	if (result->whole && result->status == SOUP_STATUS_OK)
-		parse_list(port, result);
+/* The pages of the instances come first, then those of the replicas. */
+static void take_page(struct rr_platform_port *port,
+		      enum rr_feed_item_kind kind,
+		      const struct rr_exchange_result *result)
+{
+	struct rr_feed_reply reply;
+	bool good;
+
+	rr_read_platform_reply(RR_FEED_RANGE, result, &reply);
+	good = reply.status == RR_FEED_OK;
+	if (!good)
+		rr_note_platform_failure(port, "instance-list-not-read",
+					 result);
 	else
-		note_failure(port, "instance-list-not-read", result);
-	port->list_seldom_us = next_seldom_read_us(port);
-	list_after(port, port->options.list_period_ms);
+		tell_list(port, reply.items);
+	if (good && reply.more && reply.items->len) {
+		const struct rr_feed_item *last =
+			g_ptr_array_index(reply.items, reply.items->len - 1);
+
+		read_page(port, kind, last->key);
+	} else if (good && kind == RR_FEED_INSTANCE) {
+		read_page(port, RR_FEED_REPLICA, NULL);
+	} else {
+		port->list_seldom_us = next_seldom_read_us(port);
+		list_after(port, port->options.list_period_ms);
+	}
+	if (reply.items)
+		g_ptr_array_unref(reply.items);
+}
+
+static void take_replicas(void *data, const struct rr_exchange_result *result)
+{
+	take_page(data, RR_FEED_REPLICA, result);
+}
+
+static void take_members(void *data, const struct rr_exchange_result *result)
+{
+	take_page(data, RR_FEED_INSTANCE, result);
+}
+
+static void read_page(struct rr_platform_port *port,
+		      enum rr_feed_item_kind kind, const char *after_key)
+{
+	struct rr_store_call call;
+
+	rr_make_range(&call, rr_store_prefix(kind), after_key);
+	rr_start_platform_call(
+		port, &call, port->options.call_timeout_ms,
+		kind == RR_FEED_REPLICA ? take_replicas : take_members, port);
 }
 
 /*
@@ -190,15 +216,6 @@
 static gboolean read_list(gpointer data)
 {
 	struct rr_platform_port *port = data;
-	struct rr_exchange_options options = {
-		.method = "GET",
-		.address = port->address,
-		.path = "/v1/instances",
-		.max_reply_bytes = MAX_LIST_BYTES,
-		.timeout_ms = port->options.call_timeout_ms,
-		.done = take_list,
-		.data = port,
-	};
 
 	port->list_timer = 0;
 	if (g_get_monotonic_time() < port->list_seldom_us &&
@@ -206,8 +223,7 @@
 		list_after(port, port->options.list_period_ms);
 		return G_SOURCE_REMOVE;
 	}
-	rr_count(port->ctx, RR_N_STORE_CALLS, 1);
-	rr_start_exchange(port->exchanger, &options);
+	read_page(port, RR_FEED_INSTANCE, NULL);
 	return G_SOURCE_REMOVE;
 }
 
--- a/source/net/platform.c
+++ b/source/net/platform.c
@@ -10,122 +10,119 @@
 
 #define IDLE_CONNECTION_S 120
 
-struct store_call {
+struct key_call {
 	struct rr_platform_port *port;
 	uint64_t call_id;
+	char *key;
 	bool write;
 };
 
-char *rr_format_key_path(const char *key)
-{
-	char *escaped = g_uri_escape_string(key, "/", FALSE);
-	char *path = g_strconcat("/v1/kv/", escaped, NULL);
-
-	g_free(escaped);
-	return path;
-}
-
-bool rr_read_revision(const struct rr_exchange_result *result,
-		      uint64_t *revision)
-{
-	const char *text;
-
-	if (!result->status)
-		return false;
-	text = soup_message_headers_get_one(result->headers, "X-Revision");
-	return text && g_ascii_string_to_unsigned(text, 10, 0, G_MAXINT64,
-						  revision, NULL);
-}
-
 /*
- * Only a call that never left is proof of no effect.  Everything else that
- * is no clear reply (timeout, closed connection, 5xx) may have been written.
+ * Only a call that never left, or one that the store says it did nothing for,
+ * is proof of no effect.  Everything else that is no clear reply (timeout,
+ * closed connection, another status) may have been written.
  */
-static enum rr_store_status read_status(const struct store_call *call,
-					const struct rr_exchange_result *result,
-					struct rr_store_reply *reply)
+static void read_reply(const struct key_call *call,
+		       const struct rr_exchange_result *result,
+		       struct rr_key_reply *reply)
 {
+	uint16_t status = (uint16_t)result->status;
+
+	*reply = (struct rr_key_reply){ .status = RR_STORE_UNKNOWN };
 	if (result->never_sent)
-		return RR_STORE_UNAVAILABLE;
-	if (!result->whole || !rr_read_revision(result, &reply->revision))
-		return RR_STORE_UNKNOWN;
-	if (result->status == SOUP_STATUS_CONFLICT && call->write)
-		return RR_STORE_CONFLICT;
-	if (result->status == SOUP_STATUS_NOT_FOUND && !call->write) {
-		reply->revision = 0;
-		return RR_STORE_OK;
-	}
-	if (result->status != SOUP_STATUS_OK)
-		return RR_STORE_UNKNOWN;
-	if (!call->write) {
-		reply->value = result->body;
-		reply->length = result->length;
-	}
-	return RR_STORE_OK;
+		reply->status = RR_STORE_UNAVAILABLE;
+	else if (result->whole && call->write)
+		rr_decode_key_swap(call->key, status, result->body,
+				   result->length, reply);
+	else if (result->whole)
+		rr_decode_key_get(status, result->body, result->length, reply);
 }
 
-static void take_store_reply(void *data,
-			     const struct rr_exchange_result *result)
+static void take_reply(void *data, const struct rr_exchange_result *result)
 {
-	struct store_call *call = data;
+	struct key_call *call = data;
 	struct rr_platform_port *port = call->port;
+	struct rr_key_reply decoded;
 	struct rr_store_reply reply = { .call_id = call->call_id };
 
-	reply.status = read_status(call, result, &reply);
+	read_reply(call, result, &decoded);
+	reply.status = decoded.status;
+	reply.revision = decoded.revision;
+	reply.value = decoded.value;
+	reply.length = decoded.length;
 	if (reply.status == RR_STORE_UNAVAILABLE ||
-	    reply.status == RR_STORE_UNKNOWN) {
-		rr_count(port->ctx, RR_N_STORE_FAILURES, 1);
-		rr_log(port->ctx, RR_LOG_WARNING, "store-failure",
-		       RR_FIELD_BOOL("write", call->write),
-		       RR_FIELD_U64("status", result->status),
-		       RR_FIELD_STRING("error", result->error));
-	}
+	    reply.status == RR_STORE_UNKNOWN)
+		rr_note_platform_failure(
+			port, call->write ? "write-failed" : "read-failed",
+			result);
 	port->options.replied(port->options.data, &reply);
+	rr_clear_key_reply(&decoded);
+	g_free(call->key);
 	g_free(call);
 }
 
-static void start_call(struct rr_platform_port *port, uint64_t call_id,
-		       const char *key, struct rr_exchange_options *options)
+void rr_note_platform_failure(struct rr_platform_port *port, const char *what,
+			      const struct rr_exchange_result *result)
+{
+	rr_count(port->ctx, RR_N_STORE_FAILURES, 1);
+	rr_log(port->ctx, RR_LOG_WARNING, what,
+	       RR_FIELD_U64("status", result->status),
+	       RR_FIELD_STRING("error", result->error));
+}
+
+void rr_start_platform_call(
+	struct rr_platform_port *port, struct rr_store_call *call,
+	uint32_t timeout_ms,
+	void (*done)(void *data, const struct rr_exchange_result *result),
+	void *data)
 {
-	struct store_call *call = g_new0(struct store_call, 1);
-	char *path = rr_format_key_path(key);
+	size_t length = call->body ? strlen(call->body) : 0;
+	struct rr_exchange_options options = {
+		.method = call->method,
+		.address = port->address,
+		.path = call->path,
+		.body = g_steal_pointer(&call->body),
+		.body_length = length,
+		.max_reply_bytes = MAX_REPLY_BYTES,
+		.timeout_ms = timeout_ms,
+		.done = done,
+		.data = data,
+	};
+
+	rr_count(port->ctx, RR_N_STORE_CALLS, 1);
+	rr_start_exchange(port->exchanger, &options);
+	rr_clear_store_call(call);
+}
+
+static void start_key_call(struct rr_platform_port *port, uint64_t call_id,
+			   const char *key, struct rr_store_call *made)
+{
+	struct key_call *call = g_new0(struct key_call, 1);
 
 	call->port = port;
 	call->call_id = call_id;
-	call->write = options->body != NULL;
-	options->address = port->address;
-	options->path = path;
-	options->max_reply_bytes = MAX_VALUE_BYTES;
-	options->timeout_ms = port->options.call_timeout_ms;
-	options->done = take_store_reply;
-	options->data = call;
-	rr_count(port->ctx, RR_N_STORE_CALLS, 1);
-	rr_start_exchange(port->exchanger, options);
-	g_free(path);
+	call->key = g_strdup(key);
+	call->write = made->body != NULL;
+	rr_start_platform_call(port, made, port->options.call_timeout_ms,
+			       take_reply, call);
 }
 
 static void get_key(void *data, uint64_t call_id, const char *key)
 {
-	struct rr_exchange_options options = { .method = "GET" };
+	struct rr_store_call call;
 
-	start_call(data, call_id, key, &options);
+	rr_make_key_get(&call, key);
+	start_key_call(data, call_id, key, &call);
 }
 
 static void compare_and_swap_key(void *data, uint64_t call_id, const char *key,
 				 uint64_t revision, const char *value,
 				 size_t length)
 {
-	char text[24];
-	const char *headers[] = { "If-Revision", text, NULL };
-	struct rr_exchange_options options = {
-		.method = "POST",
-		.headers = headers,
-		.body = g_memdup2(value, length),
-		.body_length = length,
-	};
+	struct rr_store_call call;
 
-	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, revision);
-	start_call(data, call_id, key, &options);
+	rr_make_key_swap(&call, key, revision, value, length);
+	start_key_call(data, call_id, key, &call);
 }
 
 struct rr_store_port rr_store_port_of(struct rr_platform_port *port)
@@ -153,13 +150,18 @@
 	port->options = *options;
 	port->address = g_strdup(options->address);
 	port->options.address = port->address;
+	port->options.instance = g_strdup(options->instance);
+	port->options.zone = g_strdup(options->zone);
+	port->options.peer_address = g_strdup(options->peer_address);
 	set_default(&port->options.call_timeout_ms, 3000);
 	set_default(&port->options.watch_ms, 20000);
 	set_default(&port->options.list_period_ms, 2000);
 	set_default(&port->options.list_seldom_period_ms, 60000);
 	set_default(&port->options.retry_ms, 1000);
+	set_default(&port->options.lease_ms, 12000);
 	port->exchanger = rr_new_exchanger(IDLE_CONNECTION_S);
 	rr_start_platform_watch(port);
+	rr_start_platform_entry(port);
 	return port;
 }
 
@@ -168,8 +170,12 @@
 	if (!port)
 		return;
 	rr_stop_platform_watch(port);
+	rr_stop_platform_entry(port);
 	rr_drop_exchanger(port->exchanger);
 	rr_drop_context(port->ctx);
 	g_free(port->address);
+	g_free((char *)port->options.instance);
+	g_free((char *)port->options.zone);
+	g_free((char *)port->options.peer_address);
 	g_free(port);
 }
--- a/source/tool/http.c
+++ b/source/tool/http.c
@@ -126,14 +126,9 @@
 		       struct rr_http_reply *reply)
 {
 	const void *bytes = g_bytes_get_data(running->body, &reply->length);
-	const char *revision = soup_message_headers_get_one(
-		soup_message_get_response_headers(running->message),
-		"X-Revision");
 
 	reply->body = g_strndup(bytes ? bytes : "", reply->length);
 	reply->status = soup_message_get_status(running->message);
-	if (revision)
-		reply->revision = g_ascii_strtoull(revision, NULL, 10);
 }
 
 static void end_call(struct running_call *running, struct rr_http_reply *reply,
--- a/source/tool/http.h
+++ b/source/tool/http.h
@@ -31,7 +31,6 @@
 	uint32_t status;
 	char *body; /* NUL-terminated */
 	size_t length;
-	uint64_t revision; /* X-Revision; 0 if there is none */
 };
 
 /*
--- a/source/tool/platform.c
+++ b/source/tool/platform.c
@@ -3,30 +3,13 @@
  */
 #include "tool/platform.h"
 
+#include <string.h>
+
+#include "platform/platform.h"
 #include "ragwort/error.h"
 #include "tool/http.h"
 #include "tool/tool.h"
 
-#define HTTP_OK 200
-#define HTTP_NOT_FOUND 404
-#define HTTP_CONFLICT 409
-
-/* What a reply, or none, proves about the call. */
-static enum rr_store_status judge_reply(bool answered,
-					const struct rr_http_reply *http,
-					const GError *error)
-{
-	if (!answered)
-		return error->code == RR_ERROR_UNAVAILABLE ?
-			       RR_STORE_UNAVAILABLE :
-			       RR_STORE_UNKNOWN;
-	if (http->status == HTTP_OK)
-		return RR_STORE_OK;
-	if (http->status == HTTP_CONFLICT)
-		return RR_STORE_CONFLICT;
-	return RR_STORE_UNKNOWN;
-}
-
 static char *explain(bool answered, const struct rr_http_reply *http,
 		     const char *address, const GError *error)
 {
@@ -36,66 +19,81 @@
 			       http->status);
 }
 
-void rr_read_platform(const char *address, const char *key,
-		      struct rr_store_reply *reply, char **body, char **why)
+/*
+ * Make a call, which is cleared.  False, with *status, if there is no whole
+ * reply: it never left, or may have had its effect.
+ */
+static bool call_platform(const char *address, struct rr_store_call *made,
+			  struct rr_http_reply *http,
+			  enum rr_store_status *status, char **why)
 {
-	char *path = g_strdup_printf("/v1/kv/%s", key);
 	struct rr_http_call call = {
-		.method = "GET",
+		.method = made->method,
 		.address = address,
-		.path = path,
+		.path = made->path,
+		.body = made->body,
+		.length = made->body ? strlen(made->body) : 0,
 		.timeout_ms = RR_PLATFORM_TIMEOUT_MS,
 	};
-	struct rr_http_reply http;
 	GError *error = NULL;
-	bool answered = rr_call_http(&call, &http, &error);
+	bool answered = rr_call_http(&call, http, &error);
+
+	*why = explain(answered, http, address, error);
+	if (!answered)
+		*status = error->code == RR_ERROR_UNAVAILABLE ?
+				  RR_STORE_UNAVAILABLE :
+				  RR_STORE_UNKNOWN;
+	g_clear_error(&error);
+	rr_clear_store_call(made);
+	return answered;
+}
+
+/* What is told of a key; its value goes to *body. */
+static void give_reply(struct rr_key_reply *decoded,
+		       struct rr_store_reply *reply, char **body)
+{
+	*body = g_steal_pointer(&decoded->value);
+	reply->status = decoded->status;
+	reply->revision = decoded->revision;
+	reply->value = *body;
+	reply->length = decoded->length;
+}
+
+void rr_read_platform(const char *address, const char *key,
+		      struct rr_store_reply *reply, char **body, char **why)
+{
+	struct rr_key_reply decoded;
+	struct rr_store_call call;
+	struct rr_http_reply http;
 
 	*reply = (struct rr_store_reply){ 0 };
 	*body = NULL;
-	reply->status = judge_reply(answered, &http, error);
-	*why = explain(answered, &http, address, error);
-	if (reply->status == RR_STORE_OK) {
-		*body = g_steal_pointer(&http.body);
-		reply->value = *body;
-		reply->length = http.length;
-		reply->revision = http.revision;
-	} else if (answered && http.status == HTTP_NOT_FOUND) {
-		reply->status = RR_STORE_OK;
+	rr_make_key_get(&call, key);
+	if (call_platform(address, &call, &http, &reply->status, why)) {
+		rr_decode_key_get((uint16_t)http.status, http.body, http.length,
+				  &decoded);
+		give_reply(&decoded, reply, body);
 	}
 	rr_clear_http_reply(&http);
-	g_clear_error(&error);
-	g_free(path);
 }
 
 void rr_swap_platform(const char *address, const char *key, uint64_t revision,
 		      const char *value, size_t length,
 		      struct rr_store_reply *reply, char **why)
 {
-	char *path = g_strdup_printf("/v1/kv/%s", key);
-	char *expected = g_strdup_printf("%" G_GUINT64_FORMAT, revision);
-	struct rr_http_header header = { "If-Revision", expected };
-	struct rr_http_call call = {
-		.method = "POST",
-		.address = address,
-		.path = path,
-		.headers = &header,
-		.n_headers = 1,
-		.body = value,
-		.length = length,
-		.timeout_ms = RR_PLATFORM_TIMEOUT_MS,
-	};
+	struct rr_key_reply decoded;
+	struct rr_store_call call;
 	struct rr_http_reply http;
-	GError *error = NULL;
-	bool answered = rr_call_http(&call, &http, &error);
+	char *none;
 
 	*reply = (struct rr_store_reply){ 0 };
-	reply->status = judge_reply(answered, &http, error);
-	reply->revision = http.revision;
-	*why = explain(answered, &http, address, error);
+	rr_make_key_swap(&call, key, revision, value, length);
+	if (call_platform(address, &call, &http, &reply->status, why)) {
+		rr_decode_key_swap(key, (uint16_t)http.status, http.body,
+				   http.length, &decoded);
+		give_reply(&decoded, reply, &none);
+	}
 	rr_clear_http_reply(&http);
-	g_clear_error(&error);
-	g_free(expected);
-	g_free(path);
 }
 
 struct rr_record *rr_read_record(const struct rr_command *command,
--- a/tests/support/deployment.c
+++ b/tests/support/deployment.c
@@ -12,6 +12,7 @@
 #include <string.h>
 #include <cmocka.h>
 
+#include "platform/platform.h"
 #include "ragwort/record.h"
 
 #define SITE "site"
@@ -50,25 +51,38 @@
 	return g_string_free(out, FALSE);
 }
 
+static struct test_reply *call_platform(struct test_deployment *d,
+					struct rr_store_call *call)
+{
+	struct test_reply *reply = test_call(call->method, d->platform->port,
+					     call->path, NULL, call->body);
+
+	rr_clear_store_call(call);
+	return reply;
+}
+
 /* Put the configuration's record into the platform. */
 static void put_record(struct test_deployment *d)
 {
 	char *base = make_base(d);
-	char *path = g_strconcat("/v1/kv/", RR_RECORD_KEY, NULL);
-	struct test_reply *present =
-		test_call("GET", d->platform->port, path, NULL, NULL);
-	const char *headers[] = { "If-Revision", present->revision, NULL };
+	struct rr_key_reply present;
+	struct rr_store_call call;
 	struct test_reply *reply;
 	size_t length;
 	char *text;
 
+	rr_make_key_get(&call, RR_RECORD_KEY);
+	reply = call_platform(d, &call);
+	rr_decode_key_get((uint16_t)reply->status, reply->body,
+			  strlen(reply->body), &present);
+	test_drop_reply(reply);
 	rr_change_record(d->record, RR_RECORD_BASE, base, "change", "test", 1);
 	text = rr_encode_record(d->record, &length);
-	reply = test_call("POST", d->platform->port, path, headers, text);
+	rr_make_key_swap(&call, RR_RECORD_KEY, present.revision, text, length);
+	reply = call_platform(d, &call);
 	assert_int_equal(reply->status, 200);
 	test_drop_reply(reply);
-	test_drop_reply(present);
-	g_free(path);
+	rr_clear_key_reply(&present);
 	g_free(text);
 	g_free(base);
 }
--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -19,23 +19,20 @@
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
-struct test_process *test_start_process(const char *program,
-					const char *const *arguments,
-					bool read_output)
+/* With a launcher that says where its output goes; it is dropped here. */
+static struct test_process *launch(GSubprocessLauncher *launcher,
+				   const char *program,
+				   const char *const *arguments)
 {
 	struct test_process *process = g_new0(struct test_process, 1);
 	GPtrArray *argv = g_ptr_array_new();
 	char *path = rr_build_path(program);
-	GSubprocessLauncher *launcher;
 	GError *error = NULL;
 
 	g_ptr_array_add(argv, path);
 	for (; arguments && *arguments; arguments++)
 		g_ptr_array_add(argv, (char *)*arguments);
 	g_ptr_array_add(argv, NULL);
-	launcher = g_subprocess_launcher_new(
-		read_output ? G_SUBPROCESS_FLAGS_STDOUT_PIPE :
-			      G_SUBPROCESS_FLAGS_NONE);
 	g_subprocess_launcher_set_child_setup(launcher, end_with_parent, NULL,
 					      NULL);
 	process->handle = g_subprocess_launcher_spawnv(
@@ -44,14 +41,38 @@
 	if (!process->handle)
 		g_error("%s: %s", path, error->message);
 	process->pid = atoi(g_subprocess_get_identifier(process->handle));
+	g_ptr_array_unref(argv);
+	g_free(path);
+	return process;
+}
+
+struct test_process *test_start_process(const char *program,
+					const char *const *arguments,
+					bool read_output)
+{
+	struct test_process *process =
+		launch(g_subprocess_launcher_new(
+			       read_output ? G_SUBPROCESS_FLAGS_STDOUT_PIPE :
+					     G_SUBPROCESS_FLAGS_NONE),
+		       program, arguments);
+
 	if (read_output)
 		process->out = g_data_input_stream_new(
 			g_subprocess_get_stdout_pipe(process->handle));
-	g_ptr_array_unref(argv);
-	g_free(path);
 	return process;
 }
 
+struct test_process *test_start_logged_process(const char *program,
+					       const char *const *arguments,
+					       const char *log_file)
+{
+	GSubprocessLauncher *launcher =
+		g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
+
+	g_subprocess_launcher_set_stdout_file_path(launcher, log_file);
+	return launch(launcher, program, arguments);
+}
+
 void test_signal_process(struct test_process *process, int signal_number)
 {
 	g_subprocess_send_signal(process->handle, signal_number);
@@ -174,9 +195,6 @@
 		reply->retry_after = g_strdup(soup_message_headers_get_one(
 			soup_message_get_response_headers(message),
 			"Retry-After"));
-		reply->revision = g_strdup(soup_message_headers_get_one(
-			soup_message_get_response_headers(message),
-			"X-Revision"));
 		g_bytes_unref(got);
 	}
 	g_bytes_unref(sent);
@@ -226,7 +244,6 @@
 		json_node_unref(reply->json);
 	g_free(reply->body);
 	g_free(reply->retry_after);
-	g_free(reply->revision);
 	g_free(reply);
 }
 
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -25,6 +25,10 @@
 struct test_process *test_start_process(const char *program,
 					const char *const *arguments,
 					bool read_output);
+/* The same, with its standard output appended to a file. */
+struct test_process *test_start_logged_process(const char *program,
+					       const char *const *arguments,
+					       const char *log_file);
 void test_signal_process(struct test_process *process, int signal_number);
 /* Wait for the end; returns the exit code, -1 if a signal ended it. */
 int test_wait_process(struct test_process *process);
@@ -68,7 +72,6 @@
 	char *body;
 	JsonNode *json;	   /* NULL if the body is none */
 	char *retry_after; /* header, NULL if none */
-	char *revision;	   /* header X-Revision, NULL if none */
 };
 
 /*
--- a/tests/support/raw-peer.c
+++ b/tests/support/raw-peer.c
@@ -104,7 +104,8 @@
 	return fd >= 0;
 }
 
-struct raw_peer *raw_connect(const char *address)
+/* Below 0 if it is refused. */
+static int connect_to(const char *address)
 {
 	struct sockaddr_in target = {
 		.sin_family = AF_INET,
@@ -113,11 +114,29 @@
 	};
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-	g_assert_cmpint(connect(fd, (struct sockaddr *)&target, sizeof(target)),
-			==, 0);
+	if (!connect(fd, (struct sockaddr *)&target, sizeof(target)))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+struct raw_peer *raw_connect(const char *address)
+{
+	int fd = connect_to(address);
+
+	g_assert_cmpint(fd, >=, 0);
 	return new_peer(fd);
 }
 
+bool raw_is_refused(const char *address)
+{
+	int fd = connect_to(address);
+
+	if (fd >= 0)
+		close(fd);
+	return fd < 0;
+}
+
 void raw_send(struct raw_peer *peer, const char *text)
 {
 	size_t length = strlen(text);
--- a/tests/support/raw-peer.h
+++ b/tests/support/raw-peer.h
@@ -34,6 +34,8 @@
 /* Whether one waits to be accepted, after a few turns. */
 bool raw_has_connection(struct raw_listener *listener);
 struct raw_peer *raw_connect(const char *address);
+/* Whether connections are refused there. */
+bool raw_is_refused(const char *address);
 void raw_send(struct raw_peer *peer, const char *text);
 /* Close the sending side only. */
 void raw_finish(struct raw_peer *peer);
--- /dev/null
+++ b/tests/support/standin-store.h
@@ -0,0 +1,69 @@
+/*
+ * standin-store.h - the platform's key-value store in memory, in its real
+ * protocol, with the faults that it has.
+ *
+ * Runs on the default main context of the program that holds it.
+ */
+#ifndef TESTS_SUPPORT_STANDIN_STORE_H
+#define TESTS_SUPPORT_STANDIN_STORE_H
+
+#include "support/call-counts.h"
+#include "support/raw-http.h"
+
+enum test_store_state {
+	TEST_STORE_UP,
+	TEST_STORE_SILENT, /* calls are read and never answered */
+	TEST_STORE_RESET,  /* connections end */
+	TEST_STORE_BUSY,   /* 503: nothing was done */
+};
+
+struct test_store {
+	struct test_server server;
+	enum test_store_state state;
+	uint32_t slow_ms;   /* each answer takes so much longer */
+	double lost_share;  /* of writes: done, and not answered */
+	uint32_t lose_next; /* so many writes: done, and not answered */
+	/*
+	 * So many writes are not answered, and done that much later if their
+	 * condition still holds.
+	 */
+	uint32_t late_next;
+	uint32_t late_ms;
+	/* Calls over its rate get 429, with nothing done. */
+	struct test_call_rate rate;
+	struct test_call_counts *counts; /* NULL: not counted */
+	/* Leases run out while it is not up. */
+	bool lapses;
+	uint64_t calls; /* that were answered */
+	/* Inside. */
+	uint64_t revision;
+	uint64_t floor;	    /* changes up to here are forgotten */
+	GHashTable *items;  /* key -> struct item */
+	GPtrArray *changes; /* struct item, the oldest first */
+	GHashTable *leases; /* id -> struct lease */
+	GPtrArray *waiters; /* struct waiter */
+	guint timer;
+	GRand *rand;
+};
+
+/* Listen on a free port of 127.0.0.1, which is store->server.port. */
+void test_open_store(struct test_store *store, uint32_t seed);
+/* The same on a port of one's choice; 0: any. */
+void test_open_store_at(struct test_store *store, uint16_t port, uint32_t seed);
+void test_close_store(struct test_store *store);
+
+/* What the operator and the replicas write; `value` is plain text. */
+void test_store_put(struct test_store *store, const char *key,
+		    const char *value);
+void test_store_remove(struct test_store *store, const char *key);
+/* Keys with a prefix. */
+guint test_store_count(const struct test_store *store, const char *prefix);
+/* Whether a watch waits that knows of everything. */
+bool test_store_is_followed(const struct test_store *store);
+/* Forget all changes so far, and end the watches that wait. */
+void test_store_forget(struct test_store *store);
+/* Connections end; `state` holds from then on. */
+void test_store_set_state(struct test_store *store,
+			  enum test_store_state state);
+
+#endif
--- a/tests/test-front-port.c
+++ b/tests/test-front-port.c
@@ -364,6 +364,22 @@
 	stop(scene);
 }
 
+/* What was accepted is still answered when nobody else is. */
+static void test_refusing(void **state)
+{
+	struct scene *scene = start(0);
+	struct raw_peer *busy = raw_connect(scene->address);
+
+	raw_send(busy, GET("a"));
+	raw_turn_until(&scene->requests, 1);
+	rr_refuse_callers(scene->port);
+	assert_true(raw_is_refused(scene->address));
+	answer(scene, 200, "bye");
+	raw_expect(busy, "bye");
+	raw_drop(busy);
+	stop(scene);
+}
+
 /* A caller that does not read does not hold up others, nor memory for ever. */
 static void test_caller_that_does_not_read(void **state)
 {
@@ -415,6 +431,7 @@
 		cmocka_unit_test(test_idle_connections_end),
 		cmocka_unit_test(test_bound_on_connections),
 		cmocka_unit_test(test_closing),
+		cmocka_unit_test(test_refusing),
 		cmocka_unit_test(test_caller_that_does_not_read),
 		cmocka_unit_test(test_address_in_use),
 	};
--- a/tests/test-lifecycle.c
+++ b/tests/test-lifecycle.c
@@ -47,11 +47,32 @@
 			 RR_STOP_EXIT);
 }
 
+/*
+ * Story: callers that nobody leads elsewhere come until the very end.  The
+ * last one's request was read, sent to a replica and cut fifteen milliseconds
+ * later, when the process ended.
+ */
+static void test_nothing_new_before_the_end(void **state)
+{
+	struct rr_lifecycle lifecycle = { .stop_timeout_ms = 6000 };
+
+	rr_ask_stop(&lifecycle, 10 * S);
+	assert_int_equal(rr_next_stop_step(&lifecycle, 10 * S + 5050000, 2, 5),
+			 RR_STOP_CLOSE_IDLE);
+	assert_int_equal(rr_next_stop_step(&lifecycle, 10 * S + 5150000, 2, 5),
+			 RR_STOP_REFUSE);
+	assert_int_equal(rr_next_stop_step(&lifecycle, 10 * S + 5550000, 0, 1),
+			 RR_STOP_REFUSE);
+	assert_int_equal(rr_next_stop_step(&lifecycle, 10 * S + 5550000, 0, 0),
+			 RR_STOP_EXIT);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_ready_only_while_serving),
 		cmocka_unit_test(test_stop),
+		cmocka_unit_test(test_nothing_new_before_the_end),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test-platform-formats.c
+++ b/tests/test-platform-formats.c
@@ -281,6 +281,98 @@
 	}
 }
 
+static void test_key_calls(void **state)
+{
+	struct rr_store_call call;
+
+	rr_make_key_get(&call, "ledger/3 4");
+	assert_string_equal(call.path, "/v1/kv-key?key=ledger/3%204");
+	assert_null(call.body);
+	rr_clear_store_call(&call);
+	rr_make_key_swap(&call, "ledger/3", 7, "one", 3);
+	assert_string_equal(call.path, "/v1/kv-txn");
+	assert_string_equal(call.body,
+			    "{\"expectedRev\":[{\"key\":\"ledger/3\","
+			    "\"revision\":7}],\"writes\":[{\"key\":"
+			    "\"ledger/3\",\"value\":\"b25l\",\"lease\":0}],"
+			    "\"deletes\":[]}");
+	rr_clear_store_call(&call);
+}
+
+static struct rr_key_reply got(uint16_t status, const char *body)
+{
+	struct rr_key_reply reply;
+
+	rr_decode_key_get(status, body, strlen(body), &reply);
+	return reply;
+}
+
+static struct rr_key_reply swapped(uint16_t status, const char *body)
+{
+	struct rr_key_reply reply;
+
+	rr_decode_key_swap("a", status, body, strlen(body), &reply);
+	return reply;
+}
+
+static void test_key_replies(void **state)
+{
+	struct rr_key_reply reply =
+		got(200, "{\"key\":\"a\",\"revision\":9,\"value\":\"b25l\"}");
+
+	assert_int_equal(reply.status, RR_STORE_OK);
+	assert_int_equal(reply.revision, 9);
+	assert_int_equal(reply.length, 3);
+	assert_string_equal(reply.value, "one");
+	rr_clear_key_reply(&reply);
+	reply = got(404, "{}");
+	assert_int_equal(reply.status, RR_STORE_OK);
+	assert_null(reply.value);
+	assert_int_equal(reply.revision, 0);
+	reply = swapped(200, "{\"revision\":12}");
+	assert_int_equal(reply.status, RR_STORE_OK);
+	assert_int_equal(reply.revision, 12);
+	reply = swapped(412, "{\"items\":[{\"key\":\"b\",\"revision\":3},"
+			     "{\"key\":\"a\",\"revision\":8}]}");
+	assert_int_equal(reply.status, RR_STORE_CONFLICT);
+	assert_int_equal(reply.revision, 8);
+	reply = swapped(412, "{\"items\":[]}");
+	assert_int_equal(reply.status, RR_STORE_CONFLICT);
+	assert_int_equal(reply.revision, 0);
+}
+
+/*
+ * "Nothing was done" and "it may have been done" must never be taken for each
+ * other: a reservation hangs on it.
+ */
+static void test_what_a_reply_proves(void **state)
+{
+	static const struct {
+		const char *body;
+		enum rr_store_status proves;
+		uint16_t status;
+	} cases[] = {
+		{ "{}", RR_STORE_UNAVAILABLE, 503 },
+		{ "{}", RR_STORE_UNAVAILABLE, 429 },
+		{ "{}", RR_STORE_UNKNOWN, 500 },
+		{ "{}", RR_STORE_UNKNOWN, 502 },
+		{ "", RR_STORE_UNKNOWN, 200 },
+		{ "{}", RR_STORE_UNKNOWN, 200 },
+		{ "{\"revision\":-1}", RR_STORE_UNKNOWN, 200 },
+		{ "[1]", RR_STORE_UNKNOWN, 200 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct rr_key_reply reply =
+			swapped(cases[i].status, cases[i].body);
+
+		assert_int_equal(reply.status, cases[i].proves);
+		reply = got(cases[i].status, cases[i].body);
+		assert_int_equal(reply.status, cases[i].proves);
+		assert_null(reply.value);
+	}
+}
+
 /* An instance answers another in the store's own words. */
 static void test_news_of_instances(void **state)
 {
@@ -349,6 +441,9 @@
 		cmocka_unit_test(test_watch_reply),
 		cmocka_unit_test(test_other_replies),
 		cmocka_unit_test(test_failures),
+		cmocka_unit_test(test_key_calls),
+		cmocka_unit_test(test_key_replies),
+		cmocka_unit_test(test_what_a_reply_proves),
 		cmocka_unit_test(test_news_of_instances),
 		cmocka_unit_test(test_what_is_no_news_call),
 	};
--- a/tests/test-process-gateway.c
+++ b/tests/test-process-gateway.c
@@ -16,18 +16,14 @@
 #include "support/process.h"
 #include "support/raw-http.h"
 #include "support/raw-peer.h"
+#include "support/standin-store.h"
 #include "support/tool-run.h"
 
 #define SHARDS 3
 
 struct world {
-	struct test_server store;
+	struct test_store store;
 	struct test_server replicas[SHARDS];
-	struct test_connection *watch; /* that waits; NULL: none does */
-	uint64_t watch_after;
-	GString *items; /* of the store, as JSON */
-	uint64_t revision;
-	int watches;
 	int runs;
 	bool hold; /* replicas keep their requests */
 	char *caller_address;
@@ -36,74 +32,6 @@
 	struct test_process *gateway;
 };
 
-static char *code(const char *text)
-{
-	return g_base64_encode((const guchar *)text, strlen(text));
-}
-
-static void add_item(struct world *world, const char *key, const char *value)
-{
-	char *coded = code(value);
-
-	g_string_append_printf(
-		world->items,
-		"%s{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%u}",
-		world->items->len ? "," : "", key, coded,
-		(unsigned int)++world->revision);
-	g_free(coded);
-}
-
-static void answer_watch(struct world *world, const char *key,
-			 const char *value)
-{
-	char *coded = code(value);
-	char *body = g_strdup_printf(
-		"{\"events\":[{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%u"
-		"}],\"storeRevision\":%u}",
-		key, coded, (unsigned int)(world->revision + 1),
-		(unsigned int)(world->revision + 1));
-	struct test_connection *watch = world->watch;
-
-	world->revision++;
-	world->watch = NULL;
-	test_reply_to(watch, 200, "Content-Type: application/json\r\n", body,
-		      false);
-	g_free(body);
-	g_free(coded);
-}
-
-static void take_store_call(struct test_connection *connection)
-{
-	struct world *world = connection->server->data;
-	char *body = NULL;
-
-	if (strstr(connection->path, "kv-watch")) {
-		world->watch = connection;
-		world->watches++;
-		return;
-	}
-	if (strstr(connection->path, "kv-range"))
-		body = g_strdup_printf("{\"items\":[%s],\"hasMore\":false,"
-				       "\"storeRevision\":%u}",
-				       world->items->str,
-				       (unsigned int)world->revision);
-	else if (strstr(connection->path, "kv-txn"))
-		body = g_strdup("{\"revision\":99}");
-	else
-		body = g_strdup("{\"lease\":7,\"ttlMs\":12000}");
-	test_reply_to(connection, 200, "Content-Type: application/json\r\n",
-		      body, false);
-	g_free(body);
-}
-
-static void drop_store_call(struct test_connection *connection)
-{
-	struct world *world = connection->server->data;
-
-	if (world->watch == connection)
-		world->watch = NULL;
-}
-
 /* Each replica has one record of its own letter. */
 static void answer_run(struct test_connection *connection)
 {
@@ -152,7 +80,7 @@
 {
 	char *config = config_of(3, "/all/");
 
-	add_item(world, "op/config", config);
+	test_store_put(&world->store, "op/config", config);
 	for (int i = 0; i < SHARDS; i++) {
 		char *key = g_strdup_printf("servers/i-%d", i);
 		char *value = g_strdup_printf(
@@ -161,27 +89,35 @@
 			"\"coldRemainingMs\":0,\"sequence\":1}",
 			i, world->replicas[i].port);
 
-		add_item(world, key, value);
+		test_store_put(&world->store, key, value);
 		g_free(value);
 		g_free(key);
 	}
 	g_free(config);
 }
 
+/* The gateway knows all that the store holds. */
+static void wait_until_followed(struct world *world)
+{
+	while (!test_store_is_followed(&world->store))
+		raw_turn_for(1000);
+}
+
 static void start_gateway(struct world *world)
 {
 	char *text = g_strdup_printf(
 		"instance: gw-1\nzone: a\ncaller_address: \"%s\"\n"
 		"ready_address: \"%s\"\nstore_address: \"127.0.0.1:%u\"\n"
 		"stop_timeout_ms: 6000\n",
-		world->caller_address, world->ready_address, world->store.port);
+		world->caller_address, world->ready_address,
+		world->store.server.port);
 	const char *arguments[] = { "--settings", NULL, NULL };
 
 	world->start_file = test_write_file(text);
 	arguments[1] = world->start_file;
 	world->gateway =
 		test_start_process("ragwort-gateway", arguments, false);
-	raw_turn_until(&world->watches, 1);
+	wait_until_followed(world);
 	g_free(text);
 }
 
@@ -194,11 +130,7 @@
 {
 	struct world *world = g_new0(struct world, 1);
 
-	world->items = g_string_new(NULL);
-	world->store.data = world;
-	world->store.request = take_store_call;
-	world->store.closing = drop_store_call;
-	test_listen(&world->store, true);
+	test_open_store(&world->store, 1);
 	for (int i = 0; i < SHARDS; i++) {
 		world->replicas[i].data = world;
 		world->replicas[i].request = take_run;
@@ -226,11 +158,10 @@
 	struct world *world = *state;
 
 	test_drop_process(world->gateway);
-	close_server(&world->store);
+	test_close_store(&world->store);
 	for (int i = 0; i < SHARDS; i++)
 		close_server(&world->replicas[i]);
 	test_remove_file(world->start_file);
-	g_string_free(world->items, TRUE);
 	g_free(world->caller_address);
 	g_free(world->ready_address);
 	g_free(world);
@@ -282,8 +213,8 @@
 
 	raw_expect(caller, "HTTP/1.1 404 ");
 	raw_drop(caller);
-	answer_watch(world, "op/config", config);
-	raw_turn_until(&world->watches, 2);
+	test_store_put(&world->store, "op/config", config);
+	wait_until_followed(world);
 	caller = ask(world, "GET /new/x");
 	raw_expect(caller, "cccccccccccccccc");
 	raw_drop(caller);
@@ -296,10 +227,10 @@
 	struct world *world = *state;
 	struct raw_peer *caller;
 
-	answer_watch(world, "servers/i-2",
-		     "{\"service\":\"s2\",\"address\":\"127.0.0.1:1\","
-		     "\"zone\":\"a\",\"slots\":2,\"state\":\"draining\"}");
-	raw_turn_until(&world->watches, 2);
+	test_store_put(&world->store, "servers/i-2",
+		       "{\"service\":\"s2\",\"address\":\"127.0.0.1:1\","
+		       "\"zone\":\"a\",\"slots\":2,\"state\":\"draining\"}");
+	wait_until_followed(world);
 	caller = ask(world, "GET /all/x");
 	raw_expect(caller, "Missing-Parts: 1\r\n");
 	assert_int_equal(world->runs, 2);
