--- /dev/null
+++ b/source/core/feed-count.c
@@ -0,0 +1,65 @@
+/*
+ * feed-count.c - how many instances share budgets and connections.
+ */
+#include "core/feed-private.h"
+
+/*
+ * The count of instances shrinks only after this: budgets hold for windows
+ * of ten seconds, and entries lapse when the store is away.
+ */
+#define SHRINK_US (12 * G_USEC_PER_SEC)
+/*
+ * Instances that start together have all entered by then.  Where so many
+ * entries stand already, it is a restart among others, and they count at
+ * once.
+ */
+#define FIRST_COUNT_US (2 * G_USEC_PER_SEC)
+#define STANDING_ENTRIES 3
+
+int64_t rr_first_count_us(int64_t now_us)
+{
+	return now_us + FIRST_COUNT_US;
+}
+
+static uint32_t count_instances(const struct rr_feed *feed)
+{
+	GHashTableIter iter;
+	gpointer known;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&iter, feed->known);
+	while (g_hash_table_iter_next(&iter, NULL, &known)) {
+		if (((struct rr_feed_known *)known)->kind == RR_FEED_INSTANCE)
+			n++;
+	}
+	return MAX(n, 1);
+}
+
+static void tell_count(struct rr_feed *feed, uint32_t count)
+{
+	rr_allow_following(feed->sources);
+	feed->shrink_us = 0;
+	feed->told = count;
+	feed->actions.instances(feed->actions.data, count);
+}
+
+void rr_look_at_count(struct rr_feed *feed)
+{
+	uint32_t count;
+
+	if (!feed->has_read)
+		return;
+	count = count_instances(feed);
+	if (feed->now_us < feed->count_from_us && count < STANDING_ENTRIES)
+		return;
+	if (count >= feed->told) {
+		if (count > feed->told)
+			tell_count(feed, count);
+		feed->shrink_us = 0;
+		return;
+	}
+	if (!feed->shrink_us)
+		feed->shrink_us = feed->now_us + SHRINK_US;
+	else if (feed->now_us >= feed->shrink_us)
+		tell_count(feed, count);
+}
--- /dev/null
+++ b/source/core/feed-items.c
@@ -0,0 +1,133 @@
+/*
+ * feed-items.c - the store's items as they are learnt, and forgotten.
+ */
+#include "core/feed-private.h"
+
+#include "ragwort/log.h"
+
+void rr_free_feed_item(gpointer data)
+{
+	struct rr_feed_item *item = data;
+
+	rr_drop_route_table(item->routes);
+	if (item->replica) {
+		g_free((char *)item->replica->id);
+		g_free((char *)item->replica->service);
+		g_free((char *)item->replica->address);
+		g_free((char *)item->replica->zone);
+		g_free(item->replica);
+	}
+	rr_free_instance(item->instance);
+	g_free(item->value);
+	g_free(item->key);
+	g_free(item->id);
+	g_free(item);
+}
+
+void rr_free_instance(struct rr_instance *instance)
+{
+	if (!instance)
+		return;
+	g_free(instance->id);
+	g_free(instance->zone);
+	g_free(instance->address);
+	g_free(instance);
+}
+
+static void forget_instance(struct rr_feed *feed, const char *id)
+{
+	rr_note_source(feed->sources, id, NULL);
+	feed->actions.instance(feed->actions.data, id, NULL);
+}
+
+static void forget_key(struct rr_feed *feed, const char *key, uint64_t revision)
+{
+	struct rr_feed_known *known = g_hash_table_lookup(feed->known, key);
+
+	if (!known)
+		return;
+	rr_keep_news(feed->news, key, revision, NULL);
+	if (known->kind == RR_FEED_REPLICA)
+		feed->actions.unlisted(feed->actions.data, known->id);
+	else if (known->kind == RR_FEED_INSTANCE)
+		forget_instance(feed, known->id);
+	g_hash_table_remove(feed->known, key);
+}
+
+static void learn(struct rr_context *ctx, struct rr_feed *feed,
+		  const struct rr_feed_item *item)
+{
+	switch (item->kind) {
+	case RR_FEED_ROUTES:
+		if (item->routes)
+			feed->actions.routes(feed->actions.data, item->routes);
+		break;
+	case RR_FEED_REPLICA:
+		if (item->replica)
+			feed->actions.listed(feed->actions.data, item->replica);
+		break;
+	case RR_FEED_INSTANCE:
+		if (!item->instance)
+			break;
+		rr_note_source(feed->sources, item->id, item->instance);
+		feed->actions.instance(feed->actions.data, item->id,
+				       item->instance);
+		break;
+	case RR_FEED_OTHER:
+		return;
+	}
+	if (!item->routes && !item->replica && !item->instance)
+		rr_log(ctx, RR_LOG_ERROR, "item-unreadable",
+		       RR_FIELD_STRING("key", item->key),
+		       RR_FIELD_U64("revision", item->revision));
+}
+
+void rr_take_feed_item(struct rr_context *ctx, struct rr_feed *feed,
+		       const struct rr_feed_item *item)
+{
+	struct rr_feed_known *known =
+		g_hash_table_lookup(feed->known, item->key);
+
+	if (item->kind == RR_FEED_OTHER)
+		return;
+#ifndef RR_MUTANT_FEED_OLD_NEWS
+	if (known && item->revision < known->revision)
+		return;
+#endif
+	if (item->removed) {
+		forget_key(feed, item->key, item->revision);
+		return;
+	}
+	if (!known) {
+		known = g_new0(struct rr_feed_known, 1);
+		known->kind = item->kind;
+		known->id = g_strdup(item->id);
+		g_hash_table_insert(feed->known, g_strdup(item->key), known);
+	}
+	known->seen = true;
+	if (known->revision == item->revision)
+		return;
+	known->revision = item->revision;
+	if (item->value)
+		rr_keep_news(feed->news, item->key, item->revision,
+			     item->value);
+	learn(ctx, feed, item);
+}
+
+void rr_forget_unseen(struct rr_feed *feed)
+{
+	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter iter;
+	gpointer key;
+	gpointer known;
+
+	g_hash_table_iter_init(&iter, feed->known);
+	while (g_hash_table_iter_next(&iter, &key, &known)) {
+		if (!((struct rr_feed_known *)known)->seen)
+			g_ptr_array_add(gone, g_strdup(key));
+	}
+	for (guint i = 0; i < gone->len; i++)
+		forget_key(feed, g_ptr_array_index(gone, i),
+			   feed->range_revision);
+	g_ptr_array_unref(gone);
+}
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -5,12 +5,10 @@
  * instance's entry (a lease, its key, its renewal), and the count of
  * instances.  A store that is away changes nothing of what is known.
  */
-#include "ragwort/feed.h"
+#include "core/feed-private.h"
 
 #include <string.h>
 
-#include "core/feed-source.h"
-#include "core/news.h"
 #include "ragwort/counters.h"
 #include "ragwort/log.h"
 
@@ -52,96 +50,10 @@
 #define KEEP_US (1500 * 1000)
 /* Of an instance that asks others: a third of the lease. */
 #define FOLLOWER_KEEP_US (4 * G_USEC_PER_SEC)
-/*
- * The count of instances shrinks only after this: budgets hold for windows
- * of ten seconds, and entries lapse when the store is away.
- */
-#define SHRINK_US (12 * G_USEC_PER_SEC)
-/*
- * Instances that start together have all entered by then.  Where so many
- * entries stand already, it is a restart among others, and they count at
- * once.
- */
-#define FIRST_COUNT_US (2 * G_USEC_PER_SEC)
-#define STANDING_ENTRIES 3
-
-/* One of the two things that calls go on for. */
-struct line {
-	uint64_t call; /* under way; 0: none */
-	enum rr_feed_call_kind kind;
-	int64_t due_us; /* of the next call, while none is under way */
-	int64_t backoff_us;
-};
-
-struct known {
-	enum rr_feed_item_kind kind;
-	char *id;
-	uint64_t revision;
-	bool seen; /* in the range under way */
-};
-
-struct rr_feed {
-	struct rr_feed_actions actions;
-	uint64_t next_call;
-	int64_t now_us;
-	uint32_t news_bound_ms;
-	struct rr_sources *sources;
-	struct rr_news *news;
-	bool reached;
-	bool leaving;
-	/* Reading. */
-	struct line reading;
-	char *asked; /* the peer of the call under way; NULL: the store */
-	bool has_read;
-	bool ranging;
-	char *after_key;
-	uint64_t range_revision; /* of the first page */
-	uint64_t revision;	 /* up to which changes are known */
-	GHashTable *known;	 /* key -> struct known */
-	/* The entry. */
-	struct line entry;
-	uint64_t lease;
-	bool entered;
-	/* A renewal failed: the watch may have fallen silent as well. */
-	bool suspect;
-	/* The count. */
-	uint32_t told; /* 0: not yet */
-	int64_t count_from_us;
-	int64_t shrink_us; /* 0: the count has not shrunk */
-};
-
-void rr_free_feed_item(gpointer data)
-{
-	struct rr_feed_item *item = data;
-
-	rr_drop_route_table(item->routes);
-	if (item->replica) {
-		g_free((char *)item->replica->id);
-		g_free((char *)item->replica->service);
-		g_free((char *)item->replica->address);
-		g_free((char *)item->replica->zone);
-		g_free(item->replica);
-	}
-	rr_free_instance(item->instance);
-	g_free(item->value);
-	g_free(item->key);
-	g_free(item->id);
-	g_free(item);
-}
-
-void rr_free_instance(struct rr_instance *instance)
-{
-	if (!instance)
-		return;
-	g_free(instance->id);
-	g_free(instance->zone);
-	g_free(instance->address);
-	g_free(instance);
-}
 
 static void free_known(gpointer data)
 {
-	struct known *known = data;
+	struct rr_feed_known *known = data;
 
 	g_free(known->id);
 	g_free(known);
@@ -163,7 +75,7 @@
 	feed->ranging = true;
 	feed->reading.due_us = now_us;
 	feed->entry.due_us = now_us;
-	feed->count_from_us = now_us + FIRST_COUNT_US;
+	feed->count_from_us = rr_first_count_us(now_us);
 	feed->reached = true;
 	return feed;
 }
@@ -181,7 +93,7 @@
 }
 
 static void start_call(struct rr_context *ctx, struct rr_feed *feed,
-		       struct line *line, struct rr_feed_call *call)
+		       struct rr_feed_line *line, struct rr_feed_call *call)
 {
 	call->id = line->call = ++feed->next_call;
 	line->kind = call->kind;
@@ -228,7 +140,7 @@
 }
 
 static void wait_longer(struct rr_context *ctx, struct rr_feed *feed,
-			struct line *line)
+			struct rr_feed_line *line)
 {
 	line->backoff_us = line->backoff_us ?
 				   MIN(2 * line->backoff_us, MOST_BACKOFF_US) :
@@ -258,153 +170,7 @@
 	g_clear_pointer(&feed->after_key, g_free);
 	g_hash_table_iter_init(&iter, feed->known);
 	while (g_hash_table_iter_next(&iter, NULL, &known))
-		((struct known *)known)->seen = false;
-}
-
-static uint32_t count_instances(const struct rr_feed *feed)
-{
-	GHashTableIter iter;
-	gpointer known;
-	uint32_t n = 0;
-
-	g_hash_table_iter_init(&iter, feed->known);
-	while (g_hash_table_iter_next(&iter, NULL, &known)) {
-		if (((struct known *)known)->kind == RR_FEED_INSTANCE)
-			n++;
-	}
-	return MAX(n, 1);
-}
-
-static void tell_count(struct rr_feed *feed, uint32_t count)
-{
-	rr_allow_following(feed->sources);
-	feed->shrink_us = 0;
-	feed->told = count;
-	feed->actions.instances(feed->actions.data, count);
-}
-
-static void look_at_count(struct rr_feed *feed)
-{
-	uint32_t count;
-
-	if (!feed->has_read)
-		return;
-	count = count_instances(feed);
-	if (feed->now_us < feed->count_from_us && count < STANDING_ENTRIES)
-		return;
-	if (count >= feed->told) {
-		if (count > feed->told)
-			tell_count(feed, count);
-		feed->shrink_us = 0;
-		return;
-	}
-	if (!feed->shrink_us)
-		feed->shrink_us = feed->now_us + SHRINK_US;
-	else if (feed->now_us >= feed->shrink_us)
-		tell_count(feed, count);
-}
-
-static void forget_instance(struct rr_feed *feed, const char *id)
-{
-	rr_note_source(feed->sources, id, NULL);
-	feed->actions.instance(feed->actions.data, id, NULL);
-}
-
-static void forget_key(struct rr_feed *feed, const char *key, uint64_t revision)
-{
-	struct known *known = g_hash_table_lookup(feed->known, key);
-
-	if (!known)
-		return;
-	rr_keep_news(feed->news, key, revision, NULL);
-	if (known->kind == RR_FEED_REPLICA)
-		feed->actions.unlisted(feed->actions.data, known->id);
-	else if (known->kind == RR_FEED_INSTANCE)
-		forget_instance(feed, known->id);
-	g_hash_table_remove(feed->known, key);
-}
-
-static void learn(struct rr_context *ctx, struct rr_feed *feed,
-		  const struct rr_feed_item *item)
-{
-	switch (item->kind) {
-	case RR_FEED_ROUTES:
-		if (item->routes)
-			feed->actions.routes(feed->actions.data, item->routes);
-		break;
-	case RR_FEED_REPLICA:
-		if (item->replica)
-			feed->actions.listed(feed->actions.data, item->replica);
-		break;
-	case RR_FEED_INSTANCE:
-		if (!item->instance)
-			break;
-		rr_note_source(feed->sources, item->id, item->instance);
-		feed->actions.instance(feed->actions.data, item->id,
-				       item->instance);
-		break;
-	case RR_FEED_OTHER:
-		return;
-	}
-	if (!item->routes && !item->replica && !item->instance)
-		rr_log(ctx, RR_LOG_ERROR, "item-unreadable",
-		       RR_FIELD_STRING("key", item->key),
-		       RR_FIELD_U64("revision", item->revision));
-}
-
-/*
- * An item that is older than what is known of its key counts for nothing.
- * Guards against changes that a range has seen already and a watch tells
- * again: a replica that left would be listed once more.
- */
-static void take_item(struct rr_context *ctx, struct rr_feed *feed,
-		      const struct rr_feed_item *item)
-{
-	struct known *known = g_hash_table_lookup(feed->known, item->key);
-
-	if (item->kind == RR_FEED_OTHER)
-		return;
-#ifndef RR_MUTANT_FEED_OLD_NEWS
-	if (known && item->revision < known->revision)
-		return;
-#endif
-	if (item->removed) {
-		forget_key(feed, item->key, item->revision);
-		return;
-	}
-	if (!known) {
-		known = g_new0(struct known, 1);
-		known->kind = item->kind;
-		known->id = g_strdup(item->id);
-		g_hash_table_insert(feed->known, g_strdup(item->key), known);
-	}
-	known->seen = true;
-	if (known->revision == item->revision)
-		return;
-	known->revision = item->revision;
-	if (item->value)
-		rr_keep_news(feed->news, item->key, item->revision,
-			     item->value);
-	learn(ctx, feed, item);
-}
-
-/* What a whole range did not have is gone. */
-static void forget_unseen(struct rr_feed *feed)
-{
-	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
-	GHashTableIter iter;
-	gpointer key;
-	gpointer known;
-
-	g_hash_table_iter_init(&iter, feed->known);
-	while (g_hash_table_iter_next(&iter, &key, &known)) {
-		if (!((struct known *)known)->seen)
-			g_ptr_array_add(gone, g_strdup(key));
-	}
-	for (guint i = 0; i < gone->len; i++)
-		forget_key(feed, g_ptr_array_index(gone, i),
-			   feed->range_revision);
-	g_ptr_array_unref(gone);
+		((struct rr_feed_known *)known)->seen = false;
 }
 
 static void take_page(struct rr_context *ctx, struct rr_feed *feed,
@@ -416,7 +182,7 @@
 		feed->range_revision = reply->revision;
 	for (guint i = 0; reply->items && i < reply->items->len; i++) {
 		last = g_ptr_array_index(reply->items, i);
-		take_item(ctx, feed, last);
+		rr_take_feed_item(ctx, feed, last);
 	}
 	if (reply->more && last) {
 		g_free(feed->after_key);
@@ -424,7 +190,7 @@
 		feed->reading.due_us = feed->now_us;
 		return;
 	}
-	forget_unseen(feed);
+	rr_forget_unseen(feed);
 	g_clear_pointer(&feed->after_key, g_free);
 	feed->ranging = false;
 	feed->revision = feed->range_revision;
@@ -458,7 +224,8 @@
 	bool news = reply->items && reply->items->len;
 
 	for (guint i = 0; news && i < reply->items->len; i++)
-		take_item(ctx, feed, g_ptr_array_index(reply->items, i));
+		rr_take_feed_item(ctx, feed,
+				  g_ptr_array_index(reply->items, i));
 	feed->revision = MAX(feed->revision, reply->revision);
 	feed->reading.due_us =
 		feed->now_us + (news ? merge_us(feed, reply->items->len) : 0);
@@ -484,7 +251,7 @@
 		take_page(ctx, feed, reply);
 	else
 		take_changes(ctx, feed, reply);
-	look_at_count(feed);
+	rr_look_at_count(feed);
 }
 
 static void take_reading(struct rr_context *ctx, struct rr_feed *feed,
@@ -619,7 +386,7 @@
 		read_on(ctx, feed);
 	if (!feed->entry.call && feed->entry.due_us <= now_us && !feed->leaving)
 		renew(ctx, feed);
-	look_at_count(feed);
+	rr_look_at_count(feed);
 }
 
 int64_t rr_feed_wake_us(const struct rr_feed *feed)
--- /dev/null
+++ b/tests/support/feed-scene.c
@@ -0,0 +1,273 @@
+/*
+ * feed-scene.c - calls, answers and news of a feed under test.
+ */
+#include "support/feed-scene.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <string.h>
+
+static void free_call(gpointer data)
+{
+	struct feed_call *call = data;
+
+	g_free(call->after_key);
+	g_free(call->peer);
+	g_free(call);
+}
+
+static void note_call(void *data, const struct rr_feed_call *call)
+{
+	struct feed_scene *scene = data;
+	struct feed_call *kept = g_new0(struct feed_call, 1);
+
+	kept->id = call->id;
+	kept->kind = call->kind;
+	kept->peer = g_strdup(call->peer);
+	kept->after_key = g_strdup(call->after_key);
+	kept->after_revision = call->after_revision;
+	kept->wait_ms = call->wait_ms;
+	kept->lease = call->lease;
+	g_ptr_array_add(scene->calls, kept);
+}
+
+static void note_cancel(void *data, uint64_t id)
+{
+	struct feed_scene *scene = data;
+
+	for (guint i = 0; i < scene->calls->len; i++) {
+		struct feed_call *call = g_ptr_array_index(scene->calls, i);
+
+		if (call->id == id)
+			call->over = true;
+	}
+}
+
+static void note_routes(void *data, struct rr_route_table *table)
+{
+	struct feed_scene *scene = data;
+
+	g_string_append_printf(scene->news, "routes %u ",
+			       (unsigned)rr_route_table_version(table));
+}
+
+static void note_listed(void *data, const struct rr_listing *listing)
+{
+	struct feed_scene *scene = data;
+
+	g_string_append_printf(scene->news, "+%s ", listing->id);
+}
+
+static void note_unlisted(void *data, const char *id)
+{
+	struct feed_scene *scene = data;
+
+	g_string_append_printf(scene->news, "-%s ", id);
+}
+
+static void note_instances(void *data, uint32_t instances)
+{
+	struct feed_scene *scene = data;
+
+	g_string_append_printf(scene->news, "instances %u ", instances);
+}
+
+static void note_instance(void *data, const char *id,
+			  const struct rr_instance *instance)
+{
+	struct feed_scene *scene = data;
+
+	g_string_append_printf(scene->places, "%c%s ", instance ? '+' : '-',
+			       id);
+}
+
+struct feed_scene *feed_new_scene_from(const char *const *seeds)
+{
+	struct feed_scene *scene = g_new0(struct feed_scene, 1);
+	struct rr_feed_options options = {
+		.actions = {
+			.call = note_call,
+			.cancel = note_cancel,
+			.routes = note_routes,
+			.listed = note_listed,
+			.unlisted = note_unlisted,
+			.instances = note_instances,
+			.instance = note_instance,
+			.data = scene,
+		},
+		.self = { .id = (char *)"inst0", .zone = (char *)"z" },
+		.seeds = seeds,
+		.news_bound_ms = 3000,
+	};
+
+	scene->now_us = 50000 * MS;
+	scene->ctx = rr_new_context(NULL);
+	scene->calls = g_ptr_array_new_with_free_func(free_call);
+	scene->news = g_string_new(NULL);
+	scene->places = g_string_new(NULL);
+	scene->feed = rr_new_feed(scene->ctx, &options, scene->now_us);
+	rr_feed_tick(scene->ctx, scene->feed, scene->now_us);
+	return scene;
+}
+
+struct feed_scene *feed_new_scene(void)
+{
+	return feed_new_scene_from(NULL);
+}
+
+void feed_drop_scene(struct feed_scene *scene)
+{
+	rr_drop_feed(scene->feed);
+	rr_drop_context(scene->ctx);
+	g_ptr_array_unref(scene->calls);
+	g_string_free(scene->news, TRUE);
+	g_string_free(scene->places, TRUE);
+	g_free(scene);
+}
+
+void feed_pass(struct feed_scene *scene, int64_t us)
+{
+	int64_t end_us = scene->now_us + us;
+
+	while (rr_feed_wake_us(scene->feed) <= end_us) {
+		scene->now_us =
+			MAX(scene->now_us, rr_feed_wake_us(scene->feed));
+		rr_feed_tick(scene->ctx, scene->feed, scene->now_us);
+	}
+	scene->now_us = end_us;
+}
+
+struct feed_call *feed_find_call(struct feed_scene *scene,
+				 enum rr_feed_call_kind kind)
+{
+	for (guint i = 0; i < scene->calls->len; i++) {
+		struct feed_call *call = g_ptr_array_index(scene->calls, i);
+
+		if (!call->over && call->kind == kind)
+			return call;
+	}
+	return NULL;
+}
+
+guint feed_count_calls(struct feed_scene *scene, enum rr_feed_call_kind kind)
+{
+	guint n = 0;
+
+	for (guint i = 0; i < scene->calls->len; i++) {
+		struct feed_call *call = g_ptr_array_index(scene->calls, i);
+
+		n += call->kind == kind;
+	}
+	return n;
+}
+
+/* "inst5" in a zone of its own; "inst5/z/3" in zone z with strength 3. */
+static struct rr_instance *make_instance(const char *what)
+{
+	struct rr_instance *instance = g_new0(struct rr_instance, 1);
+	char **words = g_strsplit(what, "/", 3);
+	bool placed = g_strv_length(words) == 3;
+
+	instance->id = g_strdup(what);
+	instance->zone = g_strdup(placed ? words[1] : what);
+	instance->address = g_strconcat(what, ":1", NULL);
+	instance->strength = placed ? g_ascii_strtod(words[2], NULL) : 1;
+	g_strfreev(words);
+	return instance;
+}
+
+struct rr_feed_item *feed_make_item(const char *what, uint64_t revision)
+{
+	struct rr_feed_item *item = g_new0(struct rr_feed_item, 1);
+
+	item->removed = what[0] == '-';
+	if (item->removed)
+		what++;
+	item->key = g_strdup(what);
+	item->revision = revision;
+	if (g_str_has_prefix(what, "routes")) {
+		item->kind = RR_FEED_ROUTES;
+		item->key[6] = '\0';
+		item->routes = rr_new_route_table(
+			g_ascii_strtoull(what + 6, NULL, 10));
+	} else if (g_str_has_prefix(what, "inst")) {
+		item->kind = RR_FEED_INSTANCE;
+		item->id = g_strdup(what);
+		if (!item->removed)
+			item->instance = make_instance(what);
+	} else if (!g_str_has_prefix(what, "other")) {
+		item->kind = RR_FEED_REPLICA;
+		item->id = g_strdup(what);
+	}
+	if (!item->removed)
+		item->value = g_strdup("dmFsdWU=");
+	if (item->kind == RR_FEED_REPLICA && !item->removed) {
+		item->replica = g_new0(struct rr_listing, 1);
+		item->replica->id = g_strdup(what);
+	}
+	return item;
+}
+
+void feed_answer(struct feed_scene *scene, struct feed_call *call,
+		 enum rr_feed_status status, const char *items,
+		 uint64_t revision, bool more)
+{
+	struct rr_feed_reply reply = {
+		.call = call->id,
+		.status = status,
+		.items = g_ptr_array_new_with_free_func(rr_free_feed_item),
+		.revision = revision,
+		.more = more,
+		.lease = 77,
+	};
+	char **words = g_strsplit(items ? items : "", " ", -1);
+
+	for (size_t i = 0; words[i]; i++) {
+		char *at = strchr(words[i], '@');
+
+		if (!at)
+			continue;
+		*at = '\0';
+		g_ptr_array_add(
+			reply.items,
+			feed_make_item(words[i],
+				       g_ascii_strtoull(at + 1, NULL, 10)));
+	}
+	call->over = true;
+	rr_feed_reply(scene->ctx, scene->feed, scene->now_us, &reply);
+	rr_feed_tick(scene->ctx, scene->feed, scene->now_us);
+	g_ptr_array_unref(reply.items);
+	g_strfreev(words);
+}
+
+void feed_answer_ok(struct feed_scene *scene, enum rr_feed_call_kind kind,
+		    const char *items, uint64_t revision)
+{
+	struct feed_call *call = feed_find_call(scene, kind);
+
+	assert_non_null(call);
+	feed_answer(scene, call, RR_FEED_OK, items, revision, false);
+}
+
+void feed_assert_news(struct feed_scene *scene, const char *news)
+{
+	assert_string_equal(scene->news->str, news);
+	g_string_truncate(scene->news, 0);
+}
+
+struct feed_scene *feed_settled_scene(void)
+{
+	struct feed_scene *scene = feed_new_scene();
+
+	feed_answer_ok(scene, RR_FEED_RANGE,
+		       "routes3@10 r1@11 r2@12 inst1@13 inst2@14 inst3@15", 20);
+	feed_answer_ok(scene, RR_FEED_GRANT, NULL, 0);
+	feed_answer_ok(scene, RR_FEED_ENTER, NULL, 0);
+	feed_assert_news(scene, "routes 3 +r1 +r2 instances 3 ");
+	return scene;
+}
--- /dev/null
+++ b/tests/support/feed-scene.h
@@ -0,0 +1,50 @@
+/*
+ * feed-scene.h - a feed with its calls written down, driven by hand.
+ */
+#ifndef TESTS_SUPPORT_FEED_SCENE_H
+#define TESTS_SUPPORT_FEED_SCENE_H
+
+#include "ragwort/feed.h"
+
+#define MS ((int64_t)1000)
+
+struct feed_call {
+	uint64_t id;
+	char *peer; /* NULL: the store */
+	enum rr_feed_call_kind kind;
+	char *after_key;
+	uint64_t after_revision;
+	uint32_t wait_ms;
+	uint64_t lease;
+	bool over;
+};
+
+struct feed_scene {
+	struct rr_context *ctx;
+	struct rr_feed *feed;
+	int64_t now_us;
+	GPtrArray *calls; /* struct feed_call */
+	GString *places;  /* "+instance", "-instance" */
+	GString *news;	  /* "+id", "-id", "routes N", "instances N" */
+};
+
+struct feed_scene *feed_new_scene_from(const char *const *seeds);
+struct feed_scene *feed_new_scene(void);
+void feed_drop_scene(struct feed_scene *scene);
+void feed_pass(struct feed_scene *scene, int64_t us);
+/* The open call of a kind; NULL if there is none. */
+struct feed_call *feed_find_call(struct feed_scene *scene,
+				 enum rr_feed_call_kind kind);
+guint feed_count_calls(struct feed_scene *scene, enum rr_feed_call_kind kind);
+struct rr_feed_item *feed_make_item(const char *what, uint64_t revision);
+/* `items` is "name@revision" separated by blanks; "-name" is removed. */
+void feed_answer(struct feed_scene *scene, struct feed_call *call,
+		 enum rr_feed_status status, const char *items,
+		 uint64_t revision, bool more);
+void feed_answer_ok(struct feed_scene *scene, enum rr_feed_call_kind kind,
+		    const char *items, uint64_t revision);
+void feed_assert_news(struct feed_scene *scene, const char *news);
+/* Read everything and enter; a watch is open afterwards. */
+struct feed_scene *feed_settled_scene(void);
+
+#endif
--- /dev/null
+++ b/tests/support/standin-store-private.h
@@ -0,0 +1,45 @@
+/*
+ * standin-store-private.h - what the parts of the stand-in store share.
+ */
+#ifndef TESTS_SUPPORT_STANDIN_STORE_PRIVATE_H
+#define TESTS_SUPPORT_STANDIN_STORE_PRIVATE_H
+
+#include "support/standin-store.h"
+
+struct test_store_item {
+	char *key;
+	char *value; /* base64; NULL: removed */
+	uint64_t revision;
+	uint64_t lease;
+};
+
+struct test_store_lease {
+	uint64_t id;
+	int64_t ttl_us;
+	int64_t until_us;
+};
+
+void test_append_store_item(GString *out, const struct test_store_item *item);
+/* Answer now, or later where the store is slow. */
+void test_answer_store_call(struct test_store *store,
+			    struct test_connection *connection, int status,
+			    const char *body);
+/* Answer the watches that there is news for, and what was slow. */
+void test_answer_store_waiters(struct test_store *store);
+/* Where a call on a key is counted. */
+struct test_calls *test_store_calls_of(struct test_store *store,
+				       const char *key);
+
+/* standin-store-write.c */
+void test_free_store_item(gpointer data);
+void test_end_store_leases(struct test_store *store);
+void test_take_grant(struct test_store *store,
+		     struct test_connection *connection);
+void test_take_keep(struct test_store *store,
+		    struct test_connection *connection);
+void test_take_lease_end(struct test_store *store,
+			 struct test_connection *connection);
+void test_take_txn(struct test_store *store,
+		   struct test_connection *connection);
+
+#endif
--- /dev/null
+++ b/tests/support/standin-store-write.c
@@ -0,0 +1,289 @@
+/*
+ * standin-store-write.c - what changes the stand-in store: writes, leases,
+ * transactions.
+ */
+#include "support/standin-store-private.h"
+
+#include <json-glib/json-glib.h>
+#include <string.h>
+
+void test_free_store_item(gpointer data)
+{
+	struct test_store_item *item = data;
+
+	g_free(item->key);
+	g_free(item->value);
+	g_free(item);
+}
+
+static struct test_store_item *new_item(const char *key, const char *value,
+					uint64_t revision, uint64_t lease)
+{
+	struct test_store_item *item = g_new0(struct test_store_item, 1);
+
+	item->key = g_strdup(key);
+	item->value = g_strdup(value);
+	item->revision = revision;
+	item->lease = lease;
+	return item;
+}
+
+static void write_item(struct test_store *store, const char *key,
+		       const char *value, uint64_t lease)
+{
+	uint64_t revision = ++store->revision;
+
+	g_ptr_array_add(store->changes, new_item(key, value, revision, lease));
+	if (value)
+		g_hash_table_insert(store->items, g_strdup(key),
+				    new_item(key, value, revision, lease));
+	else
+		g_hash_table_remove(store->items, key);
+}
+
+void test_store_put(struct test_store *store, const char *key,
+		    const char *value)
+{
+	char *coded = g_base64_encode((const guchar *)value, strlen(value));
+
+	write_item(store, key, coded, 0);
+	g_free(coded);
+	test_answer_store_waiters(store);
+}
+
+void test_store_remove(struct test_store *store, const char *key)
+{
+	if (!g_hash_table_contains(store->items, key))
+		return;
+	write_item(store, key, NULL, 0);
+	test_answer_store_waiters(store);
+}
+
+static void end_lease(struct test_store *store, uint64_t id)
+{
+	GList *keys = g_hash_table_get_keys(store->items);
+
+	for (GList *l = keys; l; l = l->next) {
+		const struct test_store_item *item =
+			g_hash_table_lookup(store->items, l->data);
+
+		if (item->lease == id) {
+			char *key = g_strdup(l->data);
+
+			write_item(store, key, NULL, 0);
+			g_free(key);
+		}
+	}
+	g_list_free(keys);
+	g_hash_table_remove(store->leases, &id);
+}
+
+void test_end_store_leases(struct test_store *store)
+{
+	GList *leases = g_hash_table_get_values(store->leases);
+
+	for (GList *l = leases; l; l = l->next) {
+		struct test_store_lease *lease = l->data;
+
+		if (lease->until_us <= g_get_monotonic_time())
+			end_lease(store, lease->id);
+	}
+	g_list_free(leases);
+}
+
+static uint64_t path_number(const char *path)
+{
+	const char *slash = strrchr(path, '/');
+
+	return g_ascii_strtoull(slash + 1, NULL, 10);
+}
+
+/* Whether the answer to a write is lost: its connection ends. */
+static bool loses(struct test_store *store, struct test_connection *connection)
+{
+	if (store->lose_next)
+		store->lose_next--;
+	else if (g_rand_double(store->rand) >= store->lost_share)
+		return false;
+	test_close_connection(connection);
+	return true;
+}
+
+void test_take_grant(struct test_store *store,
+		     struct test_connection *connection)
+{
+	struct test_store_lease *lease = g_new0(struct test_store_lease, 1);
+	JsonNode *root = json_from_string(connection->body, NULL);
+	char *body;
+
+	lease->id = 1000 + ++store->revision;
+	lease->ttl_us = json_object_get_int_member(json_node_get_object(root),
+						   "ttlMs") *
+			1000;
+	lease->until_us = g_get_monotonic_time() + lease->ttl_us;
+	g_hash_table_insert(store->leases, &lease->id, lease);
+	json_node_unref(root);
+	if (loses(store, connection))
+		return;
+	body = g_strdup_printf("{\"lease\":%" G_GUINT64_FORMAT ",\"ttlMs\":%d}",
+			       lease->id, (int)(lease->ttl_us / 1000));
+	test_answer_store_call(store, connection, 200, body);
+	g_free(body);
+}
+
+void test_take_keep(struct test_store *store,
+		    struct test_connection *connection)
+{
+	uint64_t id = path_number(connection->path);
+	struct test_store_lease *lease =
+		g_hash_table_lookup(store->leases, &id);
+
+	if (lease)
+		lease->until_us = g_get_monotonic_time() + lease->ttl_us;
+	test_answer_store_call(store, connection, lease ? 200 : 404, "{}");
+}
+
+void test_take_lease_end(struct test_store *store,
+			 struct test_connection *connection)
+{
+	end_lease(store, path_number(connection->path));
+	test_answer_store_call(store, connection, 200, "{}");
+}
+
+/* A transaction: all of it or nothing. */
+static uint64_t revision_of(const struct test_store *store, const char *key)
+{
+	const struct test_store_item *item =
+		g_hash_table_lookup(store->items, key);
+
+	return item ? item->revision : 0;
+}
+
+static bool conditions_hold(const struct test_store *store,
+			    JsonArray *conditions)
+{
+	for (guint i = 0; i < json_array_get_length(conditions); i++) {
+		JsonObject *condition =
+			json_array_get_object_element(conditions, i);
+		const char *key =
+			json_object_get_string_member(condition, "key");
+
+		if (revision_of(store, key) !=
+		    (uint64_t)json_object_get_int_member(condition, "revision"))
+			return false;
+	}
+	return true;
+}
+
+static bool leases_stand(const struct test_store *store, JsonArray *writes)
+{
+	for (guint i = 0; i < json_array_get_length(writes); i++) {
+		JsonObject *write = json_array_get_object_element(writes, i);
+		uint64_t lease =
+			(uint64_t)json_object_get_int_member(write, "lease");
+
+		if (lease && !g_hash_table_contains(store->leases, &lease))
+			return false;
+	}
+	return true;
+}
+
+static int commit(struct test_store *store, JsonObject *txn)
+{
+	JsonArray *writes = json_object_get_array_member(txn, "writes");
+
+	if (!conditions_hold(store,
+			     json_object_get_array_member(txn, "expectedRev")))
+		return 412;
+	if (!leases_stand(store, writes))
+		return 404;
+	for (guint i = 0; i < json_array_get_length(writes); i++) {
+		JsonObject *write = json_array_get_object_element(writes, i);
+
+		write_item(
+			store, json_object_get_string_member(write, "key"),
+			json_object_get_string_member(write, "value"),
+			(uint64_t)json_object_get_int_member(write, "lease"));
+	}
+	return 200;
+}
+
+/* The keys that were to have another revision, as they are now. */
+static char *items_now(const struct test_store *store, JsonObject *txn)
+{
+	JsonArray *conditions =
+		json_object_get_array_member(txn, "expectedRev");
+	GString *out = g_string_new("{\"items\":[");
+
+	for (guint i = 0; i < json_array_get_length(conditions); i++) {
+		const char *key = json_object_get_string_member(
+			json_array_get_object_element(conditions, i), "key");
+		const struct test_store_item *item =
+			g_hash_table_lookup(store->items, key);
+
+		if (!item)
+			continue;
+		if (out->str[out->len - 1] == '}')
+			g_string_append_c(out, ',');
+		test_append_store_item(out, item);
+	}
+	g_string_append(out, "]}");
+	return g_string_free(out, FALSE);
+}
+
+struct late_write {
+	struct test_store *store;
+	JsonNode *root;
+};
+
+static gboolean commit_late(gpointer data)
+{
+	struct late_write *late = data;
+
+	commit(late->store, json_node_get_object(late->root));
+	test_answer_store_waiters(late->store);
+	json_node_unref(late->root);
+	g_free(late);
+	return G_SOURCE_REMOVE;
+}
+
+static const char *first_key(JsonObject *txn)
+{
+	JsonArray *writes = json_object_get_array_member(txn, "writes");
+
+	return json_object_get_string_member(
+		json_array_get_object_element(writes, 0), "key");
+}
+
+void test_take_txn(struct test_store *store, struct test_connection *connection)
+{
+	JsonNode *root = json_from_string(connection->body, NULL);
+	JsonObject *txn = json_node_get_object(root);
+	struct test_calls *calls = test_store_calls_of(store, first_key(txn));
+	struct late_write *late;
+	char *body;
+	int status;
+
+	calls->writes++;
+	if (store->late_next) {
+		store->late_next--;
+		late = g_new0(struct late_write, 1);
+		late->store = store;
+		late->root = root;
+		g_timeout_add(store->late_ms, commit_late, late);
+		test_close_connection(connection);
+		return;
+	}
+	status = commit(store, txn);
+	if (status == 412)
+		calls->conflicts++;
+	body = status == 412 ?
+		       items_now(store, txn) :
+		       g_strdup_printf("{\"revision\":%" G_GUINT64_FORMAT "}",
+				       store->revision);
+	json_node_unref(root);
+	if (!loses(store, connection))
+		test_answer_store_call(store, connection, status, body);
+	g_free(body);
+	test_answer_store_waiters(store);
+}
