--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -182,7 +182,8 @@
 /*
  * Another instance's entry, or this one's; a zone of NULL: it has gone.  An
  * instance with half of another's strength or less, in one zone, hands
- * searches over to that one, and leaves the connections to it.
+ * searches over to that one, and leaves the connections to it; to one of
+ * another zone while none of its own is well.
  */
 void rr_gate_note_instance(struct rr_context *ctx, struct rr_gate *gate,
 			   int64_t now_us, const char *id, const char *zone,
--- a/source/core/gate-peer.c
+++ b/source/core/gate-peer.c
@@ -1,6 +1,6 @@
 /*
  * gate-peer.c - weak instances hand searches over to a strong one of their
- * zone.
+ * zone, or of another while none there is well.
  *
  * A search goes to a replica of every shard.  Replicas take few connections,
  * so that not every instance can hold one to each, and a weak instance needs
