--- a/source/settings/reference.c
+++ b/source/settings/reference.c
@@ -162,6 +162,7 @@
 	g_string_truncate(out, out->len - 1);
 	rr_drop_config(defaults.config);
 	g_strfreev(defaults.start.seed_peers);
+	g_strfreev(defaults.gateway.seed_peers);
 	g_strfreev(defaults.start.peer_allowed_keys);
 }
 
