tests: ports are held until a test program ends

A gateway's port was found free and let go; what was opened next (a link to the store, another gateway) drew again out of 20,000 and could get the same one.

Conclusion: the failure was the soak's own, not the gateway's.

--- a/soak/soak-instance.c
+++ b/soak/soak-instance.c
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 
 #include "soak.h"
+#include "support/port.h"
 #include "support/tool-run.h"
 
 /* Instances that the others are told to start from. */
@@ -51,9 +52,9 @@
 	instance->soak = soak;
 	instance->number = number;
 	instance->name = g_strdup_printf("gw-%u", number);
-	instance->port = soak_next_port(soak);
-	instance->ready_port = soak_next_port(soak);
-	instance->peer_port = soak_next_port(soak);
+	instance->port = test_take_port();
+	instance->ready_port = test_take_port();
+	instance->peer_port = test_take_port();
 	instance->store = soak_new_link(soak, soak->store.server.port);
 	return instance;
 }
--- a/soak/soak-link.c
+++ b/soak/soak-link.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "soak.h"
+#include "support/port.h"
 
 #define FLUSH_MS 2
 #define CHUNK_BYTES 16384
@@ -237,23 +238,10 @@
 struct soak_link *soak_new_link(struct soak *soak, uint16_t target_port)
 {
 	struct soak_link *link = g_new0(struct soak_link, 1);
-	GSocketAddress *address;
 
 	link->target_port = target_port;
 	link->pairs = g_ptr_array_new();
-	do {
-		link->port = soak_next_port(soak);
-		g_clear_object(&link->listener);
-		link->listener =
-			g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-				     G_SOCKET_PROTOCOL_TCP, NULL);
-		address = g_inet_socket_address_new_from_string("127.0.0.1",
-								link->port);
-		g_socket_set_listen_backlog(link->listener, 128);
-		g_socket_bind(link->listener, address, TRUE, NULL);
-		g_object_unref(address);
-	} while (!g_socket_listen(link->listener, NULL));
-	g_socket_set_blocking(link->listener, FALSE);
+	link->listener = test_open_listener(&link->port);
 	link->source = g_socket_create_source(link->listener, G_IO_IN, NULL);
 	g_source_set_callback(link->source, G_SOURCE_FUNC(accept_pair), link,
 			      NULL);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -120,12 +120,6 @@
 	return G_SOURCE_REMOVE;
 }
 
-uint16_t soak_next_port(struct soak *soak)
-{
-	return soak->options.first_port ? soak->options.first_port++ :
-					  test_free_port();
-}
-
 static void run_for(uint32_t ms)
 {
 	bool over = false;
@@ -247,13 +241,10 @@
 		arg_lit0(NULL, "timing", "check bounds of time as well");
 	struct arg_str *logs =
 		arg_str0(NULL, "logs", "DIR", "keep the gateways' lines there");
-	struct arg_int *first_port =
-		arg_int0(NULL, "first-port", "N",
-			 "of its gateways and links, for soaks side by side");
 	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
 	struct arg_end *end = arg_end(10);
-	void *table[] = { seed, seconds,    instances, callers, timing,
-			  logs, first_port, help,      end };
+	void *table[] = { seed,	  seconds, instances, callers,
+			  timing, logs,	   help,      end };
 	struct soak_options options = {
 		.seed = 1, .seconds = 30, .instances = 6, .callers = 4
 	};
@@ -274,8 +265,6 @@
 			instances->count ? (uint32_t)*instances->ival : 6;
 		options.callers = callers->count ? (uint32_t)*callers->ival : 4;
 		options.timing = timing->count > 0;
-		options.first_port =
-			first_port->count ? (uint16_t)*first_port->ival : 0;
 		options.log_dir = logs->count ? *logs->sval : NULL;
 		code = run(&options);
 	}
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -37,7 +37,6 @@
 	uint32_t callers;    /* of each instance */
 	bool timing;	     /* check bounds of time as well */
 	const char *log_dir; /* of the gateways' lines; NULL: not kept */
-	uint16_t first_port; /* soaks beside each other differ; 0: any */
 };
 
 enum soak_kind {
@@ -142,8 +141,6 @@
 		    ...) G_GNUC_PRINTF(3, 4);
 uint32_t soak_draw(struct soak *soak, uint32_t below);
 bool soak_chance(struct soak *soak, double share);
-/* A free port of 127.0.0.1. */
-uint16_t soak_next_port(struct soak *soak);
 /* Nothing was harmed for as long as the rules with bounds of time ask. */
 bool soak_is_calm_since(const struct soak *soak,
 			const struct soak_instance *instance, int64_t since_us);
--- a/tests/standin/check.c
+++ b/tests/standin/check.c
@@ -21,6 +21,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "support/port.h"
 #include "support/process.h"
 
 #define KEYS_PER_SHARD 1000
@@ -229,17 +230,8 @@
 
 static void print_ports(int n)
 {
-	GHashTable *given = g_hash_table_new(NULL, NULL);
-
-	while (n > 0) {
-		uint16_t port = test_free_port();
-
-		if (!g_hash_table_add(given, GUINT_TO_POINTER(port)))
-			continue;
-		printf("%u\n", port);
-		n--;
-	}
-	g_hash_table_destroy(given);
+	for (int i = 0; i < n; i++)
+		printf("%u\n", test_take_port());
 }
 
 int main(int argc, char **argv)
--- a/tests/support/deployment.c
+++ b/tests/support/deployment.c
@@ -2,6 +2,7 @@
  * deployment.c - start, ask and check whole deployments.
  */
 #include "support/deployment.h"
+#include "support/port.h"
 
 #include <glib/gstdio.h>
 #include <setjmp.h>
@@ -205,8 +206,8 @@
 			test_start_upstreams(options->n_shards, NULL);
 	put_record(d);
 	for (int i = 0; i < options->n_entries; i++) {
-		d->ports[i] = test_free_port();
-		d->peer_ports[i] = test_free_port();
+		d->ports[i] = test_take_port();
+		d->peer_ports[i] = test_take_port();
 	}
 	for (int i = 0; i < options->n_entries; i++)
 		test_start_entry(d, i);
--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -325,27 +325,3 @@
 	}
 	return false;
 }
-
-static bool can_bind(uint16_t port)
-{
-	GSocket *socket =
-		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-			     G_SOCKET_PROTOCOL_TCP, NULL);
-	GSocketAddress *address =
-		g_inet_socket_address_new_from_string("127.0.0.1", port);
-	bool ok = g_socket_bind(socket, address, FALSE, NULL);
-
-	g_object_unref(address);
-	g_object_unref(socket);
-	return ok;
-}
-
-uint16_t test_free_port(void)
-{
-	uint16_t port;
-
-	do {
-		port = test_draw_port();
-	} while (!can_bind(port));
-	return port;
-}
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -95,7 +95,4 @@
 /* Call until it gives true, 20 ms apart; false after TEST_LIMIT_MS. */
 bool test_poll(bool (*condition)(void *data), void *data);
 
-/* A TCP port of 127.0.0.1 that was free a moment ago. */
-uint16_t test_free_port(void);
-
 #endif
--- a/tests/support/raw-http.c
+++ b/tests/support/raw-http.c
@@ -9,14 +9,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MAX_REQUEST_BYTES (1u << 20)
-#define FIRST_PORT 12000
-#define LAST_PORT 31999
+#include "support/port.h"
 
-uint16_t test_draw_port(void)
-{
-	return (uint16_t)g_random_int_range(FIRST_PORT, LAST_PORT + 1);
-}
+#define MAX_REQUEST_BYTES (1u << 20)
 
 const char *test_header(struct test_connection *connection, const char *name)
 {
@@ -202,49 +197,12 @@
 	return G_SOURCE_CONTINUE;
 }
 
-static GSocket *try_listener(uint16_t port, GError **error)
-{
-	GSocketAddress *address =
-		g_inet_socket_address_new_from_string("127.0.0.1", port);
-	GSocket *listener =
-		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-			     G_SOCKET_PROTOCOL_TCP, error);
-
-	g_socket_set_listen_backlog(listener, 128);
-	g_socket_set_blocking(listener, FALSE);
-	if (!g_socket_bind(listener, address, TRUE, error) ||
-	    !g_socket_listen(listener, error))
-		g_clear_object(&listener);
-	g_object_unref(address);
-	return listener;
-}
-
-static GSocket *open_listener(uint16_t *port)
-{
-	GError *error = NULL;
-	GSocket *listener;
-
-	if (!*port) {
-		do {
-			*port = test_draw_port();
-			listener = try_listener(*port, NULL);
-		} while (!listener);
-		return listener;
-	}
-	listener = try_listener(*port, &error);
-	if (!listener) {
-		fprintf(stderr, "stand-in: %s\n", error->message);
-		exit(1);
-	}
-	return listener;
-}
-
 void test_listen(struct test_server *server, bool open)
 {
 	if (!server->connections)
 		server->connections = g_ptr_array_new();
 	if (open && !server->listener) {
-		server->listener = open_listener(&server->port);
+		server->listener = test_open_listener(&server->port);
 		server->source =
 			g_socket_create_source(server->listener, G_IO_IN, NULL);
 		g_source_set_callback(server->source,
--- a/tests/support/raw-http.h
+++ b/tests/support/raw-http.h
@@ -42,13 +42,6 @@
 	GSource *source;
 };
 
-/*
- * A random port below those that the system gives to outgoing connections.
- * One of those could be taken by any connection of the machine between the
- * moment it was found free (or its listener closed) and its next bind.
- */
-uint16_t test_draw_port(void);
-
 /* Open or close the listener; with a closed one connections are refused. */
 void test_listen(struct test_server *server, bool open);
 
--- a/tests/test-front-port.c
+++ b/tests/test-front-port.c
@@ -12,6 +12,7 @@
 
 #include "net/front-port.h"
 #include "net/poller.h"
+#include "support/port.h"
 #include "support/process.h"
 #include "support/raw-http.h"
 #include "support/raw-peer.h"
@@ -78,7 +79,7 @@
 	scene->open = g_ptr_array_new();
 	scene->targets = g_string_new(NULL);
 	scene->body = g_string_new(NULL);
-	scene->address = g_strdup_printf("127.0.0.1:%u", test_draw_port());
+	scene->address = g_strdup_printf("127.0.0.1:%u", test_take_port());
 	options.poller = scene->poller;
 	options.address = scene->address;
 	scene->port = rr_new_front_port(scene->ctx, &options, NULL);
--- a/tests/test-process-gateway.c
+++ b/tests/test-process-gateway.c
@@ -13,6 +13,7 @@
 #include <signal.h>
 #include <string.h>
 
+#include "support/port.h"
 #include "support/process.h"
 #include "support/raw-http.h"
 #include "support/raw-peer.h"
@@ -123,7 +124,7 @@
 
 static char *free_address(void)
 {
-	return g_strdup_printf("127.0.0.1:%u", test_draw_port());
+	return g_strdup_printf("127.0.0.1:%u", test_take_port());
 }
 
 static int set_up(void **state)
--- a/tests/test-tool.c
+++ b/tests/test-tool.c
@@ -14,6 +14,7 @@
 #include <string.h>
 
 #include "support/paths.h"
+#include "support/port.h"
 #include "support/tool-run.h"
 
 static void test_check_names_five_faults(void **state)
@@ -209,7 +210,7 @@
 
 static void test_nobody_answers(void **state)
 {
-	char *address = g_strdup_printf("127.0.0.1:%u", test_free_port());
+	char *address = g_strdup_printf("127.0.0.1:%u", test_take_port());
 
 	(void)state;
 	test_expect(test_run_tool("query", "--instance", address, "--service",
@@ -434,7 +435,7 @@
 	struct instance instance;
 	char *text = g_strdup_printf(TEST_BASE_FORMAT, 64, 300, 10);
 	char *path = test_write_file(text);
-	char *nobody = g_strdup_printf("127.0.0.1:%u", test_free_port());
+	char *nobody = g_strdup_printf("127.0.0.1:%u", test_take_port());
 
 	start_instance(&instance);
 	test_expect(test_run_tool("config", "push", "--platform",
