--- a/source/core/allowance.c
+++ b/source/core/allowance.c
@@ -4,7 +4,6 @@
 #include "core/allowance.h"
 
 #include <glib.h>
-#include <string.h>
 
 #define SLOTS (RR_ALLOWANCE_SLOTS + 1)
 
@@ -24,40 +23,31 @@
 	allowance->slack = slack;
 }
 
+static void empty_slot(struct rr_allowance *allowance, size_t slot)
+{
+	allowance->earned_sum -= allowance->earned[slot];
+	allowance->spent_sum -= allowance->spent[slot];
+	allowance->earned[slot] = 0;
+	allowance->spent[slot] = 0;
+}
+
 /* Empty the slots that have come since the newest one. */
 static size_t slot_at(struct rr_allowance *allowance, int64_t now_us)
 {
 	int64_t now = now_us / allowance->slot_us;
 
-	if (now - allowance->newest >= SLOTS) {
-		memset(allowance->earned, 0, sizeof(allowance->earned));
-		memset(allowance->spent, 0, sizeof(allowance->spent));
-		allowance->newest = now;
-	}
-	while (allowance->newest < now) {
-		size_t next = (size_t)(++allowance->newest % SLOTS);
-
-		allowance->earned[next] = 0;
-		allowance->spent[next] = 0;
-	}
+	allowance->newest = MAX(allowance->newest, now - SLOTS);
+	while (allowance->newest < now)
+		empty_slot(allowance, (size_t)(++allowance->newest % SLOTS));
 	return (size_t)(allowance->newest % SLOTS);
 }
 
-static uint32_t sum_of(const uint32_t *slots)
-{
-	uint32_t sum = 0;
-
-	for (size_t i = 0; i < SLOTS; i++)
-		sum += slots[i];
-	return sum;
-}
-
 /* The oldest slot lies partly before the window: it earns nothing. */
 static double allowed(const struct rr_allowance *allowance, size_t slot,
 		      int64_t now_us)
 {
 	size_t oldest = (slot + 1) % SLOTS;
-	uint32_t earned = sum_of(allowance->earned) - allowance->earned[oldest];
+	uint32_t earned = allowance->earned_sum - allowance->earned[oldest];
 	double slack = allowance->slack;
 
 #ifndef RR_MUTANT_ALLOWANCE_AT_ONCE
@@ -72,13 +62,13 @@
 {
 	size_t slot = slot_at(allowance, now_us);
 
-	return allowed(allowance, slot, now_us) - sum_of(allowance->spent);
+	return allowed(allowance, slot, now_us) - allowance->spent_sum;
 }
 
 double rr_extras_used(struct rr_allowance *allowance, int64_t now_us)
 {
 	double most = allowed(allowance, slot_at(allowance, now_us), now_us);
-	double spent = sum_of(allowance->spent);
+	double spent = allowance->spent_sum;
 
 	return spent < most ? spent / most : 1;
 }
@@ -86,6 +76,7 @@
 void rr_earn_extra(struct rr_allowance *allowance, int64_t now_us)
 {
 	allowance->earned[slot_at(allowance, now_us)]++;
+	allowance->earned_sum++;
 }
 
 bool rr_take_extra(struct rr_allowance *allowance, int64_t now_us)
@@ -93,6 +84,7 @@
 	if (rr_extras_left(allowance, now_us) < 1)
 		return false;
 	allowance->spent[slot_at(allowance, now_us)]++;
+	allowance->spent_sum++;
 	return true;
 }
 
@@ -107,6 +99,7 @@
 		if (!*spent)
 			continue;
 		(*spent)--;
+		allowance->spent_sum--;
 		return;
 	}
 }
--- a/source/core/allowance.h
+++ b/source/core/allowance.h
@@ -23,6 +23,8 @@
 	int64_t newest;	       /* number of the newest slot */
 	uint32_t earned[RR_ALLOWANCE_SLOTS + 1];
 	uint32_t spent[RR_ALLOWANCE_SLOTS + 1];
+	uint32_t earned_sum; /* of all slots; asked for at each step */
+	uint32_t spent_sum;
 };
 
 /*
--- a/tests/support/standin-store.c
+++ b/tests/support/standin-store.c
@@ -361,18 +361,6 @@
 	return false;
 }
 
-guint test_store_count(const struct test_store *store, const char *prefix)
-{
-	GHashTableIter iter;
-	gpointer key;
-	guint n = 0;
-
-	g_hash_table_iter_init(&iter, store->items);
-	while (g_hash_table_iter_next(&iter, &key, NULL))
-		n += g_str_has_prefix(key, prefix);
-	return n;
-}
-
 void test_open_store(struct test_store *store, uint32_t seed)
 {
 	test_open_store_at(store, 0, seed);
--- a/tests/support/standin-store.h
+++ b/tests/support/standin-store.h
@@ -56,8 +56,6 @@
 void test_store_put(struct test_store *store, const char *key,
 		    const char *value);
 void test_store_remove(struct test_store *store, const char *key);
-/* Keys with a prefix. */
-guint test_store_count(const struct test_store *store, const char *prefix);
 /* Whether a watch waits that knows of everything. */
 bool test_store_is_followed(const struct test_store *store);
 /* Forget all changes so far, and end the watches that wait. */
--- a/tests/test-port.c
+++ b/tests/test-port.c
@@ -66,9 +66,9 @@
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 
 	(void)state;
-	assert_int_equal(connect(fd, (const struct sockaddr *)&address,
-				 sizeof(address)),
-			 -1);
+	assert_int_equal(
+		connect(fd, (const struct sockaddr *)&address, sizeof(address)),
+		-1);
 	assert_int_equal(errno, ECONNREFUSED);
 	close(fd);
 }
