feed: the first watch after a failed reading is short

Its lines: the store cut all watches; the instance opened a new one 10 ms later, and that one heard nothing until its end, while each renewal was answered. Those who asked 100 ms later were told that the history is gone and read anew. A watch lasts 25 s.

Ruled out: a stale range (none was read); news from another instance that moved the revision past the change (its question was refused); an answer lost on its way (the call was still waiting).

Change: the first watch of the store after a failed reading waits 1 s; at its end comes "forgotten" (seen: 6 of 6) and everything is read. The stand-in and the soak's forgotten history behave like that: watches hear nothing for a second, and one opened within 100 ms of the cut is deaf.

The new test fails without it (mutant FEED_LONG_WATCH).

--- a/soak/soak-fault.c
+++ b/soak/soak-fault.c
@@ -16,6 +16,8 @@
 #define MOST_DOWN_MS 900
 /* A drained replica serves on for so long, and then goes. */
 #define DRAIN_MS 4500
+/* How long watches hear nothing before the store's history goes. */
+#define HUSH_MS 1000
 /* Never more than this part of the instances at once. */
 #define MOST_DOWN_PART 0.7
 
@@ -361,10 +363,21 @@
 	g_timeout_add(draw_fault_ms(soak), heal_store, soak);
 }
 
-static void forget_history(struct soak *soak)
+static gboolean drop_history(gpointer data)
 {
+	struct soak *soak = data;
+
 	harm_world(soak);
 	test_store_forget(&soak->store);
+	return G_SOURCE_REMOVE;
+}
+
+/* Watches hear of no change for a while, and then can no longer be told. */
+static void forget_history(struct soak *soak)
+{
+	harm_world(soak);
+	soak->store.hushed = true;
+	g_timeout_add(HUSH_MS, drop_history, soak);
 }
 
 /* The configuration. */
--- a/tests/support/standin-store.c
+++ b/tests/support/standin-store.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+/* After its history was dropped, as long as new watches are deaf. */
+#define DEAF_MS 100
 #define TICK_MS 20
 
 /* A watch that waits, or an answer that is slow. */
@@ -141,7 +143,7 @@
 {
 	if (waiter->until_us <= g_get_monotonic_time())
 		return true;
-	return !waiter->answer && has_change(store, waiter);
+	return !store->hushed && !waiter->answer && has_change(store, waiter);
 }
 
 void test_answer_store_waiters(struct test_store *store)
@@ -267,7 +269,11 @@
 	char *prefix = query_text(connection->path, "?prefix=");
 
 	test_store_calls_of(store, prefix)->watches++;
-	if (after < store->floor)
+	if (after < store->floor &&
+	    g_get_monotonic_time() < store->deaf_until_us)
+		add_waiter(store, connection, prefix, after, wait_us, 410,
+			   "{}");
+	else if (after < store->floor)
 		test_answer_store_call(store, connection, 410, "{}");
 	else
 		add_waiter(store, connection, prefix, after, wait_us, 200,
@@ -337,6 +343,8 @@
 void test_store_forget(struct test_store *store)
 {
 	store->floor = store->revision;
+	store->deaf_until_us = g_get_monotonic_time() + DEAF_MS * 1000;
+	store->hushed = false;
 	g_ptr_array_set_size(store->changes, 0);
 	end_connections(store);
 }
--- a/tests/support/standin-store.h
+++ b/tests/support/standin-store.h
@@ -32,12 +32,14 @@
 	/* Calls over its rate get 429, with nothing done. */
 	struct test_call_rate rate;
 	struct test_call_counts *counts; /* NULL: not counted */
+	bool hushed;			 /* watches hear of no change */
 	/* Leases run out while it is not up. */
 	bool lapses;
 	uint64_t calls; /* that were answered */
 	/* Inside. */
 	uint64_t revision;
-	uint64_t floor;	    /* changes up to here are forgotten */
+	uint64_t floor; /* changes up to here are forgotten */
+	int64_t deaf_until_us;
 	GHashTable *items;  /* key -> struct item */
 	GPtrArray *changes; /* struct item, the oldest first */
 	GHashTable *leases; /* id -> struct lease */
@@ -58,7 +60,10 @@
 void test_store_remove(struct test_store *store, const char *key);
 /* Whether a watch waits that knows of everything. */
 bool test_store_is_followed(const struct test_store *store);
-/* Forget all changes so far, and end the watches that wait. */
+/*
+ * Forget all changes so far, and end the watches that wait.  One that is
+ * opened just then hears nothing, and learns at its end that it came too late.
+ */
 void test_store_forget(struct test_store *store);
 /* Connections end; `state` holds from then on. */
 void test_store_set_state(struct test_store *store,
--- a/tests/test-feed.c
+++ b/tests/test-feed.c
@@ -44,6 +44,34 @@
 	feed_drop_scene(scene);
 }
 
+/*
+ * Story: the store drops its history and cuts all watches, with a new
+ * configuration just written.  A watch that is opened anew in that moment
+ * hears nothing until its end, 25 s later, and the old routes are in force
+ * for so long, while each renewal is answered.  So the first watch after a cut
+ * is short; it ends with word that the history is gone, and all is read anew.
+ */
+static void test_watch_after_a_cut_is_short(void **state)
+{
+	struct feed_scene *scene = feed_settled_scene();
+
+	(void)state;
+	assert_int_equal(feed_find_call(scene, RR_FEED_WATCH)->wait_ms, 25000);
+	while (feed_find_call(scene, RR_FEED_WATCH))
+		feed_answer(scene, feed_find_call(scene, RR_FEED_WATCH),
+			    RR_FEED_FAILED, NULL, 0, false);
+	feed_pass(scene, 200 * MS);
+	assert_null(feed_find_call(scene, RR_FEED_WATCH)->peer);
+	assert_int_equal(feed_find_call(scene, RR_FEED_WATCH)->wait_ms, 1000);
+	feed_pass(scene, 1000 * MS);
+	feed_answer(scene, feed_find_call(scene, RR_FEED_WATCH),
+		    RR_FEED_FORGOTTEN, NULL, 0, false);
+	feed_answer_ok(scene, RR_FEED_RANGE, "routes4@23 r1@11", 23);
+	feed_assert_news(scene, "routes 4 -r2 ");
+	assert_int_equal(feed_find_call(scene, RR_FEED_WATCH)->wait_ms, 25000);
+	feed_drop_scene(scene);
+}
+
 /* A watch tells again what the second page of the range had already. */
 static void test_old_news_counts_for_nothing(void **state)
 {
@@ -317,6 +345,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_first_reading),
 		cmocka_unit_test(test_changes),
+		cmocka_unit_test(test_watch_after_a_cut_is_short),
 		cmocka_unit_test(test_old_news_counts_for_nothing),
 		cmocka_unit_test(test_bursts_are_merged),
 		cmocka_unit_test(test_many_instances_merge_more),
