gate: a second zone is known to be cut as soon as the first is

Change: once a zone is silent, three unanswered attempts and 200 ms show the same of another, also at the moment the first is found silent.

The new test fails without the change.

--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -22,6 +22,12 @@
  */
 #define ZONE_SILENCE_US (200 * 1000)
 #define ZONE_UNANSWERED 5
+/*
+ * Once another zone is silent fewer show it: a cut seldom takes one zone
+ * alone, and until the last one is known to be silent callers are not sent
+ * elsewhere.
+ */
+#define NEXT_ZONE_UNANSWERED 3
 /* Between probes; each costs a packet where nobody is there. */
 #define PROBE_US (300 * 1000)
 /* So many in a row, of replicas drawn at random, show that a zone is cut. */
@@ -90,16 +96,46 @@
 		     zone->number, 0);
 }
 
+static bool is_any_silent(const struct rr_gate *gate)
+{
+	for (guint i = 0; i < gate->zones->len; i++) {
+		const struct rr_gate_zone *zone =
+			g_ptr_array_index(gate->zones, i);
+
+		if (zone->silent)
+			return true;
+	}
+	return false;
+}
+
+static bool seems_cut(const struct rr_gate *gate,
+		      const struct rr_gate_zone *zone)
+{
+	uint32_t enough =
+		is_any_silent(gate) ? NEXT_ZONE_UNANSWERED : ZONE_UNANSWERED;
+
+	return zone->unanswered >= enough &&
+	       rr_track_silent_us(&zone->track, gate->now_us) >=
+		       ZONE_SILENCE_US;
+}
+
+static void silence_zone(struct rr_context *ctx, struct rr_gate *gate,
+			 struct rr_gate_zone *zone);
+
 /*
  * A cut takes several zones at a time, but once one of them is silent there
  * may be no more work that would show it of the others.
  */
-static void doubt_other_zones(struct rr_gate *gate)
+static void doubt_other_zones(struct rr_context *ctx, struct rr_gate *gate)
 {
 	for (guint i = 0; i < gate->zones->len; i++) {
 		struct rr_gate_zone *zone = g_ptr_array_index(gate->zones, i);
 
-		if (!zone->near && gate->now_us - zone->heard_us >= PROBE_US)
+		if (zone->near || zone->silent)
+			continue;
+		if (seems_cut(gate, zone))
+			silence_zone(ctx, gate, zone);
+		else if (gate->now_us - zone->heard_us >= PROBE_US)
 			doubt_zone(gate, zone);
 	}
 }
@@ -119,7 +155,7 @@
 		rr_set_timer(gate->timers, gate->now_us + PROBE_US,
 			     RR_TIMER_GATE_ZONE, zone->number, 0);
 	zone->doubted = false;
-	doubt_other_zones(gate);
+	doubt_other_zones(ctx, gate);
 	rr_judge_isolation(ctx, gate);
 }
 
@@ -144,12 +180,8 @@
 static void judge_zone(struct rr_context *ctx, struct rr_gate *gate,
 		       struct rr_gate_zone *zone)
 {
-	bool silent = rr_track_silent_us(&zone->track, gate->now_us) >=
-		      ZONE_SILENCE_US;
-
 	zone->unanswered++;
-	if ((silent && zone->unanswered >= ZONE_UNANSWERED) ||
-	    are_all_suspected(gate, zone))
+	if (seems_cut(gate, zone) || are_all_suspected(gate, zone))
 		silence_zone(ctx, gate, zone);
 	else if (zone->unanswered >= ZONE_UNANSWERED)
 		doubt_zone(gate, zone); /* refused at once: no time passes */
@@ -285,7 +317,7 @@
 	if (!zone || (!zone->silent && !zone->doubted))
 		return;
 	if (zone->silent)
-		doubt_other_zones(gate);
+		doubt_other_zones(ctx, gate);
 	endpoint = draw_of_zone(ctx, gate, zone);
 	if (endpoint)
 		gate->actions.probe(gate->actions.data, endpoint->id,
--- a/tests/test-gate-zone.c
+++ b/tests/test-gate-zone.c
@@ -56,6 +56,35 @@
 	test_drop_scene(scene);
 }
 
+/*
+ * Story: a zone is cut off from two others at once.  Most of its work goes to
+ * one of these, and five attempts without an answer show its silence; of the
+ * other only three were under way, and then nothing more is sent there, since
+ * the searches lack the first.  Callers were refused here for 0.7 s more,
+ * until two probes had failed.
+ */
+static void test_two_zones_fall_silent_at_once(void **state)
+{
+	struct test_route route = test_search_route;
+	struct gate_scene *scene = test_new_scene(7);
+	const char *reason;
+
+	(void)state;
+	route.least_share = 0.9;
+	test_list(scene, "s1.a", "s1", "a");
+	test_list(scene, "s2.b", "s2", "b");
+	test_list(scene, "s3.b", "s3", "b");
+	test_list(scene, "s4.c", "s4", "c");
+	test_set_routes(scene, 5, &route, 1);
+	for (int i = 0; i < 3; i++) {
+		test_take(scene, "/search/1", 90);
+		test_pass(scene, 95 * TEST_MS);
+	}
+	assert_false(rr_gate_serves(scene->gate, &reason));
+	assert_string_equal(reason, "cut-off");
+	test_drop_scene(scene);
+}
+
 /*
  * Story: of two other zones one falls silent half a second before the other.
  * The first must not count as well again when the second is judged, or the
@@ -201,6 +230,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_a_zone_is_cut_off),
+		cmocka_unit_test(test_two_zones_fall_silent_at_once),
 		cmocka_unit_test(
 			test_two_zones_fall_silent_one_after_the_other),
 		cmocka_unit_test(test_a_zone_refuses_connections),
