caller: a bound on callers' connections in the product's own interface

A script that opens connections without end takes every descriptor, and then nobody gets in, the balancer's probe neither.

Weighed: not accepting any more, as the gateway does (the library has no such call); closing at once (the caller cannot tell that nothing ran); answering (a slow one holds its connection for caller_idle_ms). Chosen: one more is told 503 not-run with Retry-After, up to 64 of them; beyond that closed at once; probes are answered all the same. What the library keeps of closed connections does not count (looked at: g_socket_is_closed() tells at once).

Before: the new test fails, 101st request served and no bound. After: passes (caller-limits, 5 of 5).

--- a/include/ragwort/counter-list.h
+++ b/include/ragwort/counter-list.h
@@ -12,6 +12,7 @@
 RR_COUNTER(RR_N_CALLS_INVALID, "calls_invalid_total", "calls refused for their form, size, path or token")
 RR_COUNTER(RR_N_CALLS_OVER_RATE, "calls_over_rate_total", "calls refused because their address sent more than caller_rate_per_s")
 RR_COUNTER(RR_N_CALLERS_TIMED_OUT, "caller_connections_timed_out_total", "callers' connections closed after caller_idle_ms without a whole request or a read answer")
+RR_COUNTER(RR_N_CALLERS_OVER_BOUND, "caller_connections_refused_total", "callers' connections over caller_max_connections, told so or closed at once")
 RR_COUNTER(RR_N_ATTEMPTS, "attempts_total", "attempts sent to upstreams")
 RR_COUNTER(RR_N_HEDGES, "hedges_total", "attempts sent as a hedge")
 RR_COUNTER(RR_N_RETRIES, "retries_total", "attempts sent as a retry")
--- a/include/ragwort/net-caller.h
+++ b/include/ragwort/net-caller.h
@@ -22,6 +22,8 @@
 	 */
 	uint32_t idle_ms;
 	uint32_t rate_per_s; /* requests of one address; 0: no bound */
+	/* At once; a request on one more is refused.  0: no bound. */
+	uint32_t max_connections;
 	const char *tls_certificate_file; /* NULL: plain HTTP */
 	const char *tls_key_file;
 	/* One token a line, any of which is taken; NULL: no token asked. */
--- a/include/ragwort/settings.h
+++ b/include/ragwort/settings.h
@@ -73,6 +73,7 @@
 	uint32_t max_body_bytes;
 	uint32_t caller_idle_ms;    /* to bring a request or read an answer */
 	uint32_t caller_rate_per_s; /* of one address; 0: no bound */
+	uint32_t caller_max_connections;
 };
 
 /* As rr_parse_config(), for a start file. */
--- a/source/net/caller-answer.c
+++ b/source/net/caller-answer.c
@@ -91,9 +91,11 @@
 			       elapsed_ms, answer->attempts);
 }
 
-void rr_format_refusal(const char *reason, GString *out)
+void rr_format_refusal(enum rr_outcome outcome, const char *reason,
+		       GString *out)
 {
-	g_string_append(out, "{\"outcome\":\"invalid\"");
+	g_string_append_printf(out, "{\"outcome\":\"%s\"",
+			       rr_outcome_name(outcome));
 	append_member(out, "reason", reason);
 	g_string_append(out, "}\n");
 }
--- a/source/net/caller-connections.c
+++ b/source/net/caller-connections.c
@@ -1,6 +1,6 @@
 /*
- * caller-connections.c - callers' connections, bounded in the time that a
- * caller may keep one waiting.
+ * caller-connections.c - callers' connections, bounded in their number and in
+ * the time that a caller may keep one waiting.
  */
 #include "net/caller-connections.h"
 
@@ -9,11 +9,17 @@
 
 #define CONNECTION_KEY "ragwort-connection"
 #define SWEEP_S 1
+/*
+ * Connections over the bound that are kept until their request is there, to
+ * be told that nothing ran; those beyond are closed at once.
+ */
+#define MOST_TOLD 64
 
 struct rr_caller_connections {
 	struct rr_context *ctx;
 	SoupServer *server;
 	int64_t idle_us;
+	uint32_t max_connections; /* 0: no bound */
 	guint sweep_source;
 	GHashTable *open; /* set of struct connection */
 };
@@ -24,6 +30,7 @@
 	GSocket *socket;
 	bool works; /* the request is read, its reply not begun */
 	bool ended;
+	bool over;	  /* the bound on their number */
 	int64_t since_us; /* when the caller's turn began */
 };
 
@@ -123,6 +130,38 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/*
+ * Guards against callers, or one script, that open connections without end:
+ * each holds a descriptor and memory here, until accepting fails for all.
+ */
+static void judge_number(struct rr_caller_connections *callers,
+			 struct connection *connection)
+{
+	guint open = g_hash_table_size(callers->open);
+
+	if (!callers->max_connections || open <= callers->max_connections)
+		return;
+	forget_closed(callers);
+	open = g_hash_table_size(callers->open);
+	if (open <= callers->max_connections)
+		return;
+	connection->over = true;
+	rr_count(callers->ctx, RR_N_CALLERS_OVER_BOUND, 1);
+	rr_log(callers->ctx, RR_LOG_WARNING, "caller-over-bound",
+	       RR_FIELD_U64("connections", open),
+	       RR_FIELD_U64("caller_max_connections",
+			    callers->max_connections));
+	if (open > callers->max_connections + MOST_TOLD)
+		end_connection(connection);
+}
+
+bool rr_is_over_bound(SoupServerMessage *message)
+{
+	const struct connection *connection = connection_of(message);
+
+	return connection && connection->over;
+}
+
 /* For a connection's first message the library tells this on accepting. */
 static void note_start(SoupServer *server, SoupServerMessage *message,
 		       gpointer data)
@@ -140,10 +179,13 @@
 	g_object_set_data_full(G_OBJECT(socket), CONNECTION_KEY, connection,
 			       free_connection);
 	g_hash_table_add(callers->open, connection);
+	judge_number(callers, connection);
 }
 
-struct rr_caller_connections *
-rr_bound_callers(struct rr_context *ctx, SoupServer *server, uint32_t idle_ms)
+struct rr_caller_connections *rr_bound_callers(struct rr_context *ctx,
+					       SoupServer *server,
+					       uint32_t idle_ms,
+					       uint32_t max_connections)
 {
 	struct rr_caller_connections *callers =
 		g_new0(struct rr_caller_connections, 1);
@@ -151,6 +193,7 @@
 	callers->ctx = rr_keep_context(ctx);
 	callers->server = server;
 	callers->idle_us = (int64_t)idle_ms * 1000;
+	callers->max_connections = max_connections;
 	callers->open = g_hash_table_new(NULL, NULL);
 	g_signal_connect(server, "request-started", G_CALLBACK(note_start),
 			 callers);
--- a/source/net/caller-private.h
+++ b/source/net/caller-private.h
@@ -33,7 +33,8 @@
 /* Append an answer as JSON. */
 void rr_format_answer(const struct rr_answer *answer, GString *out);
 /* Append the JSON of a call refused by the adapter itself. */
-void rr_format_refusal(const char *reason, GString *out);
+void rr_format_refusal(enum rr_outcome outcome, const char *reason,
+		       GString *out);
 /* The HTTP status of an answer. */
 uint32_t rr_answer_status(const struct rr_answer *answer);
 
--- a/source/net/caller.c
+++ b/source/net/caller.c
@@ -21,6 +21,8 @@
 #define STATUS_TOO_MANY_REQUESTS 429
 #define STATUS_HEADER_TOO_LARGE 431
 #define RATE_RETRY_MS 1000
+/* About what it takes until idle connections of others have ended. */
+#define BOUND_RETRY_MS 2000
 #define JSON_TYPE "application/json"
 #define METRICS_TYPE "text/plain; version=0.0.4"
 
@@ -69,11 +71,14 @@
 {
 	GString *text = g_string_new(NULL);
 
-	rr_count(port->ctx,
-		 status == STATUS_TOO_MANY_REQUESTS ? RR_N_CALLS_OVER_RATE :
-						      RR_N_CALLS_INVALID,
-		 1);
-	rr_format_refusal(reason, text);
+	if (status == STATUS_TOO_MANY_REQUESTS)
+		rr_count(port->ctx, RR_N_CALLS_OVER_RATE, 1);
+	else if (status != SOUP_STATUS_SERVICE_UNAVAILABLE)
+		rr_count(port->ctx, RR_N_CALLS_INVALID, 1);
+	rr_format_refusal(status == SOUP_STATUS_SERVICE_UNAVAILABLE ?
+				  RR_NOT_RUN :
+				  RR_INVALID,
+			  reason, text);
 	set_reply(port, message, status, JSON_TYPE, text);
 }
 
@@ -309,6 +314,11 @@
 	bool probe = !strcmp(path, "/healthz") || !strcmp(path, "/readyz");
 	bool too_long = strlen(path) > MAX_PATH_BYTES;
 
+	if (!probe && rr_is_over_bound(message)) {
+		set_retry_after(message, BOUND_RETRY_MS);
+		*reason = "more connections than caller_max_connections";
+		return SOUP_STATUS_SERVICE_UNAVAILABLE;
+	}
 	/* Before the token: guessing at it is bounded too. */
 	if (!probe && !within_rate(port, message)) {
 		set_retry_after(message, RATE_RETRY_MS);
@@ -417,8 +427,8 @@
 		port->rate = rr_new_caller_rate(options->rate_per_s);
 	port->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 	port->server = soup_server_new("server-header", "ragwort", NULL);
-	port->connections =
-		rr_bound_callers(ctx, port->server, options->idle_ms);
+	port->connections = rr_bound_callers(
+		ctx, port->server, options->idle_ms, options->max_connections);
 	soup_server_add_early_handler(port->server, NULL, take_headers, port,
 				      NULL);
 	soup_server_add_handler(port->server, NULL, take_request, port, NULL);
--- a/source/settings/settings-table.c
+++ b/source/settings/settings-table.c
@@ -212,6 +212,12 @@
 	  .help = "Most requests in a second from one address (an IPv6 /64 "
 		  "counts as one); more are refused with 429. 0 is no bound, "
 		  "since many callers may come through one address." },
+	{ "caller_max_connections", RR_IN_START, RR_SET_INTEGER, 1, MOST_COUNT,
+	  .needs_restart = true, .offset = IN_START(caller_max_connections),
+	  .unit = "connections",
+	  .help = "Most connections of callers at once; a request on one more "
+		  "is refused with 503, and those far beyond are closed at "
+		  "once." },
 	{ "tls", RR_IN_START, RR_SET_MAPPING, .inner = RR_IN_START_TLS,
 	  .unstored = true, .help = "Left out: callers speak plain HTTP." },
 	{ "caller_token_file", RR_IN_START, RR_SET_FILE, .needs_restart = true,
--- a/source/settings/start-settings.c
+++ b/source/settings/start-settings.c
@@ -7,6 +7,8 @@
 #define DEFAULT_DRAIN_TIMEOUT_MS 30000
 #define DEFAULT_MAX_BODY_BYTES 65536
 #define DEFAULT_CALLER_IDLE_MS 60000
+/* A caller needs one or two; each takes about 20 KB here. */
+#define DEFAULT_CALLER_CONNECTIONS 2000
 
 void rr_init_start_settings(struct rr_start_settings *settings)
 {
@@ -19,6 +21,7 @@
 		.peer_allowed_keys = g_new0(char *, 1),
 		.max_body_bytes = DEFAULT_MAX_BODY_BYTES,
 		.caller_idle_ms = DEFAULT_CALLER_IDLE_MS,
+		.caller_max_connections = DEFAULT_CALLER_CONNECTIONS,
 	};
 }
 
--- a/tests/test-caller-limits.c
+++ b/tests/test-caller-limits.c
@@ -45,13 +45,15 @@
 	g_string_append(out, f->page->str);
 }
 
-static void open_port(struct fixture *f, uint32_t rate_per_s, uint32_t idle_ms)
+static void open_bounded_port(struct fixture *f, uint32_t rate_per_s,
+			      uint32_t idle_ms, uint32_t max_connections)
 {
 	struct rr_caller_port_options options = {
 		.address = "127.0.0.1:0",
 		.max_body_bytes = 4096,
 		.idle_ms = idle_ms,
 		.rate_per_s = rate_per_s,
+		.max_connections = max_connections,
 		.request = take_request,
 		.left = take_leaver,
 		.ready = tell_ready,
@@ -65,6 +67,11 @@
 	assert_non_null(f->port);
 }
 
+static void open_port(struct fixture *f, uint32_t rate_per_s, uint32_t idle_ms)
+{
+	open_bounded_port(f, rate_per_s, idle_ms, 0);
+}
+
 static void close_port(struct fixture *f)
 {
 	rr_drop_caller_port(f->port);
@@ -223,6 +230,65 @@
 	close_port(&f);
 }
 
+/* Opened, and accepted: the queue of new connections is short. */
+static GSocket *begin_accepted(struct fixture *f)
+{
+	GSocket *socket = begin(f, "");
+
+	while (g_main_context_iteration(NULL, FALSE))
+		;
+	return socket;
+}
+
+static struct test_reply *call(struct fixture *f, const char *path)
+{
+	return test_call_meanwhile("GET", rr_caller_port_number(f->port), path,
+				   NULL, NULL);
+}
+
+/*
+ * Story: a till's script opens a connection for each look-up and forgets to
+ * close it.  The instance runs out of descriptors, and no caller gets in any
+ * more, nor the balancer's probe.  With a bound, one more is told that nothing
+ * ran and when to come back; many more are closed at once; and when the script
+ * ends all is well again.
+ */
+static void test_number_of_connections_is_bounded(void **state)
+{
+	struct fixture f;
+	GSocket *open[200];
+	struct test_reply *reply;
+	uint32_t n_closed = 0;
+
+	(void)state;
+	open_bounded_port(&f, 0, TEST_LIMIT_MS, 100);
+	for (size_t i = 0; i < 100; i++)
+		open[i] = begin_accepted(&f);
+	reply = call(&f, "/status");
+	assert_int_equal(reply->status, 503);
+	assert_string_equal(reply->retry_after, "2");
+	assert_string_equal(test_reply_text(reply, "outcome"), "not-run");
+	test_drop_reply(reply);
+	reply = call(&f, "/healthz");
+	assert_int_equal(reply->status, 200);
+	test_drop_reply(reply);
+	for (size_t i = 100; i < G_N_ELEMENTS(open); i++)
+		open[i] = begin_accepted(&f);
+	expect_close(open[G_N_ELEMENTS(open) - 1]);
+	n_closed = rr_counter_value(f.ctx, RR_N_CALLERS_OVER_BOUND);
+	assert_in_range(n_closed, 101, 103);
+	for (size_t i = 0; i < G_N_ELEMENTS(open); i++)
+		drop(open[i]);
+	reply = call(&f, "/status");
+	while (reply->status == 503) {
+		test_drop_reply(reply);
+		reply = call(&f, "/status");
+	}
+	assert_int_equal(reply->status, 200);
+	test_drop_reply(reply);
+	close_port(&f);
+}
+
 /* Too long a header, path or body: each its own status, each counted. */
 static void test_sizes_are_bounded(void **state)
 {
@@ -266,6 +332,7 @@
 		cmocka_unit_test(test_slow_senders_are_cut_off),
 		cmocka_unit_test(test_callers_that_do_not_read_are_cut_off),
 		cmocka_unit_test(test_rate_of_an_address_is_bounded),
+		cmocka_unit_test(test_number_of_connections_is_bounded),
 		cmocka_unit_test(test_sizes_are_bounded),
 	};
 
