explain: a request whose steps were left out says so in its cause

Change: how many parts lacked, and that their reasons are not in the lines; words for refused-there.

--- a/source/tool/explain-print.c
+++ b/source/tool/explain-print.c
@@ -105,20 +105,25 @@
 	return "its replica had not answered by the end";
 }
 
-static void format_missing(const struct rr_story *story, GString *out)
+static void format_missing(const struct rr_story *story,
+			   const struct rr_log_line *end, GString *out)
 {
 	GPtrArray *services = list_services(story);
-	bool first = true;
 
 	for (guint i = 0; i < services->len; i++) {
 		const char *service = g_ptr_array_index(services, i);
 
-		if (has_answer(story, service))
-			continue;
-		g_string_append_printf(out, "%s%s: %s", first ? "" : "; ",
-				       service, why_missing(story, service));
-		first = false;
+		if (!has_answer(story, service))
+			g_string_append_printf(out, "; %s: %s", service,
+					       why_missing(story, service));
 	}
+	if (rr_line_number(end, "steps_left_out") > 0)
+		g_string_append_printf(
+			out,
+			"; %s of %s parts lacked, why each did is not in these "
+			"lines: see what had been learnt before",
+			rr_line_text(end, "missing"),
+			rr_line_text(end, "parts"));
 	g_ptr_array_unref(services);
 }
 
@@ -129,6 +134,9 @@
 		       "answered";
 	if (!strcmp(reason, "overrun"))
 		return "more work came than the replicas can do in time";
+	if (!strcmp(reason, "refused-there"))
+		return "the strong instance that it was handed to refused it: "
+		       "no replica had room there either";
 	if (!strcmp(reason, "no-routes"))
 		return "this instance knew no configuration yet";
 	if (!strcmp(reason, "no-route"))
@@ -171,10 +179,8 @@
 		g_string_append(out, "answered as it should be");
 		return;
 	}
-	if (rr_line_number(end, "may_have_run") > 0 || status < 400) {
-		g_string_append(out, "; ");
-		format_missing(story, out);
-	}
+	if (rr_line_number(end, "may_have_run") > 0 || status < 400)
+		format_missing(story, end, out);
 }
 
 static void format_head(const struct rr_story *story, const char *request,
--- a/tests/test-explain.c
+++ b/tests/test-explain.c
@@ -58,6 +58,18 @@
 	"\"route\":\"p\",\"version\":7,\"status\":502,"
 	"\"reason\":\"no-replica\",\"parts\":1,\"missing\":1,"
 	"\"may_have_run\":1,\"late\":false}\n"
+	/* Its steps were over the bound of the log. */
+	"time=2026-09-12T06:37:18.900000Z level=info event=answered "
+	"request=bare1 instance=front-1 after_us=429021 route=r version=22 "
+	"version_age_us=13349703 status=504 reason=time-over parts=30 "
+	"missing=9 may_have_run=42 late=true objective_us=69600 end_us=428000 "
+	"retry_after_ms=0 steps_left_out=81\n"
+	/* Handed to a strong instance, which had no room. */
+	"time=2026-09-12T06:37:18.910000Z level=info event=answered "
+	"request=there1 instance=front-3 after_us=4100 route=r version=22 "
+	"version_age_us=13349703 status=503 reason=refused-there parts=1 "
+	"missing=1 may_have_run=0 late=false objective_us=69600 end_us=428000 "
+	"retry_after_ms=90 steps_left_out=0\n"
 	/* Only its steps: the end was cut off. */
 	"time=2026-09-12T06:37:19.000000Z level=info event=sent request=cut1 "
 	"after_us=0 attempt=9 service=s1 endpoint=i-1 reason=first\n"
@@ -127,6 +139,32 @@
 	assert_tells("once1", words);
 }
 
+/*
+ * Under much load a failed request is told by its end only.  The cause must
+ * then say so, and how much lacked, in place of an empty list of reasons.
+ */
+static void test_steps_left_out(void **state)
+{
+	static const char *const words[] = {
+		"81 steps were left out",
+		"its time was over; 9 of 30 parts lacked, why each did is not",
+		"zone-silent",
+		NULL,
+	};
+
+	assert_tells("bare1", words);
+}
+
+static void test_refused_at_a_strong_instance(void **state)
+{
+	static const char *const words[] = {
+		"cause: refused, and not run: the strong instance",
+		NULL,
+	};
+
+	assert_tells("there1", words);
+}
+
 static void test_cut_logs(void **state)
 {
 	static const char *const words[] = { "is not in these lines", "i-1",
@@ -149,6 +187,8 @@
 		cmocka_unit_test(test_refused),
 		cmocka_unit_test(test_partial),
 		cmocka_unit_test(test_unknown_outcome),
+		cmocka_unit_test(test_steps_left_out),
+		cmocka_unit_test(test_refused_at_a_strong_instance),
 		cmocka_unit_test(test_cut_logs),
 		cmocka_unit_test(test_no_such_request),
 	};
