tests: listeners hold a whole fleet's first connections

Cause: a soak of 150 gateways stood still: its links connect to the store in the same loop and wait, and the store's queue of new connections (128) was full of the others (its stack: poll in a connect; 124 waiting at each listener). Ruled out: descriptors (1,289 of 20,000), the gateways (they repeated their reads). Change: a queue of 4,096. After: it runs.

--- a/tests/support/port.c
+++ b/tests/support/port.c
@@ -18,7 +18,11 @@
  */
 #define FIRST_PORT 12000
 #define LAST_PORT 31999
-#define BACKLOG 128
+/*
+ * As many as a whole fleet opens at once: a stand-in that connects to another
+ * one of its own loop would wait for itself.
+ */
+#define BACKLOG 4096
 
 /*
  * Bound without SO_REUSEADDR, so that it fails where anyone holds, listens
