--- a/soak/soak-link.c
+++ b/soak/soak-link.c
@@ -41,7 +41,7 @@
 	enum soak_link_state state;
 	uint32_t delay_ms;
 	GPtrArray *pairs;
-	guint timer;
+	guint timer; /* 0: nothing waits to be passed on */
 };
 
 static void free_chunk(gpointer data)
@@ -133,6 +133,15 @@
 	return true;
 }
 
+static gboolean flush_all(gpointer data);
+
+/* A fleet has hundreds of links: only those that hold something are visited. */
+static void flush_later(struct soak_link *link)
+{
+	if (!link->timer)
+		link->timer = g_timeout_add(FLUSH_MS, flush_all, link);
+}
+
 static gboolean read_way(GSocket *socket, GIOCondition condition, gpointer data)
 {
 	struct way *way = data;
@@ -159,6 +168,8 @@
 		drop_pair(pair);
 		return G_SOURCE_REMOVE;
 	}
+	if (way->ended || !g_queue_is_empty(&way->chunks))
+		flush_later(pair->link);
 	if (n)
 		return G_SOURCE_CONTINUE;
 	g_source_unref(way->source);
@@ -223,6 +234,7 @@
 static gboolean flush_all(gpointer data)
 {
 	struct soak_link *link = data;
+	bool holds = false;
 
 	for (guint i = link->pairs->len; i > 0; i--) {
 		struct pair *pair = g_ptr_array_index(link->pairs, i - 1);
@@ -231,8 +243,14 @@
 		    !flush_way(link, &pair->back) ||
 		    (pair->forth.ended && pair->back.ended))
 			drop_pair(pair);
+		else if (!g_queue_is_empty(&pair->forth.chunks) ||
+			 !g_queue_is_empty(&pair->back.chunks))
+			holds = true;
 	}
-	return G_SOURCE_CONTINUE;
+	if (holds)
+		return G_SOURCE_CONTINUE;
+	link->timer = 0;
+	return G_SOURCE_REMOVE;
 }
 
 struct soak_link *soak_new_link(struct soak *soak, uint16_t target_port)
@@ -246,13 +264,13 @@
 	g_source_set_callback(link->source, G_SOURCE_FUNC(accept_pair), link,
 			      NULL);
 	g_source_attach(link->source, NULL);
-	link->timer = g_timeout_add(FLUSH_MS, flush_all, link);
 	return link;
 }
 
 void soak_drop_link(struct soak_link *link)
 {
-	g_source_remove(link->timer);
+	if (link->timer)
+		g_source_remove(link->timer);
 	g_source_destroy(link->source);
 	g_source_unref(link->source);
 	soak_reset_link(link);
--- a/source/wire/pack.c
+++ b/source/wire/pack.c
@@ -7,8 +7,9 @@
 #include <stdbool.h>
 
 /*
- * The quickest: a configuration of 1,080 shards shrinks to a tenth with it,
- * and whoever packs serves callers on the same thread.
+ * The quickest, since whoever packs serves callers on the same thread: a
+ * generated configuration of 1,100 shards, 297 KB, becomes 38 KB of text in
+ * 1.1 ms; the usual level makes 20 KB of it.
  */
 #define LEVEL 1
 #define STEP_BYTES 16384
--- a/tests/test-gate-peer.c
+++ b/tests/test-gate-peer.c
@@ -146,10 +146,9 @@
 	test_drop_scene(scene);
 }
 
-/* What was handed over is never handed on, whatever the entries say. */
-static void test_handed_search_stays(void **state)
+/* A search that another instance hands over, 50 ms before it is due. */
+static void take_handed(struct gate_scene *scene)
 {
-	struct gate_scene *scene = weak_scene();
 	struct rr_gate_ask ask = {
 		.host = "h",
 		.path = "/search/1",
@@ -159,6 +158,14 @@
 	};
 
 	rr_gate_take(scene->ctx, scene->gate, scene->now_us, &ask);
+}
+
+/* What was handed over is never handed on, whatever the entries say. */
+static void test_handed_search_stays(void **state)
+{
+	struct gate_scene *scene = weak_scene();
+
+	take_handed(scene);
 	assert_int_equal(scene->sent->len, 4);
 	for (guint i = 0; i < 3; i++)
 		test_reply(scene, test_sent_at(scene, i), RR_GATE_ANSWERED,
@@ -170,20 +177,6 @@
 	test_drop_scene(scene);
 }
 
-/* A search that another instance hands over, 50 ms before it is due. */
-static void take_handed(struct gate_scene *scene)
-{
-	struct rr_gate_ask ask = {
-		.host = "h",
-		.path = "/search/1",
-		.path_length = strlen("/search/1"),
-		.deadline_ms = 900,
-		.handed_left_us = 50 * TEST_MS,
-	};
-
-	rr_gate_take(scene->ctx, scene->gate, scene->now_us, &ask);
-}
-
 /*
  * Story: a burst comes to a fleet of weak instances, and no shard has room.
  * Each strong instance that a search is handed to refuses it, the next one
