--- a/source/core/feed-rank.c
+++ b/source/core/feed-rank.c
@@ -6,8 +6,9 @@
 #include <string.h>
 
 /*
- * Instances that ask one other, about: each costs it 0.24 KB/s of questions
- * and 0.22 KB/s of 600 packed configurations a day, and control has 7 KB/s.
+ * Instances that ask one other, about: at the size of the aim each costs it
+ * 0.8 KB/s of the 7 KB/s that control has, and a zone of 240 then gives the
+ * second level 9 each (docs/CAPACITY.md).
  */
 #define ASKERS 12
 /* Entries tell strength in thousandths of a core. */
--- a/source/core/feed-source.c
+++ b/source/core/feed-source.c
@@ -175,27 +175,27 @@
 	return before;
 }
 
-/*
- * Below the second level, the one of the level above that it asks first.
- * False: its own level is one of the first two.
- */
-static bool append_above(GPtrArray *order, struct rr_sources *sources)
+/* The place of this instance in its zone, and the one that it asks first. */
+struct own_place {
+	struct rr_place place;
+	const struct rr_instance *above; /* NULL: its level asks the watchers */
+	bool is_asked;			 /* a level is below it */
+};
+
+static struct own_place find_own_place(const struct rr_sources *sources)
 {
 	guint n_behind;
 	GPtrArray *before = find_before(sources, &n_behind);
-	struct rr_place place = rr_find_place(before->len);
-	const struct rr_instance *instance;
-
-	sources->is_asked = before->len + n_behind >= place.end;
-	if (place.level > 1) {
-		instance = g_ptr_array_index(
-			before, place.above_from + before->len % place.n_above);
-		if (*instance->address)
-			append_source(order, sources, instance->address,
-				      SOURCE_ABOVE);
-	}
+	struct own_place own = { .place = rr_find_place(before->len) };
+	const struct rr_place *place = &own.place;
+
+	own.is_asked = before->len + n_behind >= place->end;
+	if (place->level > 1)
+		own.above = g_ptr_array_index(
+			before,
+			place->above_from + before->len % place->n_above);
 	g_ptr_array_unref(before);
-	return place.level > 1;
+	return own;
 }
 
 /*
@@ -233,16 +233,6 @@
 	}
 }
 
-static bool is_watcher(const struct rr_sources *sources,
-		       const struct first *first)
-{
-	for (guint i = 0; i < first->n; i++) {
-		if (is_self(sources, first->instances[i]))
-			return true;
-	}
-	return false;
-}
-
 static uint32_t count_first(GHashTable *zones)
 {
 	GHashTableIter iter;
@@ -271,18 +261,20 @@
 	GHashTable *zones = find_first(sources);
 	const struct first *near =
 		g_hash_table_lookup(zones, sources->self.zone);
-	bool watches = !sources->may_follow || is_watcher(sources, near);
+	struct own_place own = find_own_place(sources);
+	bool watches = !sources->may_follow || !own.place.level;
 
-	sources->is_asked = false;
+	sources->is_asked = sources->may_follow && own.is_asked;
 	if (watches)
 		append_source(order, sources, STORE, SOURCE_STORE);
 	if (sources->may_follow) {
+		if (own.above && *own.above->address)
+			append_source(order, sources, own.above->address,
+				      SOURCE_ABOVE);
 		/* Two are waited for at the most, then the store is asked. */
-		bool has_above = append_above(order, sources);
-
 		append_watchers(order, sources, near,
 				watches ? SOURCE_BESIDE : SOURCE_ABOVE,
-				has_above ? RR_WATCHERS - 1 : RR_WATCHERS);
+				own.above ? RR_WATCHERS - 1 : RR_WATCHERS);
 	}
 	if (!watches)
 		append_source(order, sources, STORE, SOURCE_STORE);
--- a/source/core/gate-admit.c
+++ b/source/core/gate-admit.c
@@ -21,15 +21,16 @@
 		.now_us = gate->now_us,
 		.cut_us = run->cut_us,
 		.typical_us = service->typical_us,
-		.capacity = rr_service_capacity(gate, service),
 	};
 
-	return !rr_service_has_room(gate, service) &&
-	       rr_would_overrun(&service->waiting, &outlook);
+	if (rr_service_has_room(gate, service))
+		return false;
+	outlook.capacity = rr_service_capacity(gate, service);
+	return rr_would_overrun(&service->waiting, &outlook);
 }
 
-const char *rr_why_unservable(const struct rr_gate *gate,
-			      const struct rr_gate_run *run, bool *no_room)
+enum rr_admission rr_admit_run(const struct rr_gate *gate,
+			       const struct rr_gate_run *run)
 {
 	size_t reachable = 0;
 	size_t overrun = 0;
@@ -43,10 +44,9 @@
 		if (is_overrun(gate, run, service))
 			overrun++;
 	}
-	*no_room = reachable >= run->least;
-	if (!*no_room)
-		return "no-replica";
-	return reachable - overrun < run->least ? "overrun" : NULL;
+	if (reachable < run->least)
+		return RR_NO_REPLICA;
+	return reachable - overrun < run->least ? RR_NO_ROOM : RR_ADMITTED;
 }
 
 void rr_earn_extras(struct rr_gate *gate, struct rr_gate_run *run)
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -283,14 +283,19 @@
 		     struct rr_gate_service *service);
 
 /* gate-admit.c */
+enum rr_admission {
+	RR_ADMITTED,
+	RR_NO_REPLICA, /* too few of its services have one that answers */
+	RR_NO_ROOM,    /* they answer, but more comes than they can do */
+};
+
 /*
- * Why a request cannot be served by the replicas that answer now; NULL if it
- * can.  A search that would most likely lack too many parts is turned away
- * whole: the work for its other parts would be done in vain.  *no_room:
- * replicas answer, but have no room.
+ * Whether a request can be served by the replicas that answer now.  A search
+ * that would most likely lack too many parts is turned away whole: the work
+ * for its other parts would be done in vain.
  */
-const char *rr_why_unservable(const struct rr_gate *gate,
-			      const struct rr_gate_run *run, bool *no_room);
+enum rr_admission rr_admit_run(const struct rr_gate *gate,
+			       const struct rr_gate_run *run);
 /*
  * A request that is taken earns extra attempts.  One that is refused earns
  * nothing: handed over, it may be refused by several, which all together
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -436,12 +436,13 @@
 static void start_parts(struct rr_context *ctx, struct rr_gate *gate,
 			struct rr_gate_run *run)
 {
-	bool no_room;
-	const char *reason = rr_why_unservable(gate, run, &no_room);
+	enum rr_admission admission = rr_admit_run(gate, run);
+	bool no_room = admission == RR_NO_ROOM;
 
-	if (reason && !run->n_run) {
+	if (admission != RR_ADMITTED && !run->n_run) {
 		rr_count(ctx, RR_N_REFUSED_EARLY, 1);
-		refuse_run(ctx, gate, run, reason, no_room);
+		refuse_run(ctx, gate, run, no_room ? "overrun" : "no-replica",
+			   no_room);
 		return;
 	}
 	rr_earn_extras(gate, run);
