settings: figures of any deployment; none keeps a gateway from starting

Cause: DEPLOY.md allows whole numbers, fractions, true or false as bounds. The template made milliseconds of seconds by appending 000, so 7.5 s became 7.5 ms or an error; a fraction in retryBudgetSlack was refused, and no gateway of that deployment started. Ruled out: leaving the check to the daemon (the table is the one place that knows units and ranges); old key names beside the new ones (only our template writes them). Change: times carry their unit in the table and are converted there; extra_window_s and stop_timeout_s in seconds; a figure with a default that is not allowed is left out with a warning and a log line.

--- a/include/ragwort/settings.h
+++ b/include/ragwort/settings.h
@@ -20,6 +20,8 @@
 	char *file;
 	uint32_t line; /* from 1 */
 	char *what;    /* what was found and what is allowed */
+	/* The file holds all the same: the key's default is in force. */
+	bool left_out;
 };
 
 /* A new array for faults, which frees them. */
@@ -94,8 +96,8 @@
 	char **seed_peers; /* NULL-terminated, never NULL itself */
 	double strength;   /* share of a processor that this one has */
 	uint32_t news_bound_ms;
-	double extra_share;   /* of requests, that a service gets on top */
-	uint32_t extra_slack; /* and so many more in a window */
+	double extra_share; /* of requests, that a service gets on top */
+	double extra_slack; /* and so many more in a window */
 	uint32_t extra_window_ms;
 	uint32_t stop_timeout_ms;
 	uint32_t max_connections; /* of callers at once */
@@ -105,7 +107,11 @@
 	uint32_t log_request_lines_per_s;
 };
 
-/* As rr_parse_config(), for a gateway's start file. */
+/*
+ * As rr_parse_config(), for a gateway's start file.  A figure that is no
+ * allowed one, and has a default, keeps no gateway from starting: its fault is
+ * appended as one left out, and the settings are returned.
+ */
 struct rr_gateway_settings *
 rr_parse_gateway_settings(const struct rr_source *file, GPtrArray *faults);
 void rr_drop_gateway_settings(struct rr_gateway_settings *settings);
--- a/soak/soak-instance.c
+++ b/soak/soak-instance.c
@@ -33,7 +33,7 @@
 		"peer_address: \"127.0.0.1:%u\"\n"
 		"store_address: \"127.0.0.1:%u\"\n"
 		"strength: %s\nextra_share: 0.2\nextra_slack: 100\n"
-		"news_bound_ms: 3000\nstop_timeout_ms: 6000\nseed_peers: [",
+		"news_bound_ms: 3000\nstop_timeout_s: 6\nseed_peers: [",
 		instance->name, instance->number % ZONES, instance->port,
 		instance->ready_port, instance->peer_port,
 		soak_link_port(instance->store),
--- a/source/gateway/main.c
+++ b/source/gateway/main.c
@@ -5,14 +5,18 @@
 
 #include "gateway/gateway.h"
 #include "gateway/log-writer.h"
+#include "ragwort/log.h"
 #include "ragwort/program.h"
 
 #define PROGRAM "ragwort-gateway"
 
-/* NULL when the file is unreadable or faulty; all faults are printed. */
-static struct rr_gateway_settings *read_settings(const char *file)
+/*
+ * NULL when the file is unreadable or faulty; all faults are printed, and left
+ * in `faults`.
+ */
+static struct rr_gateway_settings *read_settings(const char *file,
+						 GPtrArray *faults)
 {
-	GPtrArray *faults = rr_new_faults();
 	struct rr_gateway_settings *settings = NULL;
 	struct rr_source source = { .file = file };
 	GError *error = NULL;
@@ -27,11 +31,23 @@
 		g_error_free(error);
 	}
 	rr_print_faults(faults);
-	g_ptr_array_unref(faults);
 	return settings;
 }
 
-static enum rr_program_exit run_by(const struct rr_gateway_settings *settings)
+/* Figures that were left out: what the platform fills in may be anything. */
+static void log_left_out(struct rr_context *ctx, const GPtrArray *faults)
+{
+	for (guint i = 0; i < faults->len; i++) {
+		const struct rr_fault *fault = g_ptr_array_index(faults, i);
+
+		rr_log(ctx, RR_LOG_WARNING, "setting-left-out",
+		       RR_FIELD_STRING("reason", fault->what),
+		       RR_FIELD_U64("line", fault->line));
+	}
+}
+
+static enum rr_program_exit run_by(const struct rr_gateway_settings *settings,
+				   const GPtrArray *faults)
 {
 	struct rr_context_options options = {
 		.seed = g_random_int(),
@@ -48,6 +64,7 @@
 	struct rr_gateway *gateway;
 	GError *error = NULL;
 
+	log_left_out(ctx, faults);
 	gateway = rr_new_gateway(ctx, settings, &error);
 	if (gateway) {
 		rr_run_gateway(gateway);
@@ -64,14 +81,16 @@
 
 static enum rr_program_exit run(const char *file, bool check_only)
 {
-	struct rr_gateway_settings *settings = read_settings(file);
+	GPtrArray *faults = rr_new_faults();
+	struct rr_gateway_settings *settings = read_settings(file, faults);
 	enum rr_program_exit code = RR_PROGRAM_OK;
 
 	if (!settings)
-		return RR_PROGRAM_SETTINGS;
-	if (!check_only)
-		code = run_by(settings);
+		code = RR_PROGRAM_SETTINGS;
+	else if (!check_only)
+		code = run_by(settings, faults);
 	rr_drop_gateway_settings(settings);
+	g_ptr_array_unref(faults);
 	return code;
 }
 
--- a/source/settings/describe.c
+++ b/source/settings/describe.c
@@ -13,6 +13,7 @@
 
 	switch (setting->type) {
 	case RR_SET_INTEGER:
+	case RR_SET_TIME:
 		return *(const uint32_t *)a == *(const uint32_t *)b;
 	case RR_SET_NUMBER:
 		return *(const double *)a == *(const double *)b;
--- a/source/settings/fault.c
+++ b/source/settings/fault.c
@@ -28,8 +28,9 @@
 	for (guint i = 0; i < faults->len; i++) {
 		const struct rr_fault *fault = faults->pdata[i];
 
-		fprintf(stderr, "%s:%u: %s\n", fault->file, fault->line,
-			fault->what);
+		fprintf(stderr, "%s%s:%u: %s\n",
+			fault->left_out ? "warning: " : "", fault->file,
+			fault->line, fault->what);
 	}
 }
 
@@ -55,6 +56,25 @@
 	g_ptr_array_add(faults, fault);
 }
 
+void rr_leave_out_fault(GPtrArray *faults)
+{
+	struct rr_fault *last = g_ptr_array_index(faults, faults->len - 1);
+
+	/* The one that stands for many may stand for others. */
+	last->left_out = faults->len <= RR_MAX_FAULTS;
+}
+
+bool rr_has_faults(const GPtrArray *faults, guint from)
+{
+	for (guint i = from; i < faults->len; i++) {
+		const struct rr_fault *fault = faults->pdata[i];
+
+		if (!fault->left_out)
+			return true;
+	}
+	return false;
+}
+
 static int compare_faults(gconstpointer a, gconstpointer b)
 {
 	const struct rr_fault *const *first = a;
--- a/source/settings/settings-table.c
+++ b/source/settings/settings-table.c
@@ -15,7 +15,10 @@
 #define IN_GATEWAY(member) offsetof(struct rr_gateway_settings, member)
 
 #define LONGEST_MS 600000
+#define LONGEST_S 3600
 #define MOST_COUNT 1000000
+/* More extra attempts than requests for any use. */
+#define MOST_SHARE 1000
 
 /* In the order of enum rr_answer_mode. */
 static const char *const answer_modes[] = { "coverage", "latency", NULL };
@@ -280,37 +283,43 @@
 	  .offset = IN_GATEWAY(store_address),
 	  .help = "Where the platform's key-value store is reached." },
 	{ "peer_address", RR_IN_GATEWAY, RR_SET_LISTEN_ADDRESS,
-	  .offset = IN_GATEWAY(peer_address),
+	  .or_default = true, .offset = IN_GATEWAY(peer_address),
 	  .help = "Where other instances come to: weaker ones hand searches "
 		  "over, others ask for the store's news. Left out: they do "
 		  "not." },
-	{ "seed_peers", RR_IN_GATEWAY, RR_SET_ADDRESS_LIST,
+	{ "seed_peers", RR_IN_GATEWAY, RR_SET_ADDRESS_LIST, .or_default = true,
 	  .offset = IN_GATEWAY(seed_peers),
 	  .help = "Peer addresses of instances to start from while the store "
 		  "is out of reach." },
-	{ "strength", RR_IN_GATEWAY, RR_SET_NUMBER, 0, 1024,
+	{ "strength", RR_IN_GATEWAY, RR_SET_NUMBER, 0, 1024, .or_default = true,
 	  .offset = IN_GATEWAY(strength), .unit = "cores",
 	  .help = "What this instance has of a processor. One that has half "
 		  "of another's of its zone, or less, hands searches over." },
-	{ "news_bound_ms", RR_IN_GATEWAY, RR_SET_INTEGER, 100, LONGEST_MS,
-	  .offset = IN_GATEWAY(news_bound_ms), .unit = "ms",
+	{ "news_bound_ms", RR_IN_GATEWAY, RR_SET_TIME, 100, LONGEST_MS,
+	  .unit_ms = 1, .or_default = true, .offset = IN_GATEWAY(news_bound_ms),
+	  .unit = "ms",
 	  .help = "Longest time until a change in the store has to be known "
 		  "here; the more there is of it, the fewer calls are made." },
-	{ "extra_share", RR_IN_GATEWAY, RR_SET_NUMBER, 0, 1,
-	  .offset = IN_GATEWAY(extra_share), .unit = "share of requests",
+	{ "extra_share", RR_IN_GATEWAY, RR_SET_NUMBER, 0, MOST_SHARE,
+	  .or_default = true, .offset = IN_GATEWAY(extra_share),
+	  .unit = "share of requests",
 	  .help = "Most attempts on top of the first that a service gets from "
 		  "all instances together, as a share of its requests." },
-	{ "extra_slack", RR_IN_GATEWAY, RR_SET_INTEGER, 0, MOST_COUNT,
-	  .offset = IN_GATEWAY(extra_slack), .unit = "attempts",
+	{ "extra_slack", RR_IN_GATEWAY, RR_SET_NUMBER, 0, MOST_COUNT,
+	  .or_default = true, .offset = IN_GATEWAY(extra_slack),
+	  .unit = "attempts",
 	  .help = "So many more in any window, from all instances together." },
-	{ "extra_window_ms", RR_IN_GATEWAY, RR_SET_INTEGER, 100, LONGEST_MS,
-	  .offset = IN_GATEWAY(extra_window_ms), .unit = "ms",
+	{ "extra_window_s", RR_IN_GATEWAY, RR_SET_TIME, 0.1, LONGEST_S,
+	  .unit_ms = 1000, .or_default = true,
+	  .offset = IN_GATEWAY(extra_window_ms), .unit = "s",
 	  .help = "Length of that window." },
-	{ "stop_timeout_ms", RR_IN_GATEWAY, RR_SET_INTEGER, 0, 3600000,
-	  .offset = IN_GATEWAY(stop_timeout_ms), .unit = "ms",
+	{ "stop_timeout_s", RR_IN_GATEWAY, RR_SET_TIME, 0, LONGEST_S,
+	  .unit_ms = 1000, .or_default = true,
+	  .offset = IN_GATEWAY(stop_timeout_ms), .unit = "s",
 	  .help = "Time from SIGTERM until the platform kills the process." },
 	{ "max_connections", RR_IN_GATEWAY, RR_SET_INTEGER, 1, MOST_COUNT,
-	  .offset = IN_GATEWAY(max_connections), .unit = "connections",
+	  .or_default = true, .offset = IN_GATEWAY(max_connections),
+	  .unit = "connections",
 	  .help = "Most connections of callers at once; one more waits until "
 		  "another ends." },
 	{ "log", RR_IN_GATEWAY, RR_SET_MAPPING, .inner = RR_IN_GATEWAY_LOG,
--- a/source/settings/settings-table.h
+++ b/source/settings/settings-table.h
@@ -36,6 +36,7 @@
 	RR_SET_CURVE_KEY,      /* 40 characters of Z85 */
 	RR_SET_INTEGER,	       /* uint32_t */
 	RR_SET_NUMBER,	       /* double */
+	RR_SET_TIME,	       /* uint32_t milliseconds, whatever its unit */
 	RR_SET_BOOL,
 	RR_SET_CHOICE, /* enum: the index into `choices` */
 	RR_SET_KEY_RANGE,
@@ -49,7 +50,7 @@
 	const char *name;
 	enum rr_scope scope;
 	enum rr_setting_type type;
-	double min; /* integers and numbers */
+	double min; /* integers, numbers and times, in the file's unit */
 	double max;
 	const char *const *choices; /* NULL-terminated */
 	enum rr_scope inner;
@@ -60,7 +61,10 @@
 	bool no_default;   /* may not stand in `defaults` */
 	bool needs_restart;
 	bool unstored; /* has no place in a struct of its own */
-	size_t offset; /* in the scope's struct */
+	/* A value that is not allowed is left out, and the default holds. */
+	bool or_default;
+	double unit_ms; /* of a time */
+	size_t offset;	/* in the scope's struct */
 	const char *unit;
 	const char *help;
 };
@@ -77,7 +81,10 @@
 /* What is allowed, in words; to be g_free()d. */
 char *rr_describe_allowed(const struct rr_setting *setting);
 
-/* Whether a value is allowed; appends a fault if not. */
+/*
+ * Whether a value is allowed; appends a fault if not, as one left out where
+ * its default holds instead.
+ */
 bool rr_check_value(const struct rr_setting *setting,
 		    const struct rr_yaml_node *node, GPtrArray *faults);
 /* Put a value that was checked into the scope's struct. */
--- a/source/settings/settings-value.c
+++ b/source/settings/settings-value.c
@@ -36,6 +36,7 @@
 		return g_strdup_printf("a whole number from %.0f to %.0f",
 				       setting->min, setting->max);
 	case RR_SET_NUMBER:
+	case RR_SET_TIME:
 		return g_strdup_printf("a number from %g to %g", setting->min,
 				       setting->max);
 	case RR_SET_BOOL:
@@ -188,6 +189,7 @@
 		       read_whole(text, (uint64_t)setting->max, &whole) &&
 		       whole >= (uint64_t)setting->min;
 	case RR_SET_NUMBER:
+	case RR_SET_TIME:
 		return !node->quoted && read_number(text, &number) &&
 		       number >= setting->min && number <= setting->max;
 	case RR_SET_BOOL:
@@ -231,13 +233,17 @@
 	bool quoted = node->kind == RR_YAML_SCALAR && node->quoted;
 	bool number = setting->type == RR_SET_INTEGER ||
 		      setting->type == RR_SET_NUMBER ||
+		      setting->type == RR_SET_TIME ||
 		      setting->type == RR_SET_BOOL;
 
 	rr_add_fault(faults, node->file, node->line,
-		     "%s: found %s%s, allowed is %s%s%s", setting->name, found,
-		     quoted && number ? " in quotes" : "", allowed,
+		     "%s: found %s%s, allowed is %s%s%s%s", setting->name,
+		     found, quoted && number ? " in quotes" : "", allowed,
 		     setting->unit ? ", " : "",
-		     setting->unit ? setting->unit : "");
+		     setting->unit ? setting->unit : "",
+		     setting->or_default ? "; its default holds" : "");
+	if (setting->or_default)
+		rr_leave_out_fault(faults);
 	g_free(found);
 	g_free(allowed);
 }
@@ -282,8 +288,14 @@
 {
 	void *place = (char *)target + setting->offset;
 	uint64_t whole = 0;
+	double number = 0;
 
 	switch (setting->type) {
+	case RR_SET_TIME:
+		read_number(node->text, &number);
+		*(uint32_t *)place =
+			(uint32_t)(number * setting->unit_ms + 0.5);
+		break;
 	case RR_SET_INTEGER:
 		read_whole(node->text, (uint64_t)setting->max, &whole);
 		*(uint32_t *)place = (uint32_t)whole;
@@ -344,6 +356,10 @@
 	case RR_SET_NUMBER:
 		g_string_append_printf(out, "%g", *(const double *)place);
 		break;
+	case RR_SET_TIME:
+		g_string_append_printf(
+			out, "%g", *(const uint32_t *)place / setting->unit_ms);
+		break;
 	case RR_SET_BOOL:
 		g_string_append(out, *(const bool *)place ? "true" : "false");
 		break;
--- a/source/settings/start-settings.c
+++ b/source/settings/start-settings.c
@@ -56,7 +56,7 @@
 	}
 	rr_drop_yaml_node(root);
 	rr_sort_faults(faults, before);
-	return faults->len == before;
+	return !rr_has_faults(faults, before);
 }
 
 struct rr_start_settings *rr_parse_start_settings(const struct rr_source *file,
--- a/source/settings/yaml-tree.h
+++ b/source/settings/yaml-tree.h
@@ -62,6 +62,10 @@
 /* Append a fault; past RR_MAX_FAULTS only one line says that there are more. */
 void rr_add_fault(GPtrArray *faults, const char *file, uint32_t line,
 		  const char *format, ...) G_GNUC_PRINTF(4, 5);
+/* The fault just appended leaves a value out; the file holds all the same. */
+void rr_leave_out_fault(GPtrArray *faults);
+/* Whether any from `from` on does not: the file is refused. */
+bool rr_has_faults(const GPtrArray *faults, guint from);
 /* Put the faults from the first one given on in the order of files, lines. */
 void rr_sort_faults(GPtrArray *faults, guint first);
 /* A value as a fault shows it: quoted, short, printable; to be g_free()d. */
