--- a/bench/watch.c
+++ b/bench/watch.c
@@ -60,7 +60,7 @@
 	(void)data;
 }
 
-static void ignore_replica(void *data, const char *name,
+static void ignore_replica(void *data, const char *name, int64_t born_ms,
 			   enum rr_upstream_state state)
 {
 	(void)data;
--- /dev/null
+++ b/fuzz/entries.c
@@ -0,0 +1,89 @@
+/*
+ * entries.c - fuzz target: what anybody may write into the store under the
+ * keys of replicas and instances, and how it is passed on.
+ *
+ * The first byte is the length of the key, the key and its value follow.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/platform.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t length);
+
+/* Either a listing with all that is used of it, or a reason. */
+static void decode_listing(const char *id, const char *text, size_t length)
+{
+	struct rr_feed_item *item = g_new0(struct rr_feed_item, 1);
+	const char *fault;
+
+	item->replica = rr_decode_listing(id, text, length, &fault);
+	if (!item->replica == !fault)
+		abort();
+	if (item->replica &&
+	    (!*item->replica->service || !*item->replica->zone ||
+	     !item->replica->slots || item->replica->born_ms < 0 ||
+	     strpbrk(item->replica->id, "\r\n ")))
+		abort();
+	rr_free_feed_item(item);
+}
+
+static void decode_instance(const char *id, const char *text, size_t length)
+{
+	const char *fault;
+	struct rr_instance *instance =
+		rr_decode_instance(id, text, length, &fault);
+
+	if (!instance == !fault)
+		abort();
+	if (instance && (!instance->zone || !instance->address ||
+			 !(instance->strength >= 0)))
+		abort();
+	rr_free_instance(instance);
+}
+
+/* What is passed on is read as it was, whatever the key is. */
+static void pass_on(const char *key, const char *text, size_t length)
+{
+	struct rr_news_call call = { .after = 1 };
+	GArray *items = g_array_new(FALSE, FALSE, sizeof(struct rr_news_item));
+	char *value = g_base64_encode((const guchar *)text, length);
+	struct rr_news_item item = { .key = key,
+				     .value = value,
+				     .revision = 2 };
+	struct rr_feed_reply reply = { 0 };
+	GString *body;
+
+	g_array_append_val(items, item);
+	body = rr_encode_news(&call, items, 2);
+	rr_decode_feed_reply(RR_FEED_WATCH, 200, (const uint8_t *)body->str,
+			     body->len, &reply);
+	if (reply.status != RR_FEED_OK || reply.items->len != 1)
+		abort();
+	if (g_utf8_validate(key, -1, NULL) &&
+	    strcmp(((struct rr_feed_item *)reply.items->pdata[0])->key, key))
+		abort();
+	g_ptr_array_unref(reply.items);
+	g_string_free(body, TRUE);
+	g_array_unref(items);
+	g_free(value);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t length)
+{
+	size_t key_length;
+	const char *text;
+	char *key;
+
+	if (!length || data[0] + (size_t)1 > length)
+		return 0;
+	key_length = data[0];
+	key = g_strndup((const char *)data + 1, key_length);
+	text = (const char *)data + 1 + key_length;
+	length -= 1 + key_length;
+	decode_listing(key, text, length);
+	decode_instance(key, text, length);
+	pass_on(key, text, length);
+	g_free(key);
+	return 0;
+}
--- a/fuzz/store-reply.c
+++ b/fuzz/store-reply.c
@@ -11,17 +11,15 @@
 
 static void decode_texts(const uint8_t *data, size_t length)
 {
-	char *text = g_strndup((const char *)data, length);
+	const char *text = (const char *)data;
 	const char *fault;
-	struct rr_route_table *table = rr_decode_routes(text, &fault);
-	struct rr_feed_item *item = g_new0(struct rr_feed_item, 1);
+	struct rr_route_table *table = rr_decode_routes(text, length, &fault);
 
 	if (table && !rr_route_table_version(table))
 		abort();
+	if (!table == !fault)
+		abort();
 	rr_drop_route_table(table);
-	item->replica = rr_decode_listing("i", text);
-	rr_free_feed_item(item);
-	g_free(text);
 }
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t length)
--- a/include/ragwort/core.h
+++ b/include/ragwort/core.h
@@ -124,9 +124,14 @@
 void rr_core_hint_member(struct rr_context *ctx, struct rr_core *core,
 			 int64_t now_us, const char *instance, const char *zone,
 			 const char *address);
-/* The platform's list says that an upstream is leaving or gone. */
+/*
+ * The platform's list tells of an upstream's lifetime, which started at
+ * `born_ms` (Unix; 0: not told): it is ready, or leaving.  A later lifetime
+ * has neither the drain nor the times of the one before, an earlier one
+ * counts for nothing.
+ */
 void rr_core_hint_replica(struct rr_context *ctx, struct rr_core *core,
-			  int64_t now_us, const char *replica,
+			  int64_t now_us, const char *replica, int64_t born_ms,
 			  enum rr_upstream_state state);
 
 void rr_core_tick(struct rr_context *ctx, struct rr_core *core, int64_t now_us);
--- a/include/ragwort/counter-list.h
+++ b/include/ragwort/counter-list.h
@@ -36,6 +36,7 @@
 RR_COUNTER(RR_N_PEER_NEWS_CALLS, "peer_news_calls_total", "calls to other instances for the store's news")
 RR_COUNTER(RR_N_NEWS_PASSED_ON, "news_passed_on_total", "answers with the store's news to other instances")
 RR_COUNTER(RR_N_STORE_FAILURES, "store_failures_total", "calls to the platform without a usable reply")
+RR_COUNTER(RR_N_ENTRIES_UNREADABLE, "entries_unreadable_total", "values in the store that are none of their kind, and name nobody")
 RR_COUNTER(RR_N_CLAIMS, "claims_total", "reservation claims that took effect")
 RR_COUNTER(RR_N_CLAIM_DUPLICATES, "claims_duplicate_total", "reservations found claimed already")
 RR_COUNTER(RR_N_CLAIMS_UNSETTLED, "claims_unsettled_total", "claims given up while their write was unsettled")
--- a/include/ragwort/feed.h
+++ b/include/ragwort/feed.h
@@ -53,6 +53,7 @@
 	char *zone;
 	char *address;	 /* IP:PORT for other instances; "" for none */
 	double strength; /* its share of a processor */
+	int64_t born_ms; /* when it started, in Unix milliseconds; 0: untold */
 };
 
 struct rr_feed_item {
@@ -61,8 +62,9 @@
 	char *id; /* of a replica or instance */
 	uint64_t revision;
 	bool removed;
-	char *value; /* in text, to be passed on; NULL: removed */
-	bool packed; /* it is compressed */
+	char *value;	   /* in text, to be passed on; NULL: removed */
+	bool packed;	   /* it is compressed */
+	const char *fault; /* why its value could not be read; NULL: it could */
 	/* Unless removed; NULL where its value could not be read. */
 	struct rr_route_table *routes;
 	struct rr_listing *replica; /* its strings are the item's */
--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -26,7 +26,13 @@
 
 /* A replica as the list of replicas tells of it; strings are copied. */
 struct rr_listing {
-	const char *id; /* of one lifetime */
+	const char *id;
+	/*
+	 * Start of this lifetime, in Unix milliseconds; 0: not told.  A
+	 * replica that starts again under its id is another lifetime, which
+	 * has and knows nothing of the one before.
+	 */
+	int64_t born_ms;
 	const char *service;
 	const char *address; /* IP:PORT */
 	const char *zone;
@@ -55,6 +61,11 @@
 	uint64_t attempt;
 	uint64_t request;
 	const char *endpoint; /* the replica's id */
+	/*
+	 * Names the replica's lifetime, unlike any other's: connections are
+	 * kept by it, so that none made to one lifetime serves the next.
+	 */
+	const char *lifetime;
 	const char *address;
 	int64_t deadline_ms; /* what is left; below 0: none */
 	bool idempotent;
@@ -123,14 +134,14 @@
 	bool (*recall)(void *data, uint64_t attempt);
 	void (*answer)(void *data, const struct rr_gate_answer *answer);
 	/* Be ready to send to a replica: a connection spares the first wait. */
-	void (*open)(void *data, const char *endpoint, const char *address);
+	void (*open)(void *data, const char *lifetime, const char *address);
 	/*
 	 * Find out whether a replica that was silent can be reached: by a new
 	 * connection.  rr_gate_probed() tells.
 	 */
-	void (*probe)(void *data, const char *endpoint, const char *address);
+	void (*probe)(void *data, const char *lifetime, const char *address);
 	/* A replica takes no new work: connections that are idle may go. */
-	void (*forget)(void *data, const char *endpoint);
+	void (*forget)(void *data, const char *lifetime);
 	void *data;
 };
 
@@ -166,7 +177,12 @@
 /* NULL while none is known. */
 const struct rr_route_table *rr_gate_routes(const struct rr_gate *gate);
 
-/* A replica is listed, or what is told of it has changed. */
+/*
+ * A replica is listed, or what is told of it has changed.  A later lifetime
+ * takes the place of the one before; an earlier one counts for nothing; one
+ * that does not tell its start, of an id that told it before, is none of the
+ * replica's own and names nobody.
+ */
 void rr_gate_list(struct rr_context *ctx, struct rr_gate *gate, int64_t now_us,
 		  const struct rr_listing *listing);
 /*
@@ -175,19 +191,27 @@
  */
 void rr_gate_unlist(struct rr_context *ctx, struct rr_gate *gate,
 		    int64_t now_us, const char *id);
+/* An instance as its entry tells of it; strings are copied. */
+struct rr_gate_instance {
+	const char *id;
+	const char *zone;    /* NULL: it has gone */
+	const char *address; /* IP:PORT for other instances; NULL or "": none */
+	double strength;
+	int64_t born_ms; /* when it started, in Unix milliseconds; 0: untold */
+};
+
 /* How many instances share budgets and connections, this one included. */
 void rr_gate_set_instances(struct rr_context *ctx, struct rr_gate *gate,
 			   uint32_t instances);
 
 /*
- * Another instance's entry, or this one's; a zone of NULL: it has gone.  An
+ * Another instance's entry, or this one's.  An
  * instance with half of another's strength or less, in one zone, hands
  * searches over to that one, and leaves the connections to it; to one of
  * another zone while none of its own is well.
  */
 void rr_gate_note_instance(struct rr_context *ctx, struct rr_gate *gate,
-			   int64_t now_us, const char *id, const char *zone,
-			   const char *address, double strength);
+			   int64_t now_us, const struct rr_gate_instance *told);
 
 /*
  * Take a request.  Returns its id, never 0; the answer may come before this
@@ -209,7 +233,7 @@
 
 /* The outcome of a probe. */
 void rr_gate_probed(struct rr_context *ctx, struct rr_gate *gate,
-		    int64_t now_us, const char *endpoint, bool reached);
+		    int64_t now_us, const char *lifetime, bool reached);
 
 void rr_gate_tick(struct rr_context *ctx, struct rr_gate *gate, int64_t now_us);
 /* When rr_gate_tick() is due; INT64_MAX for never. */
--- a/include/ragwort/net-platform.h
+++ b/include/ragwort/net-platform.h
@@ -26,8 +26,11 @@
 	/* The list of instances names an entry instance. */
 	void (*member)(void *data, const char *name, const char *zone,
 		       const char *address);
-	/* It names an upstream replica. */
-	void (*replica)(void *data, const char *name,
+	/*
+	 * It names an upstream replica.  `born_ms` is the start of its
+	 * lifetime, in Unix milliseconds; 0: not told.
+	 */
+	void (*replica)(void *data, const char *name, int64_t born_ms,
 			enum rr_upstream_state state);
 	/*
 	 * Whether this instance is one of those that watch the record and
--- a/soak/soak-fault.c
+++ b/soak/soak-fault.c
@@ -331,6 +331,26 @@
 	g_timeout_add(DRAIN_MS, leave, replica);
 }
 
+/* The replica's own next entry puts it right. */
+static gboolean list_again(gpointer data)
+{
+	struct soak_replica *replica = data;
+
+	harm_world(replica->soak);
+	if (replica->up)
+		soak_list_replica(replica);
+	return G_SOURCE_REMOVE;
+}
+
+static void write_odd_entry(struct soak *soak)
+{
+	struct soak_replica *replica = draw_replica(soak);
+
+	harm_world(soak);
+	soak_write_odd_entry(replica);
+	g_timeout_add(draw_fault_ms(soak), list_again, replica);
+}
+
 /* The store. */
 
 static gboolean heal_store(gpointer data)
@@ -471,7 +491,7 @@
 		crash_replica,	   swap_addresses,     drain_replica,
 		drain_replica,	   harm_store,	       slow_store,
 		forget_history,	   change_config,      change_config,
-		storm_config,
+		storm_config,	   write_odd_entry,
 	};
 	static void (*const stops[])(struct soak * soak) = {
 		stop_instance,
--- a/soak/soak-replica.c
+++ b/soak/soak-replica.c
@@ -241,10 +241,24 @@
 	start_work(replica, connection, request);
 }
 
+/* Starts of one replica differ, however soon they follow each other. */
+static int64_t next_born_ms(const struct soak_replica *replica)
+{
+	return MAX(g_get_real_time() / MS, replica->born_ms + 1);
+}
+
 static void begin_lifetime(struct soak_replica *replica, const char *service)
 {
+	bool keeps_id = !strcmp(replica->service, service) &&
+			soak_chance(replica->soak, 0.5);
+
 	replica->number = ++replica->soak->next_replica;
-	g_snprintf(replica->id, sizeof(replica->id), "i-%u", replica->number);
+	replica->born_ms = next_born_ms(replica);
+	if (keeps_id)
+		replica->soak->reborn++;
+	else
+		g_snprintf(replica->id, sizeof(replica->id), "i-%u",
+			   replica->number);
 	g_strlcpy(replica->service, service, sizeof(replica->service));
 	replica->draining_us = 0;
 	replica->up = true;
@@ -284,18 +298,49 @@
 
 void soak_list_replica(struct soak_replica *replica)
 {
-	char *key = g_strdup_printf("servers/%s", replica->id);
-	char *value = g_strdup_printf(
-		"{\"service\":\"%s\",\"address\":\"127.0.0.1:%u\","
-		"\"zone\":\"z%u\",\"version\":\"1\",\"slots\":4,"
-		"\"state\":\"%s\",\"coldRemainingMs\":0,\"sequence\":1}",
-		replica->service, soak_link_port(replica->link), replica->zone,
-		replica->draining_us ? "draining" : "ready");
+	char *address =
+		g_strdup_printf("127.0.0.1:%u", soak_link_port(replica->link));
+	char *zone = g_strdup_printf("z%u", replica->zone);
+	struct test_entry entry = {
+		.id = replica->id,
+		.service = replica->service,
+		.address = address,
+		.zone = zone,
+		.slots = 4,
+		.draining = replica->draining_us != 0,
+		.born_ms = replica->born_ms,
+	};
 
 	replica->listed = true;
-	test_store_put(&replica->soak->store, key, value);
-	g_free(value);
-	g_free(key);
+	test_store_list(&replica->soak->store, &entry);
+	g_free(zone);
+	g_free(address);
+}
+
+void soak_write_odd_entry(struct soak_replica *replica)
+{
+	static const char *const values[] = {
+		"",
+		"nonsense",
+		"{\"service\":\"s0\"}",
+		"{\"service\":\"s0\",\"address\":\"127.0.0.1:1\",\"zone\":"
+		"\"z0\",\"version\":\"1\",\"slots\":4,\"state\":\"odd\","
+		"\"coldRemainingMs\":0,\"sequence\":1}",
+	};
+	struct soak *soak = replica->soak;
+	static const char *const keys[] = {
+		"servers/\"odd\"",
+		"servers/o\nd",
+		"ragwort/instances/odd",
+		"servers/odd\\",
+	};
+	char *own = g_strdup_printf("servers/%s", replica->id);
+	uint32_t drawn = soak_draw(soak, G_N_ELEMENTS(keys) + 1);
+
+	test_store_put(&soak->store,
+		       drawn < G_N_ELEMENTS(keys) ? keys[drawn] : own,
+		       values[soak_draw(soak, G_N_ELEMENTS(values))]);
+	g_free(own);
 }
 
 /* Requests that it had: its runs count no more for the bound on attempts. */
@@ -325,9 +370,12 @@
 void soak_revive_replica(struct soak_replica *replica, const char *service)
 {
 	char *key = g_strdup_printf("servers/%s", replica->id);
+	char *id = g_strdup(replica->id);
 
-	test_store_remove(&replica->soak->store, key);
 	begin_lifetime(replica, service);
+	if (strcmp(id, replica->id) || soak_chance(replica->soak, 0.5))
+		test_store_remove(&replica->soak->store, key);
 	soak_list_replica(replica);
+	g_free(id);
 	g_free(key);
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -77,7 +77,8 @@
 struct soak_replica {
 	struct soak *soak;
 	uint32_t number; /* of its lifetime */
-	char id[16];
+	char id[16];	 /* may be that of the lifetime before */
+	int64_t born_ms;
 	char service[4];
 	uint32_t zone;
 	struct test_server server;
@@ -130,6 +131,7 @@
 	uint32_t whole;
 	uint32_t partial;
 	uint32_t refused;
+	uint32_t reborn;  /* lifetimes under the id of the one before */
 	uint32_t unknown; /* 502 and 504 */
 	uint32_t cut;	  /* connections that ended without an answer */
 	uint32_t runs;
@@ -164,8 +166,14 @@
 void soak_list_replica(struct soak_replica *replica);
 /* Its process dies: a new lifetime begins with soak_revive_replica(). */
 void soak_crash_replica(struct soak_replica *replica);
-/* Begin a new lifetime at the same address. */
+/*
+ * Begin a new lifetime at the same address, drawn at random: under another id,
+ * or the same one if it serves the same, its entry taken away first or
+ * written over.
+ */
 void soak_revive_replica(struct soak_replica *replica, const char *service);
+/* Somebody writes what is no entry, beside its own or over it. */
+void soak_write_odd_entry(struct soak_replica *replica);
 
 /* soak-instance.c */
 struct soak_instance *soak_new_instance(struct soak *soak, uint32_t number);
--- a/source/base/json.c
+++ b/source/base/json.c
@@ -3,9 +3,39 @@
  */
 #include "base/json-private.h"
 
-void rr_append_json_string(GString *out, const char *text)
+#include <stdbool.h>
+
+static bool is_plain(unsigned char c)
+{
+	return c >= ' ' && c != '"' && c != '\\' && c != 0x7f;
+}
+
+/* Bytes until one that is escaped: long values have none. */
+static size_t count_plain(const char *text)
+{
+	size_t n = 0;
+
+	while (is_plain((unsigned char)text[n]))
+		n++;
+	return n;
+}
+
+static void append_escaped(GString *out, unsigned char c)
 {
 	static const char digits[] = "0123456789abcdef";
+
+	if (c == '"' || c == '\\') {
+		g_string_append_c(out, '\\');
+		g_string_append_c(out, (char)c);
+		return;
+	}
+	g_string_append(out, "\\u00");
+	g_string_append_c(out, digits[c >> 4]);
+	g_string_append_c(out, digits[c & 15]);
+}
+
+void rr_append_json_string(GString *out, const char *text)
+{
 	char *valid = NULL;
 
 	if (!text) {
@@ -21,19 +51,13 @@
 		text = valid;
 	}
 	g_string_append_c(out, '"');
-	for (; *text; text++) {
-		unsigned char c = (unsigned char)*text;
-
-		if (c == '"' || c == '\\') {
-			g_string_append_c(out, '\\');
-			g_string_append_c(out, (char)c);
-		} else if (c < ' ' || c == 0x7f) {
-			g_string_append(out, "\\u00");
-			g_string_append_c(out, digits[c >> 4]);
-			g_string_append_c(out, digits[c & 15]);
-		} else {
-			g_string_append_c(out, (char)c);
-		}
+	while (*text) {
+		size_t plain = count_plain(text);
+
+		g_string_append_len(out, text, (gssize)plain);
+		text += plain;
+		if (*text)
+			append_escaped(out, (unsigned char)*text++);
 	}
 	g_string_append_c(out, '"');
 	g_free(valid);
--- a/source/core/core.c
+++ b/source/core/core.c
@@ -450,14 +450,15 @@
 }
 
 void rr_core_hint_replica(struct rr_context *ctx, struct rr_core *core,
-			  int64_t now_us, const char *replica,
+			  int64_t now_us, const char *replica, int64_t born_ms,
 			  enum rr_upstream_state state)
 {
 	struct rr_replica *entry = rr_find_replica(core, replica);
 
 	enter(ctx, core, now_us);
 	/* Only an owner would see it come back by its polls. */
-	if (entry && (entry->owned || state != RR_UPSTREAM_DOWN))
+	if (entry && (entry->owned || state != RR_UPSTREAM_DOWN) &&
+	    rr_note_replica_born(ctx, entry, born_ms))
 		rr_note_state(ctx, core, entry, state, "list");
 	rr_settle_core(ctx, core);
 }
--- a/source/core/feed-count.c
+++ b/source/core/feed-count.c
@@ -24,12 +24,14 @@
 static uint32_t count_instances(const struct rr_feed *feed)
 {
 	GHashTableIter iter;
-	gpointer known;
+	gpointer value;
 	uint32_t n = 0;
 
 	g_hash_table_iter_init(&iter, feed->known);
-	while (g_hash_table_iter_next(&iter, NULL, &known)) {
-		if (((struct rr_feed_known *)known)->kind == RR_FEED_INSTANCE)
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rr_feed_known *known = value;
+
+		if (known->kind == RR_FEED_INSTANCE && known->names_one)
 			n++;
 	}
 	return MAX(n, 1);
--- a/source/core/feed-items.c
+++ b/source/core/feed-items.c
@@ -3,6 +3,7 @@
  */
 #include "core/feed-private.h"
 
+#include "ragwort/counters.h"
 #include "ragwort/log.h"
 
 void rr_free_feed_item(gpointer data)
@@ -40,6 +41,16 @@
 	feed->actions.instance(feed->actions.data, id, NULL);
 }
 
+/* Whom a key named is not known to be there any more. */
+static void forget_named(struct rr_feed *feed,
+			 const struct rr_feed_known *known)
+{
+	if (known->kind == RR_FEED_REPLICA)
+		feed->actions.unlisted(feed->actions.data, known->id);
+	else if (known->kind == RR_FEED_INSTANCE)
+		forget_instance(feed, known->id);
+}
+
 static void forget_key(struct rr_feed *feed, const char *key, uint64_t revision)
 {
 	struct rr_feed_known *known = g_hash_table_lookup(feed->known, key);
@@ -48,39 +59,58 @@
 	if (!known)
 		return;
 	rr_keep_news(feed->news, &news);
-	if (known->kind == RR_FEED_REPLICA)
-		feed->actions.unlisted(feed->actions.data, known->id);
-	else if (known->kind == RR_FEED_INSTANCE)
-		forget_instance(feed, known->id);
+	forget_named(feed, known);
 	g_hash_table_remove(feed->known, key);
 }
 
+/*
+ * A value that is none of its kind names nobody.  Guards against entries that
+ * others write: what its key named before is not known to be there any more.
+ * The routes in force stay, since without any nobody would be served.
+ */
+static void learn_fault(struct rr_context *ctx, struct rr_feed *feed,
+			struct rr_feed_known *known,
+			const struct rr_feed_item *item)
+{
+	rr_count(ctx, RR_N_ENTRIES_UNREADABLE, 1);
+	if (known->names_one)
+		forget_named(feed, known);
+	known->names_one = false;
+	/* Written again and again, it is told once. */
+	if (known->fault != item->fault)
+		rr_log(ctx, RR_LOG_ERROR, "item-unreadable",
+		       RR_FIELD_STRING("key", item->key),
+		       RR_FIELD_STRING("reason", item->fault),
+		       RR_FIELD_U64("revision", item->revision));
+	known->fault = item->fault;
+}
+
 static void learn(struct rr_context *ctx, struct rr_feed *feed,
-		  const struct rr_feed_item *item)
+		  struct rr_feed_known *known, const struct rr_feed_item *item)
 {
+#ifndef RR_MUTANT_FEED_KEEPS_UNREADABLE
+	if (item->fault) {
+		learn_fault(ctx, feed, known, item);
+		return;
+	}
+#endif
+	known->fault = NULL;
+	known->names_one = true;
 	switch (item->kind) {
 	case RR_FEED_ROUTES:
-		if (item->routes)
-			feed->actions.routes(feed->actions.data, item->routes);
+		feed->actions.routes(feed->actions.data, item->routes);
 		break;
 	case RR_FEED_REPLICA:
-		if (item->replica)
-			feed->actions.listed(feed->actions.data, item->replica);
+		feed->actions.listed(feed->actions.data, item->replica);
 		break;
 	case RR_FEED_INSTANCE:
-		if (!item->instance)
-			break;
 		rr_note_source(feed->sources, item->id, item->instance);
 		feed->actions.instance(feed->actions.data, item->id,
 				       item->instance);
 		break;
 	case RR_FEED_OTHER:
-		return;
+		break;
 	}
-	if (!item->routes && !item->replica && !item->instance)
-		rr_log(ctx, RR_LOG_ERROR, "item-unreadable",
-		       RR_FIELD_STRING("key", item->key),
-		       RR_FIELD_U64("revision", item->revision));
 }
 
 static void keep_for_others(struct rr_feed *feed,
@@ -124,7 +154,7 @@
 		return;
 	known->revision = item->revision;
 	keep_for_others(feed, item);
-	learn(ctx, feed, item);
+	learn(ctx, feed, known, item);
 }
 
 void rr_forget_unseen(struct rr_feed *feed)
--- a/source/core/feed-private.h
+++ b/source/core/feed-private.h
@@ -20,7 +20,9 @@
 	enum rr_feed_item_kind kind;
 	char *id;
 	uint64_t revision;
-	bool seen; /* in the range under way */
+	bool seen;	   /* in the range under way */
+	const char *fault; /* of its last value; NULL: it could be read */
+	bool names_one;	   /* a replica or instance, by its last value */
 };
 
 struct rr_feed {
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -46,7 +46,7 @@
 		.kind = kind,
 		.reason = reason,
 		.service = endpoint->service->name,
-		.endpoint = endpoint->id,
+		.endpoint = endpoint->lifetime,
 		.attempt = attempt->id,
 		.status = status,
 		.in_flight = endpoint->live.length,
@@ -147,6 +147,7 @@
 	send.attempt = attempt->id;
 	send.request = run->id;
 	send.endpoint = endpoint->id;
+	send.lifetime = endpoint->lifetime;
 	send.address = endpoint->address;
 	send.idempotent = attempt->idempotent;
 	send.kept_connections =
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -1,9 +1,9 @@
 /*
  * gate-list.c - the replicas that are there, by lifetime.
  *
- * The list is one source, what attempts see another: a replica that answers
- * 421 for another lifetime, or that the list calls draining, takes nothing
- * new for good.
+ * The list is one source, what attempts see another: a lifetime that answers
+ * 421 for another replica, or that the list calls draining, takes nothing new
+ * any more; a later lifetime does (gate-lifetime.c).
  */
 #include "core/gate-private.h"
 
@@ -36,6 +36,7 @@
 	if (!endpoint || --endpoint->refs)
 		return;
 	g_free(endpoint->id);
+	g_free(endpoint->lifetime);
 	g_free(endpoint->address);
 	g_free(endpoint);
 }
@@ -150,13 +151,17 @@
 }
 
 static struct rr_endpoint *add_endpoint(struct rr_gate *gate,
-					const struct rr_listing *listing)
+					const struct rr_listing *listing,
+					const char *before)
 {
 	struct rr_endpoint *endpoint = g_new0(struct rr_endpoint, 1);
 
 	endpoint->refs = 1;
 	endpoint->number = ++gate->next_id;
 	endpoint->id = g_strdup(listing->id);
+	endpoint->born_ms = listing->born_ms;
+	endpoint->lifetime =
+		rr_name_lifetime(listing, endpoint->number, before);
 	endpoint->address = g_strdup(listing->address);
 	endpoint->zone = rr_gate_zone_of(gate, listing->zone);
 	endpoint->service = rr_gate_service_of(gate, listing->service);
@@ -164,6 +169,8 @@
 	g_queue_init(&endpoint->live);
 	g_ptr_array_add(endpoint->service->endpoints, endpoint);
 	g_hash_table_insert(gate->endpoints, endpoint->id, endpoint);
+	g_hash_table_insert(gate->lifetimes, endpoint->lifetime, endpoint);
+	rr_note_born(gate, listing);
 	return endpoint;
 }
 
@@ -175,15 +182,17 @@
 	endpoint->draining = true;
 	rr_log(ctx, RR_LOG_INFO, "endpoint-retired",
 	       RR_FIELD_STRING("endpoint", endpoint->id),
+	       RR_FIELD_I64("born_ms", endpoint->born_ms),
 	       RR_FIELD_STRING("service", endpoint->service->name),
 	       RR_FIELD_STRING("reason", reason),
 	       RR_FIELD_U64("in_flight", endpoint->live.length));
-	gate->actions.forget(gate->actions.data, endpoint->id);
+	gate->actions.forget(gate->actions.data, endpoint->lifetime);
 }
 
 static void remove_endpoint(struct rr_gate *gate, struct rr_endpoint *endpoint)
 {
 	g_ptr_array_remove(endpoint->service->endpoints, endpoint);
+	g_hash_table_remove(gate->lifetimes, endpoint->lifetime);
 	g_hash_table_steal(gate->endpoints, endpoint->id);
 	rr_drop_endpoint(endpoint);
 }
@@ -207,34 +216,63 @@
 	return !service || service->max_connections >= rr_count_holders(gate);
 }
 
-void rr_gate_list(struct rr_context *ctx, struct rr_gate *gate, int64_t now_us,
-		  const struct rr_listing *listing)
+/*
+ * Another lifetime takes the place of the one that is known, with nothing of
+ * it.  Attempts in flight keep the earlier one until they end: what comes back
+ * tells of that one only.
+ */
+static struct rr_endpoint *replace_endpoint(struct rr_context *ctx,
+					    struct rr_gate *gate,
+					    struct rr_endpoint *before,
+					    const struct rr_listing *listing)
 {
-	struct rr_endpoint *endpoint =
-		g_hash_table_lookup(gate->endpoints, listing->id);
-	bool is_new = !endpoint || !endpoint->listed;
+	struct rr_endpoint *endpoint;
+	char *name;
+	bool drained;
+
+	if (!before)
+		return add_endpoint(gate, listing, NULL);
+	/* Within a lifetime a drain is for good, wherever it is listed. */
+	drained = before->draining && before->born_ms == listing->born_ms;
+	name = g_strdup(before->lifetime);
+	rr_retire_endpoint(ctx, gate, before, "replaced");
+	remove_endpoint(gate, before);
+	endpoint = add_endpoint(gate, listing, name);
+	endpoint->draining = drained;
+	g_free(name);
+	return endpoint;
+}
+
+static void log_listed(struct rr_context *ctx, const struct rr_listing *listing,
+		       const char *event, const char *reason)
+{
+	rr_log(ctx, RR_LOG_INFO, event,
+	       RR_FIELD_STRING("endpoint", listing->id),
+	       RR_FIELD_I64("born_ms", listing->born_ms),
+	       RR_FIELD_STRING("service", listing->service),
+	       RR_FIELD_STRING("address", listing->address),
+	       RR_FIELD_STRING("zone", listing->zone),
+	       RR_FIELD_STRING("reason", reason),
+	       RR_FIELD_BOOL("draining", listing->draining),
+	       RR_FIELD_U64("cold_ms", listing->cold_ms));
+}
+
+/* What is told of the lifetime that is known by now. */
+static void update_endpoint(struct rr_context *ctx, struct rr_gate *gate,
+			    struct rr_endpoint *endpoint,
+			    const struct rr_listing *listing)
+{
+	bool is_new = !endpoint->listed;
 
-	gate->now_us = now_us;
-	if (!endpoint)
-		endpoint = add_endpoint(gate, listing);
-	if (strcmp(endpoint->address, listing->address)) {
-		g_free(endpoint->address);
-		endpoint->address = g_strdup(listing->address);
-	}
 	endpoint->listed = true;
 	endpoint->slots = MAX(listing->slots, 1);
-	if (is_new)
+	endpoint->cold_until_us =
+		gate->now_us + (int64_t)listing->cold_ms * 1000;
+	if (is_new) {
 		rr_start_limit(&endpoint->limit,
 			       rr_endpoint_bounds(gate, endpoint).share);
-	endpoint->cold_until_us = now_us + (int64_t)listing->cold_ms * 1000;
-	if (is_new)
-		rr_log(ctx, RR_LOG_INFO, "endpoint-listed",
-		       RR_FIELD_STRING("endpoint", endpoint->id),
-		       RR_FIELD_STRING("service", listing->service),
-		       RR_FIELD_STRING("address", listing->address),
-		       RR_FIELD_STRING("zone", listing->zone),
-		       RR_FIELD_BOOL("draining", listing->draining),
-		       RR_FIELD_U64("cold_ms", listing->cold_ms));
+		log_listed(ctx, listing, "endpoint-listed", "new");
+	}
 	if (listing->draining) {
 		rr_retire_endpoint(ctx, gate, endpoint, "draining");
 		return;
@@ -242,11 +280,36 @@
 	/* Seen by its own sign of life: it is worth a try. */
 	rr_note_alive(ctx, gate, endpoint);
 	if (is_new && !endpoint->draining && may_open(gate, endpoint))
-		gate->actions.open(gate->actions.data, endpoint->id,
+		gate->actions.open(gate->actions.data, endpoint->lifetime,
 				   endpoint->address);
 	rr_pump_service(ctx, gate, endpoint->service);
 }
 
+void rr_gate_list(struct rr_context *ctx, struct rr_gate *gate, int64_t now_us,
+		  const struct rr_listing *listing)
+{
+	struct rr_endpoint *endpoint =
+		g_hash_table_lookup(gate->endpoints, listing->id);
+
+	gate->now_us = now_us;
+	switch (rr_judge_lifetime(gate, endpoint, listing)) {
+	case RR_LIFETIME_EARLIER:
+		log_listed(ctx, listing, "endpoint-left-out",
+			   "earlier-lifetime");
+		return;
+	case RR_LIFETIME_UNTOLD:
+		log_listed(ctx, listing, "endpoint-left-out", "start-not-told");
+		rr_gate_unlist(ctx, gate, now_us, listing->id);
+		return;
+	case RR_LIFETIME_OTHER:
+		endpoint = replace_endpoint(ctx, gate, endpoint, listing);
+		break;
+	case RR_LIFETIME_SAME:
+		break;
+	}
+	update_endpoint(ctx, gate, endpoint, listing);
+}
+
 void rr_gate_unlist(struct rr_context *ctx, struct rr_gate *gate,
 		    int64_t now_us, const char *id)
 {
@@ -259,6 +322,7 @@
 	endpoint->unlisted_us = now_us;
 	rr_log(ctx, RR_LOG_INFO, "endpoint-unlisted",
 	       RR_FIELD_STRING("endpoint", endpoint->id),
+	       RR_FIELD_I64("born_ms", endpoint->born_ms),
 	       RR_FIELD_STRING("service", endpoint->service->name),
 	       RR_FIELD_BOOL("draining", endpoint->draining));
 #ifdef RR_MUTANT_GATE_LAPSED_STAYS
@@ -287,6 +351,17 @@
 	}
 }
 
+void rr_end_endpoint(struct rr_context *ctx, struct rr_gate *gate,
+		     const char *id, const char *reason)
+{
+	struct rr_endpoint *endpoint = g_hash_table_lookup(gate->endpoints, id);
+
+	if (!endpoint)
+		return;
+	rr_retire_endpoint(ctx, gate, endpoint, reason);
+	remove_endpoint(gate, endpoint);
+}
+
 static bool has_endpoint(const struct rr_gate *gate, const char *name)
 {
 	const struct rr_gate_service *service =
--- a/source/core/gate-peer.c
+++ b/source/core/gate-peer.c
@@ -122,24 +122,73 @@
 		judge_peer(ctx, gate, value);
 }
 
-void rr_gate_note_instance(struct rr_context *ctx, struct rr_gate *gate,
-			   int64_t now_us, const char *id, const char *zone,
-			   const char *address, double strength)
+static void set_text(char **place, const char *text)
+{
+	g_free(*place);
+	*place = g_strdup(text ? text : "");
+}
+
+/*
+ * An instance that started again is another lifetime: what was seen of the one
+ * before counts no more.  Starts are compared for being the same only, since
+ * an instance's time of day may have been set back in between.
+ */
+static bool has_started_anew(const struct rr_gate_peer *peer,
+			     const struct rr_gate_instance *told)
+{
+	return peer->born_ms != told->born_ms ||
+	       strcmp(peer->address, told->address ? told->address : "");
+}
+
+static void forget_peer(struct rr_context *ctx, struct rr_gate *gate,
+			struct rr_gate_peer *peer)
+{
+	if (peer->listed)
+		rr_end_endpoint(ctx, gate, peer->id, "instance-ended");
+	peer->listed = false;
+}
+
+static void update_peer(struct rr_context *ctx, struct rr_gate *gate,
+			struct rr_gate_peer *peer,
+			const struct rr_gate_instance *told)
+{
+	if (has_started_anew(peer, told))
+		forget_peer(ctx, gate, peer);
+	/* It may be listed in another way. */
+	if (peer->listed)
+		rr_gate_unlist(ctx, gate, gate->now_us, peer->id);
+	peer->listed = false;
+	set_text(&peer->zone, told->zone);
+	set_text(&peer->address, told->address);
+	peer->strength = told->strength;
+	peer->born_ms = told->born_ms;
+}
+
+static struct rr_gate_peer *peer_of(struct rr_gate *gate, const char *id)
 {
 	struct rr_gate_peer *peer = g_hash_table_lookup(gate->peers, id);
 
-	gate->now_us = now_us;
-	if (peer && peer->listed)
-		rr_gate_unlist(ctx, gate, now_us, id);
 	if (peer)
-		g_hash_table_remove(gate->peers, id);
-	if (zone) {
-		peer = g_new0(struct rr_gate_peer, 1);
-		peer->id = g_strdup(id);
-		peer->zone = g_strdup(zone);
-		peer->address = g_strdup(address ? address : "");
-		peer->strength = strength;
-		g_hash_table_insert(gate->peers, peer->id, peer);
+		return peer;
+	peer = g_new0(struct rr_gate_peer, 1);
+	peer->id = g_strdup(id);
+	set_text(&peer->address, NULL);
+	g_hash_table_insert(gate->peers, peer->id, peer);
+	return peer;
+}
+
+void rr_gate_note_instance(struct rr_context *ctx, struct rr_gate *gate,
+			   int64_t now_us, const struct rr_gate_instance *told)
+{
+	struct rr_gate_peer *peer = g_hash_table_lookup(gate->peers, told->id);
+
+	gate->now_us = now_us;
+	if (told->zone) {
+		update_peer(ctx, gate, peer_of(gate, told->id), told);
+	} else if (peer) {
+		if (peer->listed)
+			rr_gate_unlist(ctx, gate, now_us, told->id);
+		g_hash_table_remove(gate->peers, told->id);
 	}
 	judge_peers(ctx, gate);
 	rr_refresh_extras(gate);
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -45,13 +45,15 @@
 struct rr_endpoint {
 	int refs;
 	uint64_t number; /* names it in timers and among the tried ones */
-	char *id;
+	char *id;	 /* may be that of an earlier lifetime as well */
+	int64_t born_ms; /* 0: not told */
+	char *lifetime;	 /* names this lifetime to the carrier */
 	char *address;
 	struct rr_gate_service *service;
 	struct rr_gate_zone *zone;
 	bool probing;  /* a probe is due or under way */
 	bool listed;   /* in the list of replicas */
-	bool draining; /* or replaced: takes no new work, for good */
+	bool draining; /* or replaced: it takes no new work any more */
 	int64_t unlisted_us;
 	int64_t cold_until_us;
 	bool away; /* another zone's strong instance: where none here is good */
@@ -148,6 +150,7 @@
 	double strength;
 	bool listed; /* among those that searches are handed to */
 	char *address;
+	int64_t born_ms;
 };
 
 struct rr_gate {
@@ -174,9 +177,11 @@
 	GPtrArray *zones;     /* struct rr_gate_zone */
 	bool isolated; /* cut off from the other zones, see gate-zone.c */
 	GHashTable *endpoints; /* id -> struct rr_endpoint, listed or of late */
-	GHashTable *records;   /* route's name -> struct rr_route_record */
-	GHashTable *runs;      /* id -> struct rr_gate_run */
-	GHashTable *attempts;  /* id -> struct rr_gate_attempt */
+	GHashTable *lifetimes; /* name -> struct rr_endpoint, the same ones */
+	GHashTable *born;     /* id -> latest start told, see gate-lifetime.c */
+	GHashTable *records;  /* route's name -> struct rr_route_record */
+	GHashTable *runs;     /* id -> struct rr_gate_run */
+	GHashTable *attempts; /* id -> struct rr_gate_attempt */
 };
 
 /* gate-list.c */
@@ -196,6 +201,30 @@
 			struct rr_endpoint *endpoint, const char *reason);
 void rr_expire_unlisted(struct rr_context *ctx, struct rr_gate *gate,
 			uint64_t number);
+/* Its lifetime is over: it is forgotten at once. */
+void rr_end_endpoint(struct rr_context *ctx, struct rr_gate *gate,
+		     const char *id, const char *reason);
+
+/* gate-lifetime.c */
+enum rr_lifetime {
+	RR_LIFETIME_SAME,    /* what is told of the one that is known */
+	RR_LIFETIME_OTHER,   /* another one takes its place */
+	RR_LIFETIME_EARLIER, /* one that is over */
+	RR_LIFETIME_UNTOLD,  /* does not say which, though its id did before */
+};
+
+/* What a listing is of; `endpoint` is the one known by its id, or NULL. */
+enum rr_lifetime rr_judge_lifetime(const struct rr_gate *gate,
+				   const struct rr_endpoint *endpoint,
+				   const struct rr_listing *listing);
+/* Remember when a lifetime started, longer than it is listed. */
+void rr_note_born(struct rr_gate *gate, const struct rr_listing *listing);
+/*
+ * A name for a lifetime, for g_free(), unlike `before`, the name of the one
+ * that it takes the place of (NULL: of none).
+ */
+char *rr_name_lifetime(const struct rr_listing *listing, uint64_t number,
+		       const char *before);
 
 /* gate-zone.c */
 struct rr_gate_zone *rr_gate_zone_of(struct rr_gate *gate, const char *name);
--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -276,7 +276,7 @@
 		return;
 	}
 	endpoint->probing = true;
-	gate->actions.probe(gate->actions.data, endpoint->id,
+	gate->actions.probe(gate->actions.data, endpoint->lifetime,
 			    endpoint->address);
 }
 
@@ -320,16 +320,17 @@
 		doubt_other_zones(ctx, gate);
 	endpoint = draw_of_zone(ctx, gate, zone);
 	if (endpoint)
-		gate->actions.probe(gate->actions.data, endpoint->id,
+		gate->actions.probe(gate->actions.data, endpoint->lifetime,
 				    endpoint->address);
 	rr_set_timer(gate->timers, gate->now_us + PROBE_US, RR_TIMER_GATE_ZONE,
 		     number, 0);
 }
 
 void rr_gate_probed(struct rr_context *ctx, struct rr_gate *gate,
-		    int64_t now_us, const char *id, bool reached)
+		    int64_t now_us, const char *lifetime, bool reached)
 {
-	struct rr_endpoint *endpoint = g_hash_table_lookup(gate->endpoints, id);
+	struct rr_endpoint *endpoint =
+		g_hash_table_lookup(gate->lifetimes, lifetime);
 
 	gate->now_us = now_us;
 	if (!endpoint)
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -45,6 +45,9 @@
 					       rr_free_gate_service);
 	gate->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						free_endpoint);
+	gate->lifetimes = g_hash_table_new(g_str_hash, g_str_equal);
+	gate->born =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->records = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      free_record);
 	gate->runs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
@@ -61,7 +64,9 @@
 		return;
 	g_hash_table_unref(gate->attempts);
 	g_hash_table_unref(gate->runs);
+	g_hash_table_unref(gate->lifetimes);
 	g_hash_table_unref(gate->endpoints);
+	g_hash_table_unref(gate->born);
 	g_hash_table_unref(gate->services);
 	g_ptr_array_unref(gate->zones);
 	g_hash_table_unref(gate->records);
--- a/source/core/replica-private.h
+++ b/source/core/replica-private.h
@@ -24,6 +24,7 @@
 	int refs;
 	uint64_t number; /* names it in timers */
 	char *id;
+	int64_t born_ms; /* start of its lifetime, Unix; 0: not told */
 	char *zone;
 	char *address;
 	struct rr_service *service;
@@ -120,6 +121,12 @@
 /* What a replica told of its versions; 0 is not told. */
 void rr_note_versions(const struct rr_core *core, struct rr_replica *replica,
 		      uint64_t oldest, uint64_t newest, uint64_t epoch);
+/*
+ * The list tells of the lifetime that started at `born_ms` (0: not told).
+ * False if that one is over, or may be: a later one was told of before.
+ */
+bool rr_note_replica_born(struct rr_context *ctx, struct rr_replica *replica,
+			  int64_t born_ms);
 void rr_note_state(struct rr_context *ctx, struct rr_core *core,
 		   struct rr_replica *replica, enum rr_upstream_state state,
 		   const char *source);
--- a/source/core/replica.c
+++ b/source/core/replica.c
@@ -136,6 +136,31 @@
 	rr_start_limit(&replica->limit, rr_slot_share(replica));
 }
 
+bool rr_note_replica_born(struct rr_context *ctx, struct rr_replica *replica,
+			  int64_t born_ms)
+{
+	bool is_later = born_ms > replica->born_ms;
+
+	if (born_ms < replica->born_ms)
+		return false;
+	/* The first time that it is told may be of the lifetime that is known. */
+	if (is_later && replica->born_ms) {
+		start_warming(replica);
+		replica->draining_since_us = 0;
+		replica->ready_polls = 0;
+		replica->oldest_version = 0;
+		replica->newest_version = 0;
+		replica->map_epoch = 0;
+		replica->state = RR_UPSTREAM_UNKNOWN;
+		rr_log(ctx, RR_LOG_DECISION, "replica-born",
+		       RR_FIELD_STRING("replica", replica->id),
+		       RR_FIELD_I64("born_ms", born_ms),
+		       RR_FIELD_I64("before_ms", replica->born_ms));
+	}
+	replica->born_ms = born_ms;
+	return true;
+}
+
 /* A drain ends by the replica's own health, told twice after the news. */
 static void set_ready(struct rr_context *ctx, struct rr_core *core,
 		      struct rr_replica *replica, enum rr_upstream_state state,
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -260,13 +260,13 @@
 	settle(daemon);
 }
 
-static void take_replica(void *data, const char *name,
+static void take_replica(void *data, const char *name, int64_t born_ms,
 			 enum rr_upstream_state state)
 {
 	struct rr_daemon *daemon = data;
 
 	rr_core_hint_replica(daemon->ctx, daemon->core, g_get_monotonic_time(),
-			     name, state);
+			     name, born_ms, state);
 	settle(daemon);
 }
 
--- a/source/gateway/gateway-callers.c
+++ b/source/gateway/gateway-callers.c
@@ -160,28 +160,28 @@
 	}
 }
 
-static void open_endpoint(void *data, const char *endpoint, const char *address)
+static void open_lifetime(void *data, const char *lifetime, const char *address)
 {
 	struct rr_gateway *gateway = data;
 
-	rr_open_replica(gateway->replicas, rr_gateway_now_us(), endpoint,
+	rr_open_replica(gateway->replicas, rr_gateway_now_us(), lifetime,
 			address);
 }
 
-static void probe_endpoint(void *data, const char *endpoint,
+static void probe_lifetime(void *data, const char *lifetime,
 			   const char *address)
 {
 	struct rr_gateway *gateway = data;
 
-	rr_probe_replica(gateway->replicas, rr_gateway_now_us(), endpoint,
+	rr_probe_replica(gateway->replicas, rr_gateway_now_us(), lifetime,
 			 address);
 }
 
-static void forget_endpoint(void *data, const char *endpoint)
+static void forget_lifetime(void *data, const char *lifetime)
 {
 	struct rr_gateway *gateway = data;
 
-	rr_forget_replica(gateway->replicas, endpoint);
+	rr_forget_replica(gateway->replicas, lifetime);
 }
 
 struct rr_gate_actions rr_gateway_gate_actions(struct rr_gateway *gateway)
@@ -191,9 +191,9 @@
 		.withdraw = withdraw_attempt,
 		.recall = recall_attempt,
 		.answer = give_answer,
-		.open = open_endpoint,
-		.probe = probe_endpoint,
-		.forget = forget_endpoint,
+		.open = open_lifetime,
+		.probe = probe_lifetime,
+		.forget = forget_lifetime,
 		.data = gateway,
 	};
 }
--- a/source/gateway/gateway-private.h
+++ b/source/gateway/gateway-private.h
@@ -61,7 +61,8 @@
 	struct rr_replica_port *store;
 	struct rr_replica_port *strong; /* instances to hand over to */
 	struct rr_lifecycle lifecycle;
-	GHashTable *requests;	     /* gate's id -> struct open_request */
+	int64_t born_ms;      /* Unix time; told in this instance's entry */
+	GHashTable *requests; /* gate's id -> struct open_request */
 	struct open_request *taking; /* being taken: its id is not known yet */
 	GHashTable *calls;	     /* id -> struct open_call */
 	GArray *askers;		     /* struct asker */
--- a/source/gateway/gateway-store.c
+++ b/source/gateway/gateway-store.c
@@ -25,6 +25,7 @@
 		.zone = gateway->settings->zone,
 		.address = gateway->settings->peer_address,
 		.strength = gateway->settings->strength,
+		.born_ms = gateway->born_ms,
 	};
 	const char *address =
 		call->peer ? call->peer : gateway->settings->store_address;
@@ -36,7 +37,7 @@
 	/* Sent once: a repeat is the feed's to decide. */
 	struct rr_gate_send send = {
 		.attempt = call->id,
-		.endpoint = call->peer ? call->peer : STORE,
+		.lifetime = call->peer ? call->peer : STORE,
 		.address = address,
 		.deadline_ms = call->timeout_ms,
 		.idempotent = false,
@@ -109,10 +110,16 @@
 {
 	struct rr_gateway *gateway = data;
 
+	struct rr_gate_instance told = { .id = id };
+
+	if (instance) {
+		told.zone = instance->zone;
+		told.address = instance->address;
+		told.strength = instance->strength;
+		told.born_ms = instance->born_ms;
+	}
 	rr_gate_note_instance(gateway->ctx, gateway->gate, rr_gateway_now_us(),
-			      id, instance ? instance->zone : NULL,
-			      instance ? instance->address : NULL,
-			      instance ? instance->strength : 0);
+			      &told);
 }
 
 static void take_instances(void *data, uint32_t instances)
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -175,12 +175,12 @@
 	rr_gate_reply(gateway->ctx, gateway->gate, rr_gateway_now_us(), reply);
 }
 
-static void take_probe(void *data, const char *endpoint, bool reached)
+static void take_probe(void *data, const char *lifetime, bool reached)
 {
 	struct rr_gateway *gateway = data;
 
 	rr_gate_probed(gateway->ctx, gateway->gate, rr_gateway_now_us(),
-		       endpoint, reached);
+		       lifetime, reached);
 }
 
 /* Signals. */
@@ -339,6 +339,7 @@
 	gateway->ctx = rr_keep_context(ctx);
 	gateway->settings = settings;
 	gateway->names = rr_platform_names();
+	gateway->born_ms = g_get_real_time() / 1000;
 	gateway->loop = g_main_loop_new(NULL, FALSE);
 	gateway->lifecycle.stop_timeout_ms = settings->stop_timeout_ms;
 	gateway->requests = g_hash_table_new_full(g_int64_hash, g_int64_equal,
--- a/source/net/platform-entry.c
+++ b/source/net/platform-entry.c
@@ -63,6 +63,7 @@
 		.zone = port->options.zone,
 		.address = port->options.peer_address,
 		.strength = 1,
+		.born_ms = port->born_ms,
 	};
 	struct rr_feed_call wanted = {
 		.kind = next_call(port),
--- a/source/net/platform-private.h
+++ b/source/net/platform-private.h
@@ -24,6 +24,7 @@
 	guint entry_timer;
 	uint64_t lease; /* 0: none */
 	bool entered;
+	int64_t born_ms; /* Unix time; told in this instance's entry */
 };
 
 /* Make a call, which is cleared; `done` is called once, later. */
--- a/source/net/platform-watch.c
+++ b/source/net/platform-watch.c
@@ -110,7 +110,7 @@
 static void tell_replica(struct rr_platform_port *port,
 			 const struct rr_listing *replica)
 {
-	port->options.replica(port->options.data, replica->id,
+	port->options.replica(port->options.data, replica->id, replica->born_ms,
 			      replica->draining ? RR_UPSTREAM_DRAINING :
 						  RR_UPSTREAM_READY);
 }
@@ -135,7 +135,8 @@
 			tell_member(port, item->instance);
 		else
 			rr_log(port->ctx, RR_LOG_WARNING, "item-unreadable",
-			       RR_FIELD_STRING("key", item->key));
+			       RR_FIELD_STRING("key", item->key),
+			       RR_FIELD_STRING("reason", item->fault));
 	}
 }
 
--- a/source/net/platform.c
+++ b/source/net/platform.c
@@ -146,6 +146,7 @@
 {
 	struct rr_platform_port *port = g_new0(struct rr_platform_port, 1);
 
+	port->born_ms = g_get_real_time() / 1000;
 	port->ctx = rr_keep_context(ctx);
 	port->options = *options;
 	port->address = g_strdup(options->address);
--- a/source/net/replica-conn.c
+++ b/source/net/replica-conn.c
@@ -54,7 +54,7 @@
 	g_free(conn->request_id);
 	g_free(conn);
 	if (!--replica->n_conns && replica->forgotten)
-		g_hash_table_remove(port->replicas, replica->endpoint);
+		g_hash_table_remove(port->replicas, replica->lifetime);
 }
 
 /* Give the reply of a connection's attempt, which is then over. */
@@ -81,13 +81,13 @@
 		.unreachable = conn->state == CONN_CONNECTING && !conn->reached,
 	};
 
-	char *probed = conn->probe ? g_strdup(conn->replica->endpoint) : NULL;
+	char *probed = conn->probe ? g_strdup(conn->replica->lifetime) : NULL;
 	bool reached = conn->reached;
 
 	if (conn->attempt)
 		rr_log(port->ctx, RR_LOG_DECISION, "connection-broken",
 		       RR_FIELD_U64("attempt", conn->attempt),
-		       RR_FIELD_STRING("endpoint", conn->replica->endpoint),
+		       RR_FIELD_STRING("lifetime", conn->replica->lifetime),
 		       RR_FIELD_STRING("reason", reason));
 	rr_free_conn(conn);
 	if (probed)
@@ -101,7 +101,7 @@
 static void tell_reached(struct rr_conn *conn)
 {
 	conn->probe = false;
-	conn->port->probed(conn->port->data, conn->replica->endpoint, true);
+	conn->port->probed(conn->port->data, conn->replica->lifetime, true);
 }
 
 static int64_t keep_us_of(const struct rr_http_message *message)
@@ -196,7 +196,7 @@
 	if (rest)
 		rr_log(conn->port->ctx, RR_LOG_DECISION, "bytes-behind-answer",
 		       RR_FIELD_U64("attempt", conn->attempt),
-		       RR_FIELD_STRING("endpoint", conn->replica->endpoint),
+		       RR_FIELD_STRING("lifetime", conn->replica->lifetime),
 		       RR_FIELD_U64("bytes", rest));
 	give_reply(conn, &reply);
 	if (reusable && !conn->replica->forgotten && may_keep(conn))
--- a/source/net/replica-conn.h
+++ b/source/net/replica-conn.h
@@ -19,7 +19,7 @@
 };
 
 struct rr_conn_replica {
-	char *endpoint;
+	char *lifetime;
 	char *address;
 	GQueue idle; /* struct conn, the one used last at the head */
 	uint32_t most_idle;
@@ -56,10 +56,10 @@
 	char *seal;
 	char *not_run;
 	void (*replied)(void *data, const struct rr_gate_reply *reply);
-	void (*probed)(void *data, const char *endpoint, bool reached);
+	void (*probed)(void *data, const char *lifetime, bool reached);
 	void *data;
 	int64_t now_us;
-	GHashTable *replicas; /* endpoint -> struct rr_conn_replica */
+	GHashTable *replicas; /* lifetime -> struct rr_conn_replica */
 	GHashTable *attempts; /* id -> struct rr_conn */
 	GQueue used;	      /* struct conn: connecting or busy */
 	GQueue owed;	      /* struct owed */
--- a/source/net/replica-port.c
+++ b/source/net/replica-port.c
@@ -19,14 +19,14 @@
 /* A reply given from inside a send: it is handed out at the next tick. */
 struct owed {
 	uint64_t attempt; /* 0: a probe that failed */
-	char *endpoint;
+	char *lifetime;
 };
 
 static void free_owed(gpointer data)
 {
 	struct owed *owed = data;
 
-	g_free(owed->endpoint);
+	g_free(owed->lifetime);
 	g_free(owed);
 }
 
@@ -34,7 +34,7 @@
 {
 	struct rr_conn_replica *replica = data;
 
-	g_free(replica->endpoint);
+	g_free(replica->lifetime);
 	g_free(replica->address);
 	g_free(replica);
 }
@@ -95,18 +95,18 @@
 }
 
 static struct rr_conn_replica *replica_of(struct rr_replica_port *port,
-					  const char *endpoint,
+					  const char *lifetime,
 					  const char *address)
 {
 	struct rr_conn_replica *replica =
-		g_hash_table_lookup(port->replicas, endpoint);
+		g_hash_table_lookup(port->replicas, lifetime);
 
 	if (!replica) {
 		replica = g_new0(struct rr_conn_replica, 1);
-		replica->endpoint = g_strdup(endpoint);
+		replica->lifetime = g_strdup(lifetime);
 		replica->address = g_strdup(address);
 		g_queue_init(&replica->idle);
-		g_hash_table_insert(port->replicas, replica->endpoint, replica);
+		g_hash_table_insert(port->replicas, replica->lifetime, replica);
 	}
 	return replica;
 }
@@ -155,11 +155,11 @@
 	g_queue_push_tail(&port->owed, owed);
 }
 
-static void owe_probe(struct rr_replica_port *port, const char *endpoint)
+static void owe_probe(struct rr_replica_port *port, const char *lifetime)
 {
 	struct owed *owed = g_new0(struct owed, 1);
 
-	owed->endpoint = g_strdup(endpoint);
+	owed->lifetime = g_strdup(lifetime);
 	g_queue_push_tail(&port->owed, owed);
 }
 
@@ -184,7 +184,7 @@
 			const struct rr_request_bytes *request)
 {
 	struct rr_conn_replica *replica =
-		replica_of(port, send->endpoint, send->address);
+		replica_of(port, send->lifetime, send->address);
 	GByteArray *bytes = join_request(request);
 	struct rr_conn *conn;
 	bool taken;
@@ -232,9 +232,9 @@
 }
 
 void rr_open_replica(struct rr_replica_port *port, int64_t now_us,
-		     const char *endpoint, const char *address)
+		     const char *lifetime, const char *address)
 {
-	struct rr_conn_replica *replica = replica_of(port, endpoint, address);
+	struct rr_conn_replica *replica = replica_of(port, lifetime, address);
 
 	port->now_us = now_us;
 	replica->forgotten = false;
@@ -243,9 +243,9 @@
 }
 
 void rr_probe_replica(struct rr_replica_port *port, int64_t now_us,
-		      const char *endpoint, const char *address)
+		      const char *lifetime, const char *address)
 {
-	struct rr_conn_replica *replica = replica_of(port, endpoint, address);
+	struct rr_conn_replica *replica = replica_of(port, lifetime, address);
 	struct rr_conn *conn;
 
 	port->now_us = now_us;
@@ -253,19 +253,19 @@
 	if (conn)
 		conn->probe = true;
 	else
-		owe_probe(port, endpoint);
+		owe_probe(port, lifetime);
 }
 
-void rr_forget_replica(struct rr_replica_port *port, const char *endpoint)
+void rr_forget_replica(struct rr_replica_port *port, const char *lifetime)
 {
 	struct rr_conn_replica *replica =
-		g_hash_table_lookup(port->replicas, endpoint);
+		g_hash_table_lookup(port->replicas, lifetime);
 
 	if (!replica)
 		return;
 	replica->forgotten = true;
 	if (!replica->n_conns) {
-		g_hash_table_remove(port->replicas, endpoint);
+		g_hash_table_remove(port->replicas, lifetime);
 		return;
 	}
 	/* With the last connection the replica goes as well. */
@@ -284,8 +284,8 @@
 			.unreachable = true,
 		};
 
-		if (owed->endpoint)
-			port->probed(port->data, owed->endpoint, false);
+		if (owed->lifetime)
+			port->probed(port->data, owed->lifetime, false);
 		else
 			port->replied(port->data, &reply);
 		free_owed(owed);
--- a/source/net/replica-port.h
+++ b/source/net/replica-port.h
@@ -30,7 +30,7 @@
 	/* message in the reply is a struct rr_http_message. */
 	void (*replied)(void *data, const struct rr_gate_reply *reply);
 	/* The outcome of rr_probe_replica(); NULL where none is made. */
-	void (*probed)(void *data, const char *endpoint, bool reached);
+	void (*probed)(void *data, const char *lifetime, bool reached);
 	void *data;
 };
 
@@ -66,15 +66,15 @@
 bool rr_recall_from_replica(struct rr_replica_port *port, uint64_t attempt);
 /* Have one idle connection to a replica, unless there is any already. */
 void rr_open_replica(struct rr_replica_port *port, int64_t now_us,
-		     const char *endpoint, const char *address);
+		     const char *lifetime, const char *address);
 /*
  * Make one more connection to a replica, whatever there is; it is kept.  The
  * outcome comes later, never from inside.
  */
 void rr_probe_replica(struct rr_replica_port *port, int64_t now_us,
-		      const char *endpoint, const char *address);
+		      const char *lifetime, const char *address);
 /* Close idle connections of a replica; those in use close when done. */
-void rr_forget_replica(struct rr_replica_port *port, const char *endpoint);
+void rr_forget_replica(struct rr_replica_port *port, const char *lifetime);
 
 /* Connections that take too long, and replies that wait to be given. */
 void rr_tick_replica_port(struct rr_replica_port *port, int64_t now_us);
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -57,12 +57,18 @@
 
 static char *value_of(JsonObject *object)
 {
+	struct test_entry replica = {
+		.address = text_of(object, "address"),
+		.zone = text_of(object, "zone"),
+		.slots = 2,
+		.draining = !strcmp(text_of(object, "state"), "leaving"),
+	};
+
+	if (strcmp(text_of(object, "kind"), "entry"))
+		return test_make_entry(&replica);
 	return g_strdup_printf(
-		"{\"service\":\"any\",\"address\":\"%s\",\"zone\":\"%s\","
-		"\"slots\":2,\"state\":\"%s\",\"strength\":1000}",
-		text_of(object, "address"), text_of(object, "zone"),
-		strcmp(text_of(object, "state"), "leaving") ? "ready" :
-							      "draining");
+		"{\"zone\":\"%s\",\"address\":\"%s\",\"strength\":1000}",
+		text_of(object, "zone"), text_of(object, "address"));
 }
 
 /* What is no entry is listed all the same, under a value that is none. */
--- a/tests/support/feed-scene.c
+++ b/tests/support/feed-scene.c
@@ -186,19 +186,22 @@
 	struct rr_feed_item *item = g_new0(struct rr_feed_item, 1);
 
 	item->removed = what[0] == '-';
-	if (item->removed)
+	if (what[0] == '?')
+		item->fault = "no JSON";
+	if (item->removed || item->fault)
 		what++;
 	item->key = g_strdup(what);
 	item->revision = revision;
 	if (g_str_has_prefix(what, "routes")) {
 		item->kind = RR_FEED_ROUTES;
 		item->key[6] = '\0';
-		item->routes = rr_new_route_table(
-			g_ascii_strtoull(what + 6, NULL, 10));
+		if (!item->fault)
+			item->routes = rr_new_route_table(
+				g_ascii_strtoull(what + 6, NULL, 10));
 	} else if (g_str_has_prefix(what, "inst")) {
 		item->kind = RR_FEED_INSTANCE;
 		item->id = g_strdup(what);
-		if (!item->removed)
+		if (!item->removed && !item->fault)
 			item->instance = make_instance(what);
 	} else if (!g_str_has_prefix(what, "other")) {
 		item->kind = RR_FEED_REPLICA;
@@ -206,7 +209,7 @@
 	}
 	if (!item->removed)
 		item->value = g_strdup("dmFsdWU=");
-	if (item->kind == RR_FEED_REPLICA && !item->removed) {
+	if (item->kind == RR_FEED_REPLICA && !item->removed && !item->fault) {
 		item->replica = g_new0(struct rr_listing, 1);
 		item->replica->id = g_strdup(what);
 	}
--- a/tests/support/feed-scene.h
+++ b/tests/support/feed-scene.h
@@ -37,7 +37,10 @@
 				 enum rr_feed_call_kind kind);
 guint feed_count_calls(struct feed_scene *scene, enum rr_feed_call_kind kind);
 struct rr_feed_item *feed_make_item(const char *what, uint64_t revision);
-/* `items` is "name@revision" separated by blanks; "-name" is removed. */
+/*
+ * `items` is "name@revision" separated by blanks; "-name" is removed, "?name"
+ * has a value that is none of its kind.
+ */
 void feed_answer(struct feed_scene *scene, struct feed_call *call,
 		 enum rr_feed_status status, const char *items,
 		 uint64_t revision, bool more);
--- a/tests/support/gate-scene.c
+++ b/tests/support/gate-scene.c
@@ -41,6 +41,8 @@
 	struct test_sent *sent = data;
 
 	g_free(sent->endpoint);
+	g_free(sent->lifetime);
+	g_free(sent->address);
 	g_free(sent);
 }
 
@@ -61,6 +63,8 @@
 	sent->attempt = send->attempt;
 	sent->request = send->request;
 	sent->endpoint = g_strdup(send->endpoint);
+	sent->lifetime = g_strdup(send->lifetime);
+	sent->address = g_strdup(send->address);
 	sent->deadline_ms = send->deadline_ms;
 	sent->at_us = scene->now_us;
 	g_ptr_array_add(scene->sent, sent);
@@ -103,25 +107,25 @@
 	g_ptr_array_add(scene->answers, kept);
 }
 
-static void note_open(void *data, const char *endpoint, const char *address)
+static void note_open(void *data, const char *lifetime, const char *address)
 {
 	struct gate_scene *scene = data;
 
-	g_ptr_array_add(scene->opened, g_strdup(endpoint));
+	g_ptr_array_add(scene->opened, g_strdup(lifetime));
 }
 
-static void note_probe(void *data, const char *endpoint, const char *address)
+static void note_probe(void *data, const char *lifetime, const char *address)
 {
 	struct gate_scene *scene = data;
 
-	g_ptr_array_add(scene->probes, g_strdup(endpoint));
+	g_ptr_array_add(scene->probes, g_strdup(lifetime));
 }
 
-static void note_forget(void *data, const char *endpoint)
+static void note_forget(void *data, const char *lifetime)
 {
 	struct gate_scene *scene = data;
 
-	g_ptr_array_add(scene->forgotten, g_strdup(endpoint));
+	g_ptr_array_add(scene->forgotten, g_strdup(lifetime));
 }
 
 struct gate_scene *test_new_scene(uint32_t seed)
@@ -224,16 +228,19 @@
 	return taken;
 }
 
-static void list(struct gate_scene *scene, const char *id, const char *service,
-		 const char *zone, bool draining)
+void test_list_lifetime(struct gate_scene *scene,
+			const struct test_lifetime *lifetime)
 {
 	struct rr_listing listing = {
-		.id = id,
-		.service = service,
-		.address = "127.0.0.1:1",
-		.zone = zone,
+		.id = lifetime->id,
+		.born_ms = lifetime->born_ms,
+		.service = lifetime->service,
+		.address =
+			lifetime->address ? lifetime->address : "127.0.0.1:1",
+		.zone = lifetime->zone,
 		.slots = 2,
-		.draining = draining,
+		.draining = lifetime->draining,
+		.cold_ms = lifetime->cold_ms,
 	};
 
 	rr_gate_list(scene->ctx, scene->gate, scene->now_us, &listing);
@@ -242,13 +249,21 @@
 void test_list(struct gate_scene *scene, const char *id, const char *service,
 	       const char *zone)
 {
-	list(scene, id, service, zone, false);
+	struct test_lifetime lifetime = { .id = id,
+					  .service = service,
+					  .zone = zone };
+
+	test_list_lifetime(scene, &lifetime);
 }
 
 void test_list_draining(struct gate_scene *scene, const char *id,
 			const char *service, const char *zone)
 {
-	list(scene, id, service, zone, true);
+	struct test_lifetime lifetime = {
+		.id = id, .service = service, .zone = zone, .draining = true
+	};
+
+	test_list_lifetime(scene, &lifetime);
 }
 
 uint64_t test_take(struct gate_scene *scene, const char *path,
--- a/tests/support/gate-scene.h
+++ b/tests/support/gate-scene.h
@@ -16,6 +16,8 @@
 	uint64_t attempt;
 	uint64_t request;
 	char *endpoint;
+	char *lifetime;
+	char *address;
 	int64_t deadline_ms;
 	int64_t at_us;
 	bool withdrawn;
@@ -41,7 +43,7 @@
 	bool nothing_leaves; /* attempts can be recalled */
 	GPtrArray *sent;     /* struct test_sent */
 	GPtrArray *answers;  /* struct test_answer */
-	GPtrArray *probes;   /* char *, endpoints */
+	GPtrArray *probes;   /* char *, lifetimes */
 	GPtrArray *opened;
 	GPtrArray *forgotten;
 };
@@ -84,6 +86,18 @@
 	       const char *zone);
 void test_list_draining(struct gate_scene *scene, const char *id,
 			const char *service, const char *zone);
+/* List a replica that tells when it started, at port 1 unless told. */
+struct test_lifetime {
+	const char *id;
+	const char *service;
+	const char *zone;
+	const char *address; /* NULL: 127.0.0.1:1 */
+	int64_t born_ms;
+	uint32_t cold_ms;
+	bool draining;
+};
+void test_list_lifetime(struct gate_scene *scene,
+			const struct test_lifetime *lifetime);
 uint64_t test_take(struct gate_scene *scene, const char *path,
 		   int64_t deadline_ms);
 /* Let time pass, with ticks when they are due. */
--- a/tests/support/replica-scene.c
+++ b/tests/support/replica-scene.c
@@ -68,6 +68,7 @@
 	struct rr_gate_send send = {
 		.attempt = ++scene->next_attempt,
 		.endpoint = "r",
+		.lifetime = "r",
 		.address = scene->listener->address,
 		.deadline_ms = 1000,
 		.idempotent = idempotent,
--- a/tests/support/standin-store.c
+++ b/tests/support/standin-store.c
@@ -1,6 +1,7 @@
 /*
  * standin-store.c - reads, watches and faults of the stand-in store.
  */
+#include "base/json-private.h"
 #include "support/standin-store-private.h"
 
 #include <string.h>
@@ -32,9 +33,10 @@
 
 void test_append_store_item(GString *out, const struct test_store_item *item)
 {
-	g_string_append_printf(
-		out, "{\"key\":\"%s\",\"revision\":%" G_GUINT64_FORMAT ",",
-		item->key, item->revision);
+	g_string_append(out, "{\"key\":");
+	rr_append_json_string(out, item->key);
+	g_string_append_printf(out, ",\"revision\":%" G_GUINT64_FORMAT ",",
+			       item->revision);
 	if (item->value)
 		g_string_append_printf(out,
 				       "\"value\":\"%s\",\"lease\":%" //
@@ -409,3 +411,38 @@
 	g_hash_table_unref(store->leases);
 	g_rand_free(store->rand);
 }
+
+static const char *text_or(const char *text, const char *otherwise)
+{
+	return text ? text : otherwise;
+}
+
+char *test_make_entry(const struct test_entry *entry)
+{
+	GString *out = g_string_new(NULL);
+
+	g_string_append_printf(
+		out,
+		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
+		"\"version\":\"v1\",\"slots\":%u,\"state\":\"%s\","
+		"\"coldRemainingMs\":0,\"sequence\":1",
+		text_or(entry->service, "any"),
+		text_or(entry->address, "127.0.0.1:1"),
+		text_or(entry->zone, "a"), MAX(entry->slots, 1),
+		entry->draining ? "draining" : "ready");
+	if (entry->born_ms)
+		g_string_append_printf(out, ",\"born\":%" G_GINT64_FORMAT,
+				       entry->born_ms);
+	g_string_append_c(out, '}');
+	return g_string_free(out, FALSE);
+}
+
+void test_store_list(struct test_store *store, const struct test_entry *entry)
+{
+	char *key = g_strdup_printf("servers/%s", entry->id);
+	char *value = test_make_entry(entry);
+
+	test_store_put(store, key, value);
+	g_free(value);
+	g_free(key);
+}
--- a/tests/support/standin-store.h
+++ b/tests/support/standin-store.h
@@ -58,6 +58,22 @@
 void test_store_put(struct test_store *store, const char *key,
 		    const char *value);
 void test_store_remove(struct test_store *store, const char *key);
+
+/* What a replica writes of itself; texts of NULL and slots of 0 have one. */
+struct test_entry {
+	const char *id;
+	const char *service;
+	const char *address;
+	const char *zone;
+	uint32_t slots;
+	bool draining;
+	int64_t born_ms; /* 0: not told */
+};
+
+/* The value of an entry, for g_free(). */
+char *test_make_entry(const struct test_entry *entry);
+/* As the replica writes it, under its key. */
+void test_store_list(struct test_store *store, const struct test_entry *entry);
 /* Whether a watch waits that knows of everything. */
 bool test_store_is_followed(const struct test_store *store);
 /*
--- a/tests/test-core-policy.c
+++ b/tests/test-core-policy.c
@@ -238,7 +238,8 @@
 	for (int i = 0; i < 8; i++)
 		fake_search(scene.desk);
 	rr_core_hint_replica(scene.desk->ctx, scene.desk->core,
-			     scene.world->now_us, "s0a", RR_UPSTREAM_DRAINING);
+			     scene.world->now_us, "s0a", 1,
+			     RR_UPSTREAM_DRAINING);
 	assert_true(fake_await(scene.desk, 28));
 	for (guint i = 20; i < 28; i++)
 		assert_int_equal(fake_answer_at(scene.desk, i)->outcome,
--- a/tests/test-feed.c
+++ b/tests/test-feed.c
@@ -44,6 +44,28 @@
 	feed_drop_scene(scene);
 }
 
+/*
+ * Story: somebody writes nonsense under the keys of a replica, of an instance
+ * and of the configuration.  The replica is not known to be there any more and
+ * gets no work, the instance does not count, and the routes stay in force, for
+ * without any nobody would be served.  What is written anew is taken.
+ */
+static void test_values_that_are_none_of_their_kind(void **state)
+{
+	struct feed_scene *scene = feed_settled_scene();
+
+	feed_pass(scene, 2500 * MS);
+	feed_answer_ok(scene, RR_FEED_WATCH,
+		       "?r1@21 ?routes4@22 ?inst3@23 r2@24", 24);
+	feed_assert_news(scene, "-r1 +r2 ");
+	assert_non_null(strstr(scene->places->str, "-inst3 "));
+	feed_pass(scene, 13000 * MS);
+	feed_assert_news(scene, "instances 2 ");
+	feed_answer_ok(scene, RR_FEED_WATCH, "r1@25 routes4@26 inst3@27", 27);
+	feed_assert_news(scene, "+r1 routes 4 instances 3 ");
+	feed_drop_scene(scene);
+}
+
 /*
  * Story: the store drops its history and cuts all watches, with a new
  * configuration just written.  A watch that is opened anew in that moment
@@ -334,6 +356,7 @@
 	};
 
 	item->removed = false;
+	item->fault = "no JSON";
 	g_ptr_array_add(reply.items, item);
 	rr_feed_reply(scene->ctx, scene->feed, scene->now_us, &reply);
 	feed_assert_news(scene, "");
@@ -346,6 +369,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_first_reading),
 		cmocka_unit_test(test_changes),
+		cmocka_unit_test(test_values_that_are_none_of_their_kind),
 		cmocka_unit_test(test_watch_after_a_cut_is_short),
 		cmocka_unit_test(test_old_news_counts_for_nothing),
 		cmocka_unit_test(test_bursts_are_merged),
--- a/tests/test-gate-peer.c
+++ b/tests/test-gate-peer.c
@@ -12,15 +12,28 @@
 
 #include "support/gate-scene.h"
 
+/* An instance whose zone is NULL has gone. */
+static void tell(struct gate_scene *scene, const char *id, const char *zone,
+		 double strength, int64_t born_ms)
+{
+	struct rr_gate_instance told = {
+		.id = id,
+		.zone = zone,
+		.address = "127.0.0.1:4",
+		.strength = strength,
+		.born_ms = born_ms,
+	};
+
+	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, &told);
+}
+
 /* A weak instance, w, and the strong one of its zone. */
 static struct gate_scene *lone_scene(void)
 {
 	struct gate_scene *scene = test_start_scene(&test_search_route);
 
-	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, "w", "a",
-			      "127.0.0.1:2", 1);
-	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, "strong",
-			      "a", "127.0.0.1:4", 4);
+	tell(scene, "w", "a", 1, 5000);
+	tell(scene, "strong", "a", 4, 5000);
 	return scene;
 }
 
@@ -29,8 +42,7 @@
 {
 	struct gate_scene *scene = lone_scene();
 
-	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, "far",
-			      "b", "127.0.0.1:3", 9);
+	tell(scene, "far", "b", 9, 5000);
 	return scene;
 }
 
@@ -139,8 +151,7 @@
 {
 	struct gate_scene *scene = lone_scene();
 
-	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, "strong",
-			      NULL, NULL, 0);
+	tell(scene, "strong", NULL, 0, 0);
 	test_take(scene, "/search/1", 900);
 	assert_int_equal(scene->sent->len, 4);
 	test_drop_scene(scene);
@@ -264,6 +275,30 @@
 	test_drop_scene(scene);
 }
 
+/*
+ * Story: the strong instance of a zone hangs until it is killed, is suspected
+ * for seconds, and starts again under its name while its old entry stands.
+ * Its time of day was set back meanwhile.  Searches go to it at once: what was
+ * seen of the process before says nothing of this one.
+ */
+static void test_a_strong_instance_starts_again(void **state)
+{
+	struct gate_scene *scene = lone_scene();
+
+	for (int i = 0; i < 4; i++) {
+		test_take(scene, "/search/1", 900);
+		test_reply(scene, test_sent_at(scene, scene->sent->len - 1),
+			   RR_GATE_SILENT, 0);
+	}
+	g_ptr_array_set_size(scene->sent, 0);
+	tell(scene, "strong", "a", 4, 3000);
+	test_take(scene, "/search/1", 900);
+	assert_int_equal(scene->sent->len, 1);
+	assert_string_equal(test_sent_at(scene, 0)->endpoint, "strong");
+	assert_true(scene->forgotten->len > 0);
+	test_drop_scene(scene);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -279,6 +314,7 @@
 			test_strong_instance_says_that_there_is_no_room),
 		cmocka_unit_test(test_refused_by_replicas_is_not_handed_on),
 		cmocka_unit_test(test_refused_searches_earn_nothing),
+		cmocka_unit_test(test_a_strong_instance_starts_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test-gate-random.c
+++ b/tests/test-gate-random.c
@@ -19,6 +19,7 @@
 
 #define SERVICES 6
 #define REPLICAS 3
+#define FIRST_BORN_MS INT64_C(1700000000000)
 
 static const char *const shards[] = { "s0", "s1", "s2", "s3", NULL };
 static const char *const other_shards[] = { "s2", "s3", "s4", "s5", NULL };
@@ -44,7 +45,8 @@
 	guint sent_seen;
 	guint answers_seen;
 	uint64_t version;
-	bool draining[SERVICES][REPLICAS];
+	int64_t born_ms[SERVICES][REPLICAS]; /* of the newest lifetime told */
+	bool draining[SERVICES][REPLICAS];   /* that lifetime */
 	int64_t unlisted_us[SERVICES][REPLICAS]; /* 0: listed */
 	uint64_t extras;
 	uint64_t asked;
@@ -99,23 +101,51 @@
 			G_N_ELEMENTS(routes));
 }
 
-static void list(struct world *world, uint32_t service, uint32_t replica,
-		 bool draining)
+static void list_lifetime(struct world *world, uint32_t service,
+			  uint32_t replica, int64_t born_ms, bool draining)
 {
 	char *name = g_strdup_printf("s%u", service);
 	char *id = g_strdup_printf("s%u.%u", service, replica);
-	const char *zones[] = { "a", "b", "c" };
+	static const char *const zones[] = { "a", "b", "c" };
+	struct test_lifetime lifetime = {
+		.id = id,
+		.service = name,
+		.zone = zones[replica],
+		.born_ms = born_ms,
+		.draining = draining,
+	};
 
-	if (draining)
-		test_list_draining(world->scene, id, name, zones[replica]);
-	else
-		test_list(world->scene, id, name, zones[replica]);
-	world->draining[service][replica] |= draining;
-	world->unlisted_us[service][replica] = 0;
+	test_list_lifetime(world->scene, &lifetime);
 	g_free(id);
 	g_free(name);
 }
 
+static void list(struct world *world, uint32_t service, uint32_t replica,
+		 bool draining)
+{
+	list_lifetime(world, service, replica, world->born_ms[service][replica],
+		      draining);
+	world->draining[service][replica] |= draining;
+	world->unlisted_us[service][replica] = 0;
+}
+
+/* It starts again under its id: a drain was the lifetime's before. */
+static void bear_again(struct world *world, uint32_t service, uint32_t replica)
+{
+	world->born_ms[service][replica] += 1 + draw(world, 9000);
+	world->draining[service][replica] = false;
+	list(world, service, replica, draw(world, 10) == 0);
+}
+
+/* News of a lifetime that is over come late; they change nothing. */
+static void list_earlier(struct world *world, uint32_t service,
+			 uint32_t replica)
+{
+	list_lifetime(world, service, replica,
+		      world->born_ms[service][replica] - 1 - draw(world, 50),
+		      draw(world, 2));
+}
+
 static void unlist(struct world *world, uint32_t service, uint32_t replica)
 {
 	char *id = g_strdup_printf("s%u.%u", service, replica);
@@ -141,6 +171,9 @@
 	assert_true(request->open);
 	assert_false(request->left);
 	assert_false(world->draining[service][replica]);
+	assert_int_equal(
+		g_ascii_strtoll(strchr(sent->lifetime, '@') + 1, NULL, 10),
+		world->born_ms[service][replica]);
 	assert_true(!unlisted_us || sent->at_us - unlisted_us < 2000 * TEST_MS);
 	count = GPOINTER_TO_UINT(
 		g_hash_table_lookup(request->per_service, key));
@@ -345,8 +378,12 @@
 		set_routes(world);
 	else if (what < 990)
 		unlist(world, service, replica);
-	else if (what < 999 && !world->draining[service][replica])
+	else if (what < 997 && !world->draining[service][replica])
 		list(world, service, replica, false);
+	else if (what == 997)
+		list_earlier(world, service, replica);
+	else if (what == 998)
+		bear_again(world, service, replica);
 	else if (what == 999 && !draw(world, 10))
 		list(world, service, replica, true);
 	check_news(world);
@@ -362,8 +399,10 @@
 					       g_free, free_request);
 	set_routes(&world);
 	for (uint32_t i = 0; i < SERVICES; i++) {
-		for (uint32_t j = 0; j < REPLICAS; j++)
+		for (uint32_t j = 0; j < REPLICAS; j++) {
+			world.born_ms[i][j] = FIRST_BORN_MS;
 			list(&world, i, j, false);
+		}
 	}
 	for (int i = 0; i < steps; i++)
 		step(&world);
--- a/tests/test-platform-formats.c
+++ b/tests/test-platform-formats.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "platform/platform.h"
+#include "support/standin-store.h"
 
 static const char config[] =
 	"{\"version\":7,\"routes\":["
@@ -38,7 +39,8 @@
 static void test_routes(void **state)
 {
 	const char *fault;
-	struct rr_route_table *table = rr_decode_routes(config, &fault);
+	struct rr_route_table *table =
+		rr_decode_routes(config, strlen(config), &fault);
 	const struct rr_route *route;
 
 	assert_non_null(table);
@@ -86,31 +88,12 @@
 	const char *fault;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
-		assert_null(rr_decode_routes(texts[i], &fault));
+		assert_null(
+			rr_decode_routes(texts[i], strlen(texts[i]), &fault));
 		assert_non_null(fault);
 	}
 }
 
-static void test_listing(void **state)
-{
-	struct rr_feed_item *owner = g_new0(struct rr_feed_item, 1);
-
-	owner->replica = rr_decode_listing(
-		"i-1",
-		"{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
-		"\"version\":\"v1\",\"slots\":2,\"state\":\"draining\","
-		"\"coldRemainingMs\":900,\"sequence\":4}");
-	assert_non_null(owner->replica);
-	assert_string_equal(owner->replica->id, "i-1");
-	assert_string_equal(owner->replica->address, "10.0.0.1:80");
-	assert_true(owner->replica->draining);
-	assert_int_equal(owner->replica->slots, 2);
-	assert_int_equal(owner->replica->cold_ms, 900);
-	rr_free_feed_item(owner);
-	assert_null(rr_decode_listing("i", "{\"service\":\"s\"}"));
-	assert_null(rr_decode_listing("i", "nonsense"));
-}
-
 static void assert_call(const struct rr_feed_call *call, const char *start,
 			const char *body)
 {
@@ -189,16 +172,18 @@
 static void test_range_reply(void **state)
 {
 	char *coded = g_base64_encode((const guchar *)config, strlen(config));
+	struct test_entry listed = { .id = "i-1" };
+	char *text = test_make_entry(&listed);
+	char *entry = g_base64_encode((const guchar *)text, strlen(text));
 	char *body = g_strdup_printf(
 		"{\"items\":[{\"key\":\"op/config\",\"value\":\"%s\","
 		"\"revision\":3,\"created\":3,\"lease\":0},"
-		"{\"key\":\"servers/i-1\",\"value\":\"eyJzZXJ2aWNlIjoicyIsImFkZH"
-		"Jlc3MiOiJhOjEifQ==\",\"revision\":9},"
+		"{\"key\":\"servers/i-1\",\"value\":\"%s\",\"revision\":9},"
 		"{\"key\":\"ragwort/instances/n1\",\"value\":\"e30=\","
 		"\"revision\":10},{\"key\":\"op/else\",\"value\":\"\","
 		"\"revision\":11}],"
 		"\"hasMore\":true,\"storeRevision\":530}",
-		coded);
+		coded, entry);
 	struct rr_feed_reply reply = decode(RR_FEED_RANGE, 200, body);
 	struct rr_feed_item *item;
 
@@ -219,6 +204,8 @@
 	assert_int_equal(item->kind, RR_FEED_OTHER);
 	drop(&reply);
 	g_free(body);
+	g_free(entry);
+	g_free(text);
 	g_free(coded);
 }
 
@@ -521,7 +508,10 @@
 	assert_true(call.everything && call.packed);
 }
 
-/* What cannot be unpacked leaves the routes as they were. */
+/*
+ * What cannot be unpacked leaves the routes as they were, and is kept as it
+ * came: the instances that ask this one have to hear that there was something.
+ */
 static void test_unreadable_packed_value(void **state)
 {
 	struct rr_feed_reply reply = read_watch(
@@ -530,7 +520,8 @@
 
 	(void)state;
 	assert_null(only_item(&reply)->routes);
-	assert_null(only_item(&reply)->value);
+	assert_non_null(only_item(&reply)->fault);
+	assert_string_equal(only_item(&reply)->value, "e30=");
 	g_ptr_array_unref(reply.items);
 }
 
@@ -558,7 +549,6 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_routes),
 		cmocka_unit_test(test_faulty_routes),
-		cmocka_unit_test(test_listing),
 		cmocka_unit_test(test_calls),
 		cmocka_unit_test(test_entry),
 		cmocka_unit_test(test_range_reply),
--- a/tests/test-platform-port.c
+++ b/tests/test-platform-port.c
@@ -69,7 +69,7 @@
 	f->lists_read++;
 }
 
-static void take_replica(void *data, const char *name,
+static void take_replica(void *data, const char *name, int64_t born_ms,
 			 enum rr_upstream_state state)
 {
 	struct fixture *f = data;
@@ -292,12 +292,13 @@
 {
 	struct fixture *f = *state;
 
-	test_control(f->platform->control_port,
-		     "{\"instances\":[{\"name\":\"athi-1\",\"kind\":\"entry\","
-		     "\"zone\":\"athi\",\"address\":\"127.0.0.1:8201\","
-		     "\"state\":\"live\"},{\"name\":\"d-a\",\"kind\":"
-		     "\"upstream\",\"zone\":\"athi\",\"address\":\"x\","
-		     "\"state\":\"leaving\"},7,{}]}");
+	test_control(
+		f->platform->control_port,
+		"{\"instances\":[{\"name\":\"athi-1\",\"kind\":\"entry\","
+		"\"zone\":\"athi\",\"address\":\"127.0.0.1:8201\","
+		"\"state\":\"live\"},{\"name\":\"d-a\",\"kind\":"
+		"\"upstream\",\"zone\":\"athi\",\"address\":\"127.0.0.1:9\","
+		"\"state\":\"leaving\"},7,{}]}");
 	test_run_until(&f->replica_told);
 	assert_int_equal(f->replica_state, RR_UPSTREAM_DRAINING);
 	assert_string_equal(f->member, "athi-1/athi/127.0.0.1:8201");
--- a/tests/test-process-gateway.c
+++ b/tests/test-process-gateway.c
@@ -77,23 +77,35 @@
 		version, prefix);
 }
 
+static void list_replica(struct world *world, int i, int64_t born_ms,
+			 bool draining)
+{
+	char *id = g_strdup_printf("i-%d", i);
+	char *service = g_strdup_printf("s%d", i);
+	char *address =
+		g_strdup_printf("127.0.0.1:%u", world->replicas[i].port);
+	struct test_entry entry = {
+		.id = id,
+		.service = service,
+		.address = address,
+		.slots = 2,
+		.draining = draining,
+		.born_ms = born_ms,
+	};
+
+	test_store_list(&world->store, &entry);
+	g_free(address);
+	g_free(service);
+	g_free(id);
+}
+
 static void fill_store(struct world *world)
 {
 	char *config = config_of(3, "/all/");
 
 	test_store_put(&world->store, "op/config", config);
-	for (int i = 0; i < SHARDS; i++) {
-		char *key = g_strdup_printf("servers/i-%d", i);
-		char *value = g_strdup_printf(
-			"{\"service\":\"s%d\",\"address\":\"127.0.0.1:%u\","
-			"\"zone\":\"a\",\"slots\":2,\"state\":\"ready\","
-			"\"coldRemainingMs\":0,\"sequence\":1}",
-			i, world->replicas[i].port);
-
-		test_store_put(&world->store, key, value);
-		g_free(value);
-		g_free(key);
-	}
+	for (int i = 0; i < SHARDS; i++)
+		list_replica(world, i, 0, false);
 	g_free(config);
 }
 
@@ -109,7 +121,7 @@
 	char *text = g_strdup_printf(
 		"instance: gw-1\nzone: a\ncaller_address: \"%s\"\n"
 		"ready_address: \"%s\"\nstore_address: \"127.0.0.1:%u\"\n"
-		"stop_timeout_ms: 6000\n",
+		"stop_timeout_s: 6\n",
 		world->caller_address, world->ready_address,
 		world->store.server.port);
 	const char *arguments[] = { "--settings", NULL, NULL };
@@ -228,9 +240,7 @@
 	struct world *world = *state;
 	struct raw_peer *caller;
 
-	test_store_put(&world->store, "servers/i-2",
-		       "{\"service\":\"s2\",\"address\":\"127.0.0.1:1\","
-		       "\"zone\":\"a\",\"slots\":2,\"state\":\"draining\"}");
+	list_replica(world, 2, 0, true);
 	wait_until_followed(world);
 	caller = ask(world, "GET /all/x");
 	raw_expect(caller, "Missing-Parts: 1\r\n");
@@ -238,6 +248,26 @@
 	raw_drop(caller);
 }
 
+/*
+ * Story: a replica drains, ends and starts again under its id, while somebody
+ * writes nonsense under keys beside it.  Searches have all their parts again.
+ */
+static void test_reborn_replica_beside_odd_entries(void **state)
+{
+	struct world *world = *state;
+	struct raw_peer *caller;
+
+	list_replica(world, 2, 1700000000000, true);
+	test_store_put(&world->store, "servers/i-\"9\n", "nonsense");
+	test_store_put(&world->store, "ragwort/instances/x", "{}");
+	list_replica(world, 2, 1700000009000, false);
+	wait_until_followed(world);
+	caller = ask(world, "GET /all/x");
+	raw_expect(caller, "HTTP/1.1 200 OK");
+	assert_int_equal(world->runs, 3);
+	raw_drop(caller);
+}
+
 static bool is_ready(struct world *world)
 {
 	struct raw_peer *asker = raw_connect(world->ready_address);
@@ -295,6 +325,9 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_draining_replica, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_reborn_replica_beside_odd_entries, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(test_stop_cuts_nobody_off,
 						set_up, tear_down),
 	};
