gate: a cut zone is known by probes within a quarter of a second, callers sent on

Silence showed by attempts that were given up, and searches that lack too many parts give none up until their deadline. Callers on kept connections were refused there again and again until the zone was back. Lower bounds for silence alone: replicas pause for longer. A refusal by an instance that is cut off ends its connection.

--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -118,9 +118,11 @@
 	uint16_t status;	 /* own and gathered */
 	const char *reason;	 /* static; why, for an own answer */
 	uint32_t retry_after_ms; /* 0: not told */
-	const void *message;	 /* forwarded */
-	const char *seals;	 /* gathered: signatures, separated by commas */
-	size_t missing;		 /* parts that are left out */
+	/* Own: the caller is better off on a connection to another instance. */
+	bool go_elsewhere;
+	const void *message; /* forwarded */
+	const char *seals;   /* gathered: signatures, separated by commas */
+	size_t missing;	     /* parts that are left out */
 	const uint8_t *body;
 	size_t length;
 };
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -288,6 +288,7 @@
 	rr_track_overdue(&attempt->endpoint->track, gate->now_us,
 			 gate->now_us - attempt->sent_us,
 			 rr_typical_us(run->record, run->route));
+	rr_note_overdue(ctx, gate, attempt->endpoint);
 	if (rr_try_part(ctx, gate, run, attempt->part, "hedge")) {
 		rr_count(ctx, RR_N_HEDGES, 1);
 		return;
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -35,8 +35,11 @@
 	uint32_t n_live;     /* attempts under way there */
 	uint32_t unanswered; /* given up since the last sign of life */
 	bool silent;	     /* left alone until it is heard again */
-	/* Another zone is silent: it is probed whether this one is as well. */
+	/* It seems silent, or another zone is: probes find out. */
 	bool doubted;
+	int64_t doubted_us;   /* since when */
+	uint32_t open_probes; /* sent since, and not answered yet */
+	uint32_t watch;	      /* the latest timer set; earlier ones are void */
 	uint32_t failed_probes; /* since the last sign of life */
 	int64_t heard_us;
 };
@@ -234,6 +237,9 @@
 void rr_note_ended(struct rr_gate *gate, struct rr_endpoint *endpoint);
 void rr_note_given_up(struct rr_context *ctx, struct rr_gate *gate,
 		      struct rr_endpoint *endpoint);
+/* An attempt takes longer than most. */
+void rr_note_overdue(struct rr_context *ctx, struct rr_gate *gate,
+		     struct rr_endpoint *endpoint);
 /* The replica gave any sign of life. */
 void rr_note_alive(struct rr_context *ctx, struct rr_gate *gate,
 		   struct rr_endpoint *endpoint);
@@ -243,7 +249,7 @@
 void rr_fire_probe(struct rr_context *ctx, struct rr_gate *gate,
 		   uint64_t number);
 void rr_fire_zone_probe(struct rr_context *ctx, struct rr_gate *gate,
-			uint64_t number);
+			uint64_t number, uint32_t watch);
 /* Look anew at whether this instance is cut off. */
 void rr_judge_isolation(struct rr_context *ctx, struct rr_gate *gate);
 
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -156,6 +156,14 @@
 		.status = status,
 		.reason = reason,
 		.missing = run->n_parts - run->n_in,
+#ifndef RR_MUTANT_GATE_KEEPS_CALLERS
+		/*
+		 * Guards against callers that come again and again on the
+		 * connection they have: only a new one leads to an instance
+		 * that is not cut off.
+		 */
+		.go_elsewhere = gate->isolated,
+#endif
 	};
 
 	if (is_promise(status))
--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -28,6 +28,18 @@
  * elsewhere.
  */
 #define NEXT_ZONE_UNANSWERED 3
+/*
+ * So much silence, of so many attempts, is worth two probes: less than callers
+ * of short searches wait, several times what an answer takes.
+ */
+#define DOUBT_US (50 * 1000)
+#define DOUBT_UNANSWERED 3
+#define DOUBT_PROBES 2
+/*
+ * Probes that are not answered by then are not answered at all: a connection
+ * is made by a machine, whatever its replica does, within a few milliseconds.
+ */
+#define VERDICT_US (80 * 1000)
 /* Between probes; each costs a packet where nobody is there. */
 #define PROBE_US (300 * 1000)
 /* So many in a row, of replicas drawn at random, show that a zone is cut. */
@@ -85,15 +97,61 @@
 		     endpoint->number, 0);
 }
 
+/* Any replica of a zone, drawn at random. */
+static struct rr_endpoint *draw_of_zone(struct rr_context *ctx,
+					const struct rr_gate *gate,
+					const struct rr_gate_zone *zone)
+{
+	struct rr_endpoint *drawn = NULL;
+	uint32_t seen = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gate->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct rr_endpoint *endpoint = value;
+
+		if (endpoint->zone != zone || endpoint->draining)
+			continue;
+		if (!rr_random_below(ctx, ++seen))
+			drawn = endpoint;
+	}
+	return drawn;
+}
+
+static void probe_zone(struct rr_context *ctx, struct rr_gate *gate,
+		       struct rr_gate_zone *zone)
+{
+	struct rr_endpoint *endpoint = draw_of_zone(ctx, gate, zone);
+
+	if (!endpoint)
+		return;
+	zone->open_probes++;
+	gate->actions.probe(gate->actions.data, endpoint->lifetime,
+			    endpoint->address);
+}
+
+/* Look at a zone again after so long, and not before. */
+static void watch_zone(struct rr_gate *gate, struct rr_gate_zone *zone,
+		       int64_t after_us)
+{
+	rr_set_timer(gate->timers, gate->now_us + after_us, RR_TIMER_GATE_ZONE,
+		     zone->number, ++zone->watch);
+}
+
 /* Find out by probes whether a zone is silent. */
-static void doubt_zone(struct rr_gate *gate, struct rr_gate_zone *zone)
+static void doubt_zone(struct rr_context *ctx, struct rr_gate *gate,
+		       struct rr_gate_zone *zone)
 {
 	if (zone->silent || zone->doubted)
 		return;
 	zone->doubted = true;
+	zone->doubted_us = gate->now_us;
 	zone->failed_probes = 0;
-	rr_set_timer(gate->timers, gate->now_us, RR_TIMER_GATE_ZONE,
-		     zone->number, 0);
+	zone->open_probes = 0;
+	for (int i = 0; i < DOUBT_PROBES; i++)
+		probe_zone(ctx, gate, zone);
+	watch_zone(gate, zone, VERDICT_US);
 }
 
 static bool is_any_silent(const struct rr_gate *gate)
@@ -135,8 +193,8 @@
 			continue;
 		if (seems_cut(gate, zone))
 			silence_zone(ctx, gate, zone);
-		else if (gate->now_us - zone->heard_us >= PROBE_US)
-			doubt_zone(gate, zone);
+		else if (gate->now_us - zone->heard_us >= DOUBT_US)
+			doubt_zone(ctx, gate, zone);
 	}
 }
 
@@ -151,10 +209,8 @@
 	       RR_FIELD_U64("unanswered", zone->unanswered),
 	       RR_FIELD_I64("silent_us",
 			    rr_track_silent_us(&zone->track, gate->now_us)));
-	if (!zone->doubted)
-		rr_set_timer(gate->timers, gate->now_us + PROBE_US,
-			     RR_TIMER_GATE_ZONE, zone->number, 0);
 	zone->doubted = false;
+	watch_zone(gate, zone, PROBE_US);
 	doubt_other_zones(ctx, gate);
 	rr_judge_isolation(ctx, gate);
 }
@@ -177,6 +233,21 @@
 	return true;
 }
 
+/* Attempts that wait count as well: they may do so for a second. */
+static void look_for_silence(struct rr_context *ctx, struct rr_gate *gate,
+			     struct rr_gate_zone *zone)
+{
+	if (zone->unanswered + zone->n_live >= DOUBT_UNANSWERED &&
+	    rr_track_silent_us(&zone->track, gate->now_us) >= DOUBT_US)
+		doubt_zone(ctx, gate, zone);
+}
+
+void rr_note_overdue(struct rr_context *ctx, struct rr_gate *gate,
+		     struct rr_endpoint *endpoint)
+{
+	look_for_silence(ctx, gate, endpoint->zone);
+}
+
 static void judge_zone(struct rr_context *ctx, struct rr_gate *gate,
 		       struct rr_gate_zone *zone)
 {
@@ -184,7 +255,10 @@
 	if (seems_cut(gate, zone) || are_all_suspected(gate, zone))
 		silence_zone(ctx, gate, zone);
 	else if (zone->unanswered >= ZONE_UNANSWERED)
-		doubt_zone(gate, zone); /* refused at once: no time passes */
+		doubt_zone(ctx, gate,
+			   zone); /* refused at once: no time passes */
+	else
+		look_for_silence(ctx, gate, zone);
 }
 
 static void suspect(struct rr_context *ctx, struct rr_gate *gate,
@@ -280,50 +354,48 @@
 			    endpoint->address);
 }
 
-/* Any replica of a zone, drawn at random. */
-static struct rr_endpoint *draw_of_zone(struct rr_context *ctx,
-					const struct rr_gate *gate,
-					const struct rr_gate_zone *zone)
+static struct rr_gate_zone *find_zone(const struct rr_gate *gate,
+				      uint64_t number)
 {
-	struct rr_endpoint *drawn = NULL;
-	uint32_t seen = 0;
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, gate->endpoints);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct rr_endpoint *endpoint = value;
+	for (guint i = 0; i < gate->zones->len; i++) {
+		struct rr_gate_zone *zone = g_ptr_array_index(gate->zones, i);
 
-		if (endpoint->zone != zone || endpoint->draining)
-			continue;
-		if (!rr_random_below(ctx, ++seen))
-			drawn = endpoint;
+		if (zone->number == number)
+			return zone;
 	}
-	return drawn;
+	return NULL;
 }
 
-void rr_fire_zone_probe(struct rr_context *ctx, struct rr_gate *gate,
-			uint64_t number)
+/*
+ * A doubt ends with the zone's first sign of life.  Guards against a cut that
+ * takes half a second to show by attempts alone, while each request of that
+ * time is lost.  It holds where replicas pause, since their machines answer.
+ */
+static void end_doubt(struct rr_context *ctx, struct rr_gate *gate,
+		      struct rr_gate_zone *zone)
 {
-	struct rr_gate_zone *zone = NULL;
-	struct rr_endpoint *endpoint;
+	if (gate->now_us - zone->doubted_us < VERDICT_US || !zone->open_probes)
+		return;
+#ifndef RR_MUTANT_GATE_SLOW_VERDICT
+	silence_zone(ctx, gate, zone);
+#endif
+}
 
-	for (guint i = 0; i < gate->zones->len; i++) {
-		struct rr_gate_zone *each = g_ptr_array_index(gate->zones, i);
+void rr_fire_zone_probe(struct rr_context *ctx, struct rr_gate *gate,
+			uint64_t number, uint32_t watch)
+{
+	struct rr_gate_zone *zone = find_zone(gate, number);
 
-		if (each->number == number)
-			zone = each;
-	}
-	if (!zone || (!zone->silent && !zone->doubted))
+	if (!zone || zone->watch != watch)
+		return;
+	if (zone->doubted)
+		end_doubt(ctx, gate, zone);
+	if (!zone->silent && !zone->doubted)
 		return;
 	if (zone->silent)
 		doubt_other_zones(ctx, gate);
-	endpoint = draw_of_zone(ctx, gate, zone);
-	if (endpoint)
-		gate->actions.probe(gate->actions.data, endpoint->lifetime,
-				    endpoint->address);
-	rr_set_timer(gate->timers, gate->now_us + PROBE_US, RR_TIMER_GATE_ZONE,
-		     number, 0);
+	probe_zone(ctx, gate, zone);
+	watch_zone(gate, zone, PROBE_US);
 }
 
 void rr_gate_probed(struct rr_context *ctx, struct rr_gate *gate,
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -137,7 +137,7 @@
 			rr_fire_probe(ctx, gate, timer.id);
 			break;
 		case RR_TIMER_GATE_ZONE:
-			rr_fire_zone_probe(ctx, gate, timer.id);
+			rr_fire_zone_probe(ctx, gate, timer.id, timer.index);
 			break;
 		case RR_TIMER_GATE_UNLISTED:
 			rr_expire_unlisted(ctx, gate, timer.id);
--- a/source/gateway/gateway-callers.c
+++ b/source/gateway/gateway-callers.c
@@ -87,6 +87,7 @@
 		.status = answer->status,
 		.headers = headers,
 		.n_headers = answer->retry_after_ms ? (handed ? 2 : 1) : 0,
+		.close = answer->go_elsewhere && !handed,
 	};
 
 	g_ascii_formatd(seconds, sizeof(seconds), "%.3f",
--- a/tests/support/gate-scene.c
+++ b/tests/support/gate-scene.c
@@ -100,6 +100,7 @@
 	kept->status = answer->status;
 	kept->reason = g_strdup(answer->reason);
 	kept->retry_after_ms = answer->retry_after_ms;
+	kept->go_elsewhere = answer->go_elsewhere;
 	kept->seals = g_strdup(answer->seals);
 	kept->missing = answer->missing;
 	kept->length = answer->length;
--- a/tests/support/gate-scene.h
+++ b/tests/support/gate-scene.h
@@ -30,6 +30,7 @@
 	uint16_t status;
 	char *reason;
 	uint32_t retry_after_ms;
+	bool go_elsewhere;
 	char *seals;
 	size_t missing;
 	size_t length;
--- a/tests/test-gate-zone.c
+++ b/tests/test-gate-zone.c
@@ -48,6 +48,7 @@
 	test_take(scene, "/search/1", 900);
 	assert_int_equal(scene->sent->len, 0);
 	assert_int_equal(test_last_answer(scene)->status, 503);
+	assert_true(test_last_answer(scene)->go_elsewhere);
 	g_ptr_array_set_size(scene->probes, 0);
 	test_pass(scene, 1000 * TEST_MS);
 	assert_in_range(scene->probes->len, 3, 4);
@@ -226,6 +227,86 @@
 	test_drop_scene(scene);
 }
 
+/* Near shards answer; of far ones a share, or none. */
+static void reply_from(struct gate_scene *scene, const char *zones)
+{
+	for (guint j = 0; j < scene->sent->len; j++) {
+		struct test_sent *sent = test_sent_at(scene, j);
+		const char *zone = strchr(sent->endpoint, '.') + 1;
+
+		if (!sent->replied && !sent->withdrawn && strchr(zones, *zone))
+			test_reply(scene, sent, RR_GATE_ANSWERED, 200);
+	}
+}
+
+/*
+ * Story: a zone is cut off.  Its searches wait for shards of other zones until
+ * their deadline, so that no attempt is given up for a second; refused for as
+ * long as that, callers lose what another zone would serve.  An instance that
+ * gets twenty searches a second finds out within a quarter of a second.
+ */
+static void test_a_cut_shows_before_attempts_are_given_up(void **state)
+{
+	struct test_route route = test_search_route;
+	struct gate_scene *scene = test_new_scene(7);
+	const char *reason;
+	int64_t cut_us;
+
+	(void)state;
+	route.least_share = 0.9;
+	test_list(scene, "s1.a", "s1", "a");
+	test_list(scene, "s2.b", "s2", "b");
+	test_list(scene, "s3.c", "s3", "c");
+	test_list(scene, "s4.c", "s4", "c");
+	test_set_routes(scene, 5, &route, 1);
+	for (int i = 0; i < 20; i++) {
+		test_take(scene, "/search/1", 1200);
+		test_pass(scene, 5 * TEST_MS);
+		reply_from(scene, "abc");
+		test_pass(scene, 45 * TEST_MS);
+	}
+	cut_us = scene->now_us;
+	while (rr_gate_serves(scene->gate, &reason)) {
+		test_take(scene, "/search/1", 1200);
+		test_pass(scene, 5 * TEST_MS);
+		reply_from(scene, "a");
+		test_pass(scene, 45 * TEST_MS);
+		if (scene->now_us - cut_us > 250 * TEST_MS)
+			fail_msg("not known after a quarter of a second");
+	}
+	assert_string_equal(reason, "cut-off");
+	test_drop_scene(scene);
+}
+
+/*
+ * Story: replicas of a zone pause at once, for a tenth of a second.  Their
+ * machines answer a new connection, so their zone is not left alone.
+ */
+static void test_a_pause_is_no_cut(void **state)
+{
+	struct gate_scene *scene = test_start_scene(&test_search_route);
+	guint probes = 0;
+
+	(void)state;
+	for (int i = 0; i < 60; i++) {
+		bool pauses = i % 10 < 2;
+
+		test_take(scene, "/search/1", 1200);
+		test_pass(scene, 5 * TEST_MS);
+		reply_from(scene, pauses ? "a" : "ab");
+		test_pass(scene, 45 * TEST_MS);
+		for (; probes < scene->probes->len; probes++)
+			rr_gate_probed(scene->ctx, scene->gate, scene->now_us,
+				       g_ptr_array_index(scene->probes, probes),
+				       true);
+	}
+	g_ptr_array_set_size(scene->sent, 0);
+	test_list_draining(scene, "s1.a", "s1", "a");
+	test_take(scene, "/search/1", 1200);
+	assert_non_null(test_open_at(scene, "s1.b"));
+	test_drop_scene(scene);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -235,6 +316,8 @@
 			test_two_zones_fall_silent_one_after_the_other),
 		cmocka_unit_test(test_a_zone_refuses_connections),
 		cmocka_unit_test(test_a_dark_replica_is_probed),
+		cmocka_unit_test(test_a_cut_shows_before_attempts_are_given_up),
+		cmocka_unit_test(test_a_pause_is_no_cut),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
