gate: what it decides by stands in one table; each mechanism can be off

Cause: some fifty constants stood in seven files, and a trial or an ablation had to edit code; two comments named deployments of the users. Ruled out: settings for them (what differs between deployments is observed; an operator could only make it worse); one struct a mechanism in files of its own, which says no more than the prefix of a name. Figures of the leaves that searches share (track, limit, wait-queue, allowance) stay where they are.

--- a/Makefile
+++ b/Makefile
@@ -130,6 +130,7 @@
 reference: $(BUILD)/ragwort
 	$(BUILD)/ragwort settings-reference >docs/SETTINGS.md
 	$(BUILD)/ragwort metrics-reference >docs/METRICS.md
+	$(BUILD)/ragwort policy-reference >docs/POLICY.md
 	scripts/source-map >docs/MAP.md
 
 clean:
--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -22,6 +22,7 @@
 #include <stdint.h>
 
 #include "ragwort/context.h"
+#include "ragwort/gate-policy.h"
 #include "ragwort/route.h"
 
 /* A replica as the list of replicas tells of it; strings are copied. */
@@ -162,6 +163,7 @@
 	uint32_t extra_window_ms;
 	int64_t began_us; /* when this process began */
 	double strength;  /* this instance's share of a processor */
+	const struct rr_gate_policy *policy; /* copied; NULL: the default */
 	/* Of requests' decisions; a request is told whole or not at all. */
 	uint32_t log_lines_per_s;
 };
--- a/source/core/gate-admit.c
+++ b/source/core/gate-admit.c
@@ -41,7 +41,8 @@
 		if (!rr_service_reachable(gate, service))
 			continue;
 		reachable++;
-		if (is_overrun(gate, run, service))
+		if (gate->policy.admit_by_wait &&
+		    is_overrun(gate, run, service))
 			overrun++;
 	}
 	if (reachable < run->least)
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -4,17 +4,6 @@
  */
 #include "core/gate-private.h"
 
-/* An attempt slower than this share of all is hedged while tokens last. */
-#define HEDGE_QUANTILE 0.93
-/* Until times are known: this many guessed times. */
-#define HEDGE_GUESS_FACTOR 3
-/* The price when hardly a token is left, in usual times. */
-#define DEAR_FACTOR 8
-#define LEAST_HEDGE_US (2 * 1000)
-/* A refusal for want of room halves the limit, as loss does elsewhere. */
-#define SHED_SHRINK 0.5
-/* Until a hedge that could not be sent is looked at again. */
-#define HEDGE_CHECK_US (4 * 1000)
 void rr_free_attempt(gpointer data)
 {
 	struct rr_gate_attempt *attempt = data;
@@ -98,19 +87,22 @@
 			      const struct rr_gate_run *run,
 			      const struct rr_gate_part *part)
 {
-	int64_t typical_us = rr_typical_us(run->record, run->route);
+	const struct rr_gate_policy *policy = &gate->policy;
+	int64_t typical_us = rr_typical_us(gate, run->record, run->route);
 	int64_t cheap_us =
-		rr_sketch_quantile(&run->record->times, HEDGE_QUANTILE);
+		rr_sketch_quantile(&run->record->times, policy->hedge_quantile);
+	double dear_us = policy->hedge_dear_factor * (double)typical_us;
 	int64_t last_us;
 
 	if (!cheap_us)
-		cheap_us = HEDGE_GUESS_FACTOR * typical_us;
-	cheap_us = MAX(cheap_us, LEAST_HEDGE_US);
+		cheap_us = (int64_t)(policy->hedge_guess_factor *
+				     (double)typical_us);
+	cheap_us = MAX(cheap_us, policy->hedge_least_us);
 	/* A hedge that could not answer in time any more is worth little. */
 	last_us = run->cut_us - 2 * typical_us - part->last_sent_us;
 	return rr_hedge_price_us(
 		rr_extras_used(&part->service->extras, gate->now_us), cheap_us,
-		MIN(DEAR_FACTOR * typical_us, last_us));
+		MIN((int64_t)dear_us, last_us));
 }
 
 static void send_attempt(struct rr_context *ctx, struct rr_gate *gate,
@@ -158,7 +150,7 @@
 		run->deadline_us ?
 			MAX(run->deadline_us - gate->now_us, 0) / 1000 :
 			-1;
-	if (run->route->idempotent && !run->handed)
+	if (run->route->idempotent && !run->handed && gate->policy.hedge_slow)
 		set_timer(gate, gate->now_us + hedge_after_us(gate, run, part),
 			  RR_TIMER_GATE_HEDGE, attempt->id);
 	gate->actions.send(gate->actions.data, &send);
@@ -287,14 +279,14 @@
 	}
 	rr_track_overdue(&attempt->endpoint->track, gate->now_us,
 			 gate->now_us - attempt->sent_us,
-			 rr_typical_us(run->record, run->route));
+			 rr_typical_us(gate, run->record, run->route));
 	rr_note_overdue(ctx, gate, attempt->endpoint);
 	if (rr_try_part(ctx, gate, run, attempt->part, "hedge")) {
 		rr_count(ctx, RR_N_HEDGES, 1);
 		return;
 	}
-	if (gate->now_us + HEDGE_CHECK_US < run->end_us)
-		set_timer(gate, gate->now_us + HEDGE_CHECK_US,
+	if (gate->now_us + gate->policy.hedge_check_us < run->end_us)
+		set_timer(gate, gate->now_us + gate->policy.hedge_check_us,
 			  RR_TIMER_GATE_HEDGE, id);
 }
 
@@ -316,7 +308,7 @@
 			continue;
 		rr_track_overdue(&attempt->endpoint->track, gate->now_us,
 				 gate->now_us - attempt->sent_us,
-				 rr_typical_us(run->record, run->route));
+				 rr_typical_us(gate, run->record, run->route));
 		withdraw(ctx, gate, attempt, "lost-to-another");
 	}
 }
@@ -383,7 +375,7 @@
 static void take_shed(struct rr_gate *gate, struct rr_endpoint *endpoint)
 {
 	rr_track_shed(&endpoint->track, gate->now_us);
-	rr_shrink_limit(&endpoint->limit, SHED_SHRINK);
+	rr_shrink_limit(&endpoint->limit, gate->policy.limit_shed_shrink);
 }
 
 /* What a reply tells of the replica. */
@@ -504,7 +496,7 @@
 		take_handed_reply(ctx, gate, run, reply);
 		return;
 	}
-	if (good)
+	if (good && gate->policy.hedge_ends_losers)
 		withdraw_losers(ctx, gate, run, index);
 	if (good && run->route->mode == RR_ROUTE_GATHER) {
 		rr_take_part(ctx, gate, run, part, reply);
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -9,46 +9,6 @@
 #include "core/gate-private.h"
 #include "core/pick.h"
 
-/*
- * What the way to another availability zone counts for, there and back: its
- * own time at least, and a part of the time that the caller still waits.
- * Bytes between zones are paid for, while time that nobody misses is not.
- * A fifth: price of these bytes on tofali-search-grown quiet-1 0.027 to 0.007
- * with all three replicas compared, the share in time unchanged; from 0.4 on
- * the share in time falls.
- */
-#define FAR_US 5000.0
-#define FAR_PART 0.2
-/*
- * Until anything was measured, a part of the latency objective: most work
- * takes a tenth of what callers are promised.
- */
-#define GUESS_PART 10
-#define GUESS_US (20 * 1000)
-/* A replica that has just started; its listing tells for how long. */
-#define COLD_FACTOR 1.6
-/* One open attempt of ours at a replica costs the next about this much. */
-#define BUSY_WEIGHT 0.3
-/*
- * An attempt lost costs about its own time and another's; and, however much
- * time there is, an extra arrival, of which a service bears few.
- */
-#define LOSS_PRICE 4.0
-#define LOSS_PART 1.0
-/*
- * Replicas that are compared for one attempt.  Most services have three: with
- * two of them the near one would be left out a third of the time.
- */
-#define DRAWS 4
-/* High: the nearer or quicker replica nearly always. */
-#define WAIT_POWER 8.0
-/*
- * An open attempt older than this many usual times (and at least so old)
- * shows that its replica pauses or is stuck.
- */
-#define STALLED_FACTOR 3.0
-#define LEAST_STALLED_US (8 * 1000)
-
 enum tier {
 	TIER_GOOD,
 	TIER_AWAY,     /* an instance of another zone */
@@ -57,16 +17,18 @@
 	N_TIERS,
 };
 
-int64_t rr_typical_us(const struct rr_route_record *record,
+int64_t rr_typical_us(const struct rr_gate *gate,
+		      const struct rr_route_record *record,
 		      const struct rr_route *route)
 {
 	int64_t typical_us = rr_sketch_quantile(&record->times, 0.5);
 
 	if (typical_us)
 		return typical_us;
-	return route->objective_ms ?
-		       (int64_t)route->objective_ms * 1000 / GUESS_PART :
-		       GUESS_US;
+	if (!route->objective_ms)
+		return gate->policy.choose_guess_us;
+	return (int64_t)(route->objective_ms * 1000.0 /
+			 gate->policy.choose_guess_part);
 }
 
 static bool was_tried(const struct rr_gate_part *part,
@@ -85,7 +47,9 @@
 #ifdef RR_MUTANT_GATE_DRAIN_IGNORED
 	return true;
 #endif
-	return !endpoint->draining && !endpoint->zone->silent &&
+	if (endpoint->draining || endpoint->zone->silent)
+		return false;
+	return !gate->policy.choose_avoids_suspects ||
 	       !rr_is_suspected(&endpoint->track, gate->now_us);
 }
 
@@ -105,13 +69,14 @@
 {
 	const struct rr_gate_attempt *oldest =
 		endpoint->live.head ? endpoint->live.head->data : NULL;
-	double bound_us = STALLED_FACTOR * (double)typical_us *
+	const struct rr_gate_policy *policy = &gate->policy;
+	double bound_us = policy->choose_stalled_factor * (double)typical_us *
 			  rr_track_slowness(&endpoint->track, gate->now_us);
 
 	if (endpoint->track.shed_until_us > gate->now_us)
 		return true;
-	return oldest && (double)(gate->now_us - oldest->sent_us) >
-				 MAX(bound_us, LEAST_STALLED_US);
+	bound_us = MAX(bound_us, (double)policy->choose_least_stalled_us);
+	return oldest && (double)(gate->now_us - oldest->sent_us) > bound_us;
 }
 
 static enum tier tier_of(const struct rr_gate *gate,
@@ -119,7 +84,8 @@
 {
 	if (!endpoint->listed)
 		return TIER_UNLISTED;
-	if (is_stalled(gate, endpoint, typical_us))
+	if (gate->policy.choose_by_stalls &&
+	    is_stalled(gate, endpoint, typical_us))
 		return TIER_STALLED;
 	return endpoint->away ? TIER_AWAY : TIER_GOOD;
 }
@@ -134,18 +100,24 @@
 			       const struct rr_endpoint *endpoint,
 			       const struct reckoning *reckoning)
 {
-	double losses = rr_track_losses(&endpoint->track, gate->now_us);
+	const struct rr_gate_policy *policy = &gate->policy;
 	double wait_us = (double)reckoning->typical_us;
+	double losses = 0;
+	double far_us;
 
-	wait_us *= rr_track_slowness(&endpoint->track, gate->now_us);
-	wait_us *= 1 + BUSY_WEIGHT * endpoint->live.length;
+	if (policy->choose_by_losses)
+		losses = rr_track_losses(&endpoint->track, gate->now_us);
+	if (policy->choose_by_slowness)
+		wait_us *= rr_track_slowness(&endpoint->track, gate->now_us);
+	wait_us *= 1 + policy->choose_busy_weight * endpoint->live.length;
 	if (endpoint->cold_until_us > gate->now_us)
-		wait_us *= COLD_FACTOR;
-	wait_us += losses *
-		   (LOSS_PRICE * wait_us + LOSS_PART * reckoning->left_us);
-	if (!endpoint->zone->near)
-		wait_us += MAX(FAR_US, FAR_PART * reckoning->left_us);
-	return wait_us;
+		wait_us *= policy->choose_cold_factor;
+	wait_us += losses * (policy->choose_loss_price * wait_us +
+			     policy->choose_loss_part * reckoning->left_us);
+	if (endpoint->zone->near)
+		return wait_us;
+	far_us = policy->choose_far_part * reckoning->left_us;
+	return wait_us + MAX((double)policy->choose_far_us, far_us);
 }
 
 /* The better of the best tier so far and one more of it. */
@@ -158,7 +130,10 @@
 	double wait_a = expected_wait_us(gate, a, reckoning);
 	double wait_b = expected_wait_us(gate, b, reckoning);
 
-	return rr_toss_for_lighter(ctx, wait_a, wait_b, WAIT_POWER) ? a : b;
+	return rr_toss_for_lighter(ctx, wait_a, wait_b,
+				   gate->policy.choose_wait_power) ?
+		       a :
+		       b;
 }
 
 /* Draw some of an array at random, whose order changes, and pick of these. */
@@ -166,7 +141,7 @@
 				   const struct rr_gate *gate, GPtrArray *array,
 				   const struct reckoning *reckoning)
 {
-	guint drawn = MIN(array->len, DRAWS);
+	guint drawn = MIN(array->len, gate->policy.choose_draws);
 	struct rr_endpoint *best = NULL;
 
 	for (guint i = 0; i < drawn; i++) {
@@ -202,6 +177,8 @@
 {
 	struct rr_limit_bounds bounds = rr_endpoint_bounds(gate, endpoint);
 
+	if (!gate->policy.limit_adapts)
+		return MAX(1, bounds.highest);
 	return rr_limit_now(&endpoint->limit, bounds.highest);
 }
 
@@ -245,7 +222,7 @@
 				  struct rr_endpoint **chosen)
 {
 	const struct rr_gate_service *service = part->service;
-	int64_t typical_us = rr_typical_us(run->record, run->route);
+	int64_t typical_us = rr_typical_us(gate, run->record, run->route);
 	struct reckoning reckoning = {
 		.typical_us = typical_us,
 		.left_us = MAX(run->cut_us - gate->now_us, 0),
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -9,22 +9,6 @@
 
 #include <string.h>
 
-/*
- * A replica whose entry is gone stays the last resort for so long.  Guards
- * against entries that lapse while the store is down: requests would fail
- * for want of replicas that are all well.  Entries are back within two
- * seconds of the store's return; the shortest time in which a removed replica
- * must be left alone is three.
- */
-#define UNLISTED_GRACE_US (1800 * 1000)
-/* The part of a service's allowances that is used: the rest is a margin. */
-#define SLACK_PART 0.8
-/* Of it, for instances that hand searches over: single requests are few. */
-#define WEAK_PART 0.2
-#define CONNECTION_PART 0.92
-/* Kept at rest: as many again find room, see replica-port.c. */
-#define KEPT_PART 0.5
-
 struct rr_endpoint *rr_keep_endpoint(struct rr_endpoint *endpoint)
 {
 	endpoint->refs++;
@@ -54,14 +38,16 @@
 static void set_extras(const struct rr_gate *gate,
 		       struct rr_gate_service *service)
 {
-	double slack = gate->extra_slack * SLACK_PART;
+	double slack = gate->extra_slack * gate->policy.share_slack_part;
 	uint32_t holders = rr_count_holders(gate);
 	double part = 1.0 / gate->instances;
 
 	/* Where some hand searches over, the others have the extra attempts. */
 	if (service->searched && holders < gate->instances)
-		part = gate->weak ? WEAK_PART / (gate->instances - holders) :
-				    (1 - WEAK_PART) / holders;
+		part = gate->weak ?
+			       gate->policy.share_weak_part /
+				       (gate->instances - holders) :
+			       (1 - gate->policy.share_weak_part) / holders;
 	rr_set_allowance(&service->extras, gate->extra_ratio, slack * part);
 }
 
@@ -142,12 +128,13 @@
 
 uint32_t rr_kept_connections(const struct rr_gate *gate, const char *name)
 {
-	return share_of_connections(gate, name, KEPT_PART);
+	return share_of_connections(gate, name, gate->policy.share_kept_part);
 }
 
 uint32_t rr_gate_connection_share(const struct rr_gate *gate, const char *name)
 {
-	return share_of_connections(gate, name, CONNECTION_PART);
+	return share_of_connections(gate, name,
+				    gate->policy.share_connection_part);
 }
 
 static struct rr_endpoint *add_endpoint(struct rr_gate *gate,
@@ -211,7 +198,7 @@
 
 	if (endpoint->service == gate->strong)
 		return true;
-	if (gate->weak)
+	if (gate->weak || !gate->policy.share_opens_early)
 		return false;
 	return !service || service->max_connections >= rr_count_holders(gate);
 }
@@ -328,7 +315,7 @@
 #ifdef RR_MUTANT_GATE_LAPSED_STAYS
 	return;
 #endif
-	rr_set_timer(gate->timers, now_us + UNLISTED_GRACE_US,
+	rr_set_timer(gate->timers, now_us + gate->policy.list_unlisted_grace_us,
 		     RR_TIMER_GATE_UNLISTED, endpoint->number, 0);
 }
 
@@ -343,7 +330,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		endpoint = value;
 		if (endpoint->listed || endpoint->number != number ||
-		    gate->now_us - endpoint->unlisted_us < UNLISTED_GRACE_US)
+		    gate->now_us - endpoint->unlisted_us <
+			    gate->policy.list_unlisted_grace_us)
 			continue;
 		rr_retire_endpoint(ctx, gate, endpoint, "unlisted");
 		remove_endpoint(gate, endpoint);
--- a/source/core/gate-peer.c
+++ b/source/core/gate-peer.c
@@ -13,11 +13,6 @@
 
 #include <string.h>
 
-/* So much stronger must another be: less is not worth the way. */
-#define MUCH_STRONGER 2.0
-/* Searches of one instance that a strong one takes at once. */
-#define PEER_SLOTS 32
-
 void rr_free_gate_peer(gpointer data)
 {
 	struct rr_gate_peer *peer = data;
@@ -47,7 +42,9 @@
 static bool is_weak(const struct rr_gate *gate, const char *zone,
 		    double strength)
 {
-	return strongest_of(gate, zone) >= MUCH_STRONGER * strength;
+	return gate->policy.peer_hands_over &&
+	       strongest_of(gate, zone) >=
+		       gate->policy.peer_much_stronger * strength;
 }
 
 static void count_holders(struct rr_gate *gate)
@@ -79,7 +76,8 @@
 		       struct rr_gate_peer *peer)
 {
 	bool wanted = gate->weak &&
-		      peer->strength >= MUCH_STRONGER * gate->strength &&
+		      peer->strength >= gate->policy.peer_much_stronger *
+						gate->strength &&
 		      *peer->address;
 	struct rr_endpoint *endpoint;
 	struct rr_listing listing = {
@@ -88,7 +86,7 @@
 		.address = peer->address,
 		/* Not the zone of replicas: its silence tells nothing of them. */
 		.zone = RR_STRONG_SERVICE,
-		.slots = PEER_SLOTS,
+		.slots = gate->policy.peer_slots,
 	};
 
 	if (wanted == peer->listed)
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -161,6 +161,7 @@
 	char *instance;
 	char *zone;
 	struct rr_gate_actions actions;
+	struct rr_gate_policy policy;
 	double extra_ratio;
 	double extra_slack;
 	int64_t extra_window_us;
@@ -295,7 +296,8 @@
 /* Whether a service has a replica that answers. */
 bool rr_service_reachable(const struct rr_gate *gate,
 			  const struct rr_gate_service *service);
-int64_t rr_typical_us(const struct rr_route_record *record,
+int64_t rr_typical_us(const struct rr_gate *gate,
+		      const struct rr_route_record *record,
 		      const struct rr_route *route);
 
 /* gate-attempt.c */
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -10,34 +10,6 @@
 
 #include <string.h>
 
-/*
- * What an answer needs from here to the caller, beside its way: to be
- * written, and this instance's own share of a processor.
- */
-#define LEAST_WRITE_US (2 * 1000)
-/*
- * Part of the latency objective.  Half of what a shorter time gains in parts
- * is lost to answers that come late: share of what callers are owed, mean of
- * five days with trouble and three draws, 0.8614 with a twentieth, 0.8652 with
- * a ninth; with the time of the connection counted apart 0.8659 with a
- * twentieth and 0.8669 with a thirteenth or a ninth.
- */
-#define WRITE_PART 13
-/* The way of an answer through the instance that handed a search over. */
-#define HAND_BACK_US (3 * 1000)
-/* Assumed where the caller's connection does not tell. */
-#define GUESSED_RTT_US (4 * 1000)
-/* A caller that closed its side may still read: for so long it is served. */
-#define LEFT_US (250 * 1000)
-/*
- * Callers are asked back after this part of the time they have left, drawn
- * so that they spread.  Under a third of it: they do not come back later.
- */
-#define RETRY_FROM 0.08
-#define RETRY_TO 0.3
-/* Where a caller told no deadline. */
-#define RETRY_BASE_US (2 * G_USEC_PER_SEC)
-
 struct rr_gate_run *rr_find_run(const struct rr_gate *gate, uint64_t id)
 {
 	return g_hash_table_lookup(gate->runs, &id);
@@ -65,10 +37,12 @@
 	g_hash_table_remove(gate->runs, &run->id);
 }
 
-static uint32_t draw_retry_ms(struct rr_context *ctx, int64_t left_us)
+static uint32_t draw_retry_ms(struct rr_context *ctx,
+			      const struct rr_gate *gate, int64_t left_us)
 {
-	double part =
-		RETRY_FROM + (RETRY_TO - RETRY_FROM) * rr_random_unit(ctx);
+	double from = gate->policy.retry_from;
+	double to = gate->policy.retry_to;
+	double part = from + (to - from) * rr_random_unit(ctx);
 
 	return MAX(1, (uint32_t)(part * (double)left_us / 1000));
 }
@@ -162,15 +136,17 @@
 		 * connection they have: only a new one leads to an instance
 		 * that is not cut off.
 		 */
-		.go_elsewhere = gate->isolated,
+		.go_elsewhere =
+			gate->isolated && gate->policy.answer_ends_when_cut,
 #endif
 	};
 
 	if (is_promise(status))
 		answer.retry_after_ms = draw_retry_ms(
-			ctx, run->deadline_us ?
-				     MAX(run->deadline_us - gate->now_us, 0) :
-				     RETRY_BASE_US);
+			ctx, gate,
+			run->deadline_us ?
+				MAX(run->deadline_us - gate->now_us, 0) :
+				gate->policy.retry_base_us);
 	give_answer(ctx, gate, run, &answer);
 }
 
@@ -319,9 +295,11 @@
  * caller wants to wait.  Guards against requests that are held to their
  * deadline by an instance that is frozen.
  */
-static int64_t hand_over_end_us(const struct rr_gate_run *run)
+static int64_t hand_over_end_us(const struct rr_gate *gate,
+				const struct rr_gate_run *run)
 {
-	return run->cut_us + HAND_BACK_US + (run->cut_us - run->started_us);
+	return run->cut_us + gate->policy.answer_hand_back_us +
+	       (run->cut_us - run->started_us);
 }
 
 void rr_advance_run(struct rr_context *ctx, struct rr_gate *gate,
@@ -331,7 +309,7 @@
 		advance_gather(ctx, gate, run);
 		return;
 	}
-	if (run->handed && gate->now_us >= hand_over_end_us(run) &&
+	if (run->handed && gate->now_us >= hand_over_end_us(gate, run) &&
 	    !run->n_lacking) {
 		fail_run(ctx, gate, run, "strong-instance-silent");
 		return;
@@ -417,12 +395,21 @@
 	rr_init_top_records(&run->top, route->top_k);
 }
 
+/* For an answer's way out. */
+static int64_t kept_back_us(const struct rr_gate *gate, int64_t objective_us)
+{
+	double part = (double)objective_us / gate->policy.answer_write_part;
+
+	return MAX(gate->policy.answer_least_write_us, (int64_t)part);
+}
+
 static void set_times(struct rr_gate_run *run, const struct rr_gate *gate,
 		      const struct rr_gate_ask *ask)
 {
 	int64_t objective_us = (int64_t)run->route->objective_ms * 1000;
-	int64_t rtt_us =
-		ask->caller_rtt_us > 0 ? ask->caller_rtt_us : GUESSED_RTT_US;
+	int64_t rtt_us = ask->caller_rtt_us > 0 ?
+				 ask->caller_rtt_us :
+				 gate->policy.answer_guessed_rtt_us;
 	int64_t way_us = rtt_us;
 
 	/*
@@ -431,7 +418,7 @@
 	 * send.
 	 */
 #ifndef RR_MUTANT_GATE_FORGETS_CONNECT
-	if (ask->caller_is_new)
+	if (ask->caller_is_new && gate->policy.answer_counts_connect)
 		way_us += rtt_us;
 #endif
 
@@ -448,14 +435,13 @@
 	}
 	run->cut_us = run->end_us;
 	if (ask->handed_left_us >= 0)
-		run->cut_us =
-			MIN(run->end_us,
-			    gate->now_us + ask->handed_left_us - HAND_BACK_US);
+		run->cut_us = MIN(run->end_us,
+				  gate->now_us + ask->handed_left_us -
+					  gate->policy.answer_hand_back_us);
 	else if (objective_us)
-		run->cut_us = MIN(
-			run->cut_us,
-			gate->now_us + objective_us - way_us -
-				MAX(LEAST_WRITE_US, objective_us / WRITE_PART));
+		run->cut_us = MIN(run->cut_us,
+				  gate->now_us + objective_us - way_us -
+					  kept_back_us(gate, objective_us));
 }
 
 /* Send each part for the first time, or give it up. */
@@ -498,7 +484,7 @@
 	uint64_t id = run->id;
 
 	rr_set_timer(gate->timers,
-		     run->handed ? hand_over_end_us(run) : run->cut_us,
+		     run->handed ? hand_over_end_us(gate, run) : run->cut_us,
 		     RR_TIMER_GATE_LOOK, id, 0);
 	if (run->end_us != run->cut_us && run->end_us != INT64_MAX)
 		rr_set_timer(gate->timers, run->end_us, RR_TIMER_GATE_LOOK, id,
@@ -525,8 +511,9 @@
 
 	if (is_promise(status))
 		answer.retry_after_ms = draw_retry_ms(
-			ctx, ask->deadline_ms >= 0 ? ask->deadline_ms * 1000 :
-						     RETRY_BASE_US);
+			ctx, gate,
+			ask->deadline_ms >= 0 ? ask->deadline_ms * 1000 :
+						gate->policy.retry_base_us);
 	rr_log(ctx, RR_LOG_INFO, "turned-away",
 	       RR_FIELD_STRING("request", ask->request_id),
 	       RR_FIELD_STRING("instance", gate->instance),
@@ -598,7 +585,7 @@
 	/* What may run once at most goes on to its end. */
 	if (!run->route->idempotent)
 		return;
-	run->end_us = MIN(run->end_us, now_us + LEFT_US);
+	run->end_us = MIN(run->end_us, now_us + gate->policy.answer_left_us);
 	rr_set_timer(gate->timers, run->end_us, RR_TIMER_GATE_LOOK, run->id, 0);
 }
 
--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -10,41 +10,6 @@
 
 #include <string.h>
 
-/*
- * Silence that is no pause any more (those of today last up to 250 ms).
- * Attempts are given up long before, so it is added up over those that
- * follow each other.
- */
-#define SILENCE_US (400 * 1000)
-/*
- * A zone's replicas do not pause together: many attempts without any answer
- * for shorter than that show a cut.
- */
-#define ZONE_SILENCE_US (200 * 1000)
-#define ZONE_UNANSWERED 5
-/*
- * Once another zone is silent fewer show it: a cut seldom takes one zone
- * alone, and until the last one is known to be silent callers are not sent
- * elsewhere.
- */
-#define NEXT_ZONE_UNANSWERED 3
-/*
- * So much silence, of so many attempts, is worth two probes: less than callers
- * of short searches wait, several times what an answer takes.
- */
-#define DOUBT_US (50 * 1000)
-#define DOUBT_UNANSWERED 3
-#define DOUBT_PROBES 2
-/*
- * Probes that are not answered by then are not answered at all: a connection
- * is made by a machine, whatever its replica does, within a few milliseconds.
- */
-#define VERDICT_US (80 * 1000)
-/* Between probes; each costs a packet where nobody is there. */
-#define PROBE_US (300 * 1000)
-/* So many in a row, of replicas drawn at random, show that a zone is cut. */
-#define FAILED_PROBES 2
-
 struct rr_gate_zone *rr_gate_zone_of(struct rr_gate *gate, const char *name)
 {
 	struct rr_gate_zone *zone;
@@ -93,8 +58,8 @@
 	if (endpoint->probing)
 		return;
 	endpoint->probing = true;
-	rr_set_timer(gate->timers, gate->now_us + PROBE_US, RR_TIMER_GATE_PROBE,
-		     endpoint->number, 0);
+	rr_set_timer(gate->timers, gate->now_us + gate->policy.silence_probe_us,
+		     RR_TIMER_GATE_PROBE, endpoint->number, 0);
 }
 
 /* Any replica of a zone, drawn at random. */
@@ -149,9 +114,9 @@
 	zone->doubted_us = gate->now_us;
 	zone->failed_probes = 0;
 	zone->open_probes = 0;
-	for (int i = 0; i < DOUBT_PROBES; i++)
+	for (uint32_t i = 0; i < gate->policy.silence_doubt_probes; i++)
 		probe_zone(ctx, gate, zone);
-	watch_zone(gate, zone, VERDICT_US);
+	watch_zone(gate, zone, gate->policy.silence_verdict_us);
 }
 
 static bool is_any_silent(const struct rr_gate *gate)
@@ -169,12 +134,13 @@
 static bool seems_cut(const struct rr_gate *gate,
 		      const struct rr_gate_zone *zone)
 {
-	uint32_t enough =
-		is_any_silent(gate) ? NEXT_ZONE_UNANSWERED : ZONE_UNANSWERED;
+	uint32_t enough = is_any_silent(gate) ?
+				  gate->policy.silence_next_unanswered :
+				  gate->policy.silence_unanswered;
 
 	return zone->unanswered >= enough &&
 	       rr_track_silent_us(&zone->track, gate->now_us) >=
-		       ZONE_SILENCE_US;
+		       gate->policy.silence_zone_us;
 }
 
 static void silence_zone(struct rr_context *ctx, struct rr_gate *gate,
@@ -193,7 +159,8 @@
 			continue;
 		if (seems_cut(gate, zone))
 			silence_zone(ctx, gate, zone);
-		else if (gate->now_us - zone->heard_us >= DOUBT_US)
+		else if (gate->now_us - zone->heard_us >=
+			 gate->policy.silence_doubt_us)
 			doubt_zone(ctx, gate, zone);
 	}
 }
@@ -201,7 +168,7 @@
 static void silence_zone(struct rr_context *ctx, struct rr_gate *gate,
 			 struct rr_gate_zone *zone)
 {
-	if (zone->silent)
+	if (zone->silent || !gate->policy.silence_of_zones)
 		return;
 	zone->silent = true;
 	rr_log(ctx, RR_LOG_WARNING, "zone-silent",
@@ -210,7 +177,7 @@
 	       RR_FIELD_I64("silent_us",
 			    rr_track_silent_us(&zone->track, gate->now_us)));
 	zone->doubted = false;
-	watch_zone(gate, zone, PROBE_US);
+	watch_zone(gate, zone, gate->policy.silence_probe_us);
 	doubt_other_zones(ctx, gate);
 	rr_judge_isolation(ctx, gate);
 }
@@ -237,8 +204,10 @@
 static void look_for_silence(struct rr_context *ctx, struct rr_gate *gate,
 			     struct rr_gate_zone *zone)
 {
-	if (zone->unanswered + zone->n_live >= DOUBT_UNANSWERED &&
-	    rr_track_silent_us(&zone->track, gate->now_us) >= DOUBT_US)
+	if (zone->unanswered + zone->n_live >=
+		    gate->policy.silence_doubt_unanswered &&
+	    rr_track_silent_us(&zone->track, gate->now_us) >=
+		    gate->policy.silence_doubt_us)
 		doubt_zone(ctx, gate, zone);
 }
 
@@ -254,7 +223,7 @@
 	zone->unanswered++;
 	if (seems_cut(gate, zone) || are_all_suspected(gate, zone))
 		silence_zone(ctx, gate, zone);
-	else if (zone->unanswered >= ZONE_UNANSWERED)
+	else if (zone->unanswered >= gate->policy.silence_unanswered)
 		doubt_zone(ctx, gate,
 			   zone); /* refused at once: no time passes */
 	else
@@ -281,7 +250,8 @@
 void rr_note_given_up(struct rr_context *ctx, struct rr_gate *gate,
 		      struct rr_endpoint *endpoint)
 {
-	if (rr_track_silent_us(&endpoint->track, gate->now_us) >= SILENCE_US)
+	if (rr_track_silent_us(&endpoint->track, gate->now_us) >=
+	    gate->policy.silence_replica_us)
 		suspect(ctx, gate, endpoint, "silent");
 	judge_zone(ctx, gate, endpoint->zone);
 }
@@ -374,7 +344,8 @@
 static void end_doubt(struct rr_context *ctx, struct rr_gate *gate,
 		      struct rr_gate_zone *zone)
 {
-	if (gate->now_us - zone->doubted_us < VERDICT_US || !zone->open_probes)
+	if (gate->now_us - zone->doubted_us < gate->policy.silence_verdict_us ||
+	    !zone->open_probes)
 		return;
 #ifndef RR_MUTANT_GATE_SLOW_VERDICT
 	silence_zone(ctx, gate, zone);
@@ -395,7 +366,7 @@
 	if (zone->silent)
 		doubt_other_zones(ctx, gate);
 	probe_zone(ctx, gate, zone);
-	watch_zone(gate, zone, PROBE_US);
+	watch_zone(gate, zone, gate->policy.silence_probe_us);
 }
 
 void rr_gate_probed(struct rr_context *ctx, struct rr_gate *gate,
@@ -414,7 +385,8 @@
 		rr_pump_service(ctx, gate, endpoint->service);
 		return;
 	}
-	if (++endpoint->zone->failed_probes >= FAILED_PROBES &&
+	if (++endpoint->zone->failed_probes >=
+		    gate->policy.silence_failed_probes &&
 	    endpoint->zone->doubted)
 		silence_zone(ctx, gate, endpoint->zone);
 	if (endpoint->track.silences_in_row && !endpoint->draining) {
@@ -471,7 +443,8 @@
 
 void rr_judge_isolation(struct rr_context *ctx, struct rr_gate *gate)
 {
-	bool isolated = hears_no_other_zone(gate) && lacks_a_route(gate);
+	bool isolated = gate->policy.silence_unready &&
+			hears_no_other_zone(gate) && lacks_a_route(gate);
 
 	if (isolated == gate->isolated)
 		return;
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -3,12 +3,6 @@
  */
 #include "core/gate-private.h"
 
-/*
- * Instances that are assumed until they are counted: more than any site of
- * today has, so that budgets and connections are not overdrawn meanwhile.
- */
-#define ASSUMED_INSTANCES 16
-
 static void free_record(gpointer data)
 {
 	struct rr_route_record *record = data;
@@ -30,11 +24,14 @@
 	gate->instance = g_strdup(options->instance);
 	gate->zone = g_strdup(options->zone);
 	gate->actions = options->actions;
+	rr_init_gate_policy(&gate->policy);
+	if (options->policy)
+		gate->policy = *options->policy;
 	gate->extra_ratio = options->extra_ratio;
 	gate->extra_slack = options->extra_slack;
 	gate->extra_window_us = (int64_t)options->extra_window_ms * 1000;
 	gate->began_us = options->began_us;
-	gate->instances = ASSUMED_INSTANCES;
+	gate->instances = gate->policy.share_assumed_instances;
 	gate->strength = options->strength;
 	gate->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					    rr_free_gate_peer);
--- a/source/tool/main.c
+++ b/source/tool/main.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "ragwort/counters.h"
+#include "ragwort/gate-policy.h"
 #include "tool/tool.h"
 
 #define PARSE_ONLY "--parse-only"
@@ -14,6 +15,8 @@
 				  char **argv);
 static int run_metrics_reference(const struct rr_command *command, int argc,
 				 char **argv);
+static int run_policy_reference(const struct rr_command *command, int argc,
+				char **argv);
 
 static const struct rr_command commands[] = {
 	{ "bench", rr_run_bench, "put a load on instances and tell what came",
@@ -43,6 +46,9 @@
 	{ "metrics-reference", run_metrics_reference,
 	  "print the reference page of all metrics",
 	  "ragwort metrics-reference" },
+	{ "policy-reference", run_policy_reference,
+	  "print the reference page of the gateway's policy",
+	  "ragwort policy-reference" },
 	{ "version", run_version, "print the version", "ragwort version" },
 };
 
@@ -68,32 +74,37 @@
 	return code;
 }
 
-static int run_settings_reference(const struct rr_command *command, int argc,
-				  char **argv)
+/* A page that is made from a table of the source. */
+static int print_page(const struct rr_command *command, int argc, char **argv,
+		      void (*format)(GString *out))
 {
 	GString *page = g_string_new(NULL);
 	int code = RR_EXIT_OK;
 
 	if (parse_bare(command, argc, argv, &code)) {
-		rr_format_settings_reference(page);
+		format(page);
 		fputs(page->str, stdout);
 	}
 	g_string_free(page, TRUE);
 	return code;
 }
 
+static int run_settings_reference(const struct rr_command *command, int argc,
+				  char **argv)
+{
+	return print_page(command, argc, argv, rr_format_settings_reference);
+}
+
 static int run_metrics_reference(const struct rr_command *command, int argc,
 				 char **argv)
 {
-	GString *page = g_string_new(NULL);
-	int code = RR_EXIT_OK;
+	return print_page(command, argc, argv, rr_format_metrics_reference);
+}
 
-	if (parse_bare(command, argc, argv, &code)) {
-		rr_format_metrics_reference(page);
-		fputs(page->str, stdout);
-	}
-	g_string_free(page, TRUE);
-	return code;
+static int run_policy_reference(const struct rr_command *command, int argc,
+				char **argv)
+{
+	return print_page(command, argc, argv, rr_format_policy_reference);
 }
 
 static void print_help(FILE *out)
--- a/tests/support/gate-scene.c
+++ b/tests/support/gate-scene.c
@@ -129,7 +129,8 @@
 	g_ptr_array_add(scene->forgotten, g_strdup(lifetime));
 }
 
-struct gate_scene *test_new_scene(uint32_t seed)
+static struct gate_scene *new_scene_by(uint32_t seed,
+				       const struct rr_gate_policy *policy)
 {
 	struct gate_scene *scene = g_new0(struct gate_scene, 1);
 	struct rr_context_options context = { .seed = seed };
@@ -150,6 +151,7 @@
 		.extra_window_ms = 10000,
 		.began_us = 1000 * TEST_MS,
 		.strength = 1,
+		.policy = policy,
 	};
 
 	scene->now_us = 1000 * TEST_MS;
@@ -164,6 +166,11 @@
 	return scene;
 }
 
+struct gate_scene *test_new_scene(uint32_t seed)
+{
+	return new_scene_by(seed, NULL);
+}
+
 void test_drop_scene(struct gate_scene *scene)
 {
 	rr_drop_gate(scene->gate);
@@ -365,7 +372,13 @@
 
 struct gate_scene *test_start_scene(const struct test_route *route)
 {
-	struct gate_scene *scene = test_new_scene(7);
+	return test_start_scene_by(route, NULL);
+}
+
+struct gate_scene *test_start_scene_by(const struct test_route *route,
+				       const struct rr_gate_policy *policy)
+{
+	struct gate_scene *scene = new_scene_by(7, policy);
 
 	for (size_t i = 0; route->services[i]; i++) {
 		char *near = g_strconcat(route->services[i], ".a", NULL);
--- a/tests/support/gate-scene.h
+++ b/tests/support/gate-scene.h
@@ -78,6 +78,9 @@
 
 /* One route, and two replicas of each of its services: S.a near, S.b far. */
 struct gate_scene *test_start_scene(const struct test_route *route);
+/* The same by another policy than the default; NULL: by that one. */
+struct gate_scene *test_start_scene_by(const struct test_route *route,
+				       const struct rr_gate_policy *policy);
 /* Serve requests well until extra attempts have been earned. */
 void test_earn_extras(struct gate_scene *scene, const char *path);
 /* Put a table with these routes of host "h" in force; connections 26 each. */
--- /dev/null
+++ b/tests/test-gate-policy.c
@@ -0,0 +1,94 @@
+/*
+ * test-gate-policy.c - the gate's policy by name.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "ragwort/gate-policy.h"
+#include "support/gate-scene.h"
+#include "support/paths.h"
+
+static void test_values_by_name(void **state)
+{
+	struct rr_gate_policy policy;
+
+	rr_init_gate_policy(&policy);
+	assert_true(policy.hedge_slow);
+	assert_true(rr_set_gate_policy(&policy, "hedge_slow", "off"));
+	assert_false(policy.hedge_slow);
+	assert_true(rr_set_gate_policy(&policy, "hedge_quantile", "0.5"));
+	assert_true(policy.hedge_quantile == 0.5);
+	assert_true(rr_set_gate_policy(&policy, "silence_probe_us", "1000"));
+	assert_int_equal(policy.silence_probe_us, 1000);
+	assert_true(rr_set_gate_policy(&policy, "choose_draws", "2"));
+	assert_int_equal(policy.choose_draws, 2);
+}
+
+static void test_what_is_no_value(void **state)
+{
+	static const char *const texts[] = { "",     "x",   "-1",
+					     "1e99", "nan", "true" };
+	struct rr_gate_policy policy;
+
+	rr_init_gate_policy(&policy);
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		assert_false(rr_set_gate_policy(&policy, "hedge_quantile",
+						texts[i]));
+		assert_false(
+			rr_set_gate_policy(&policy, "hedge_slow", texts[i]));
+	}
+	assert_false(rr_set_gate_policy(&policy, "hedge", "1"));
+	assert_true(policy.hedge_slow);
+}
+
+/* Every switch can be off by itself, and requests are still served. */
+static void test_each_mechanism_can_be_off(void **state)
+{
+	const char *const *names = rr_gate_policy_switches();
+	size_t n = 0;
+
+	for (; names[n]; n++) {
+		struct rr_gate_policy policy;
+		struct gate_scene *scene;
+
+		rr_init_gate_policy(&policy);
+		assert_true(rr_set_gate_policy(&policy, names[n], "off"));
+		scene = test_start_scene_by(&test_search_route, &policy);
+		for (int i = 0; i < 40; i++) {
+			test_take(scene, "/search/1", 900);
+			test_pass(scene, 5 * TEST_MS);
+			test_reply_all(scene);
+			test_pass(scene, 5 * TEST_MS);
+		}
+		assert_int_equal(scene->answers->len, 40);
+		assert_int_equal(test_last_answer(scene)->status, 200);
+		test_drop_scene(scene);
+	}
+	assert_true(n > 10);
+}
+
+static void test_reference_page_is_current(void **state)
+{
+	GString *made = g_string_new(NULL);
+
+	rr_format_policy_reference(made);
+	rr_assert_page("docs/POLICY.md", made->str);
+	g_string_free(made, TRUE);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_values_by_name),
+		cmocka_unit_test(test_what_is_no_value),
+		cmocka_unit_test(test_each_mechanism_can_be_off),
+		cmocka_unit_test(test_reference_page_is_current),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
