bench/gate: gates in virtual time against emulated replicas

Ruled out: a cluster emulator with stores and processes (the soak plays real ones); the searches' model in bench/policy, which knows one core.

--- a/Makefile
+++ b/Makefile
@@ -100,6 +100,10 @@
 $(BUILD)/bench/policy: $(patsubst %.c,$(BUILD)/obj/%.o,\
 	$(wildcard bench/policy/*.c))
 
+GATE_BENCH_OBJ := $(patsubst %.c,$(BUILD)/obj/%.o,$(wildcard bench/gate/*.c))
+$(BUILD)/bench/gate: $(GATE_BENCH_OBJ)
+$(BUILD)/tests/gate-emulated: $(GATE_BENCH_OBJ)
+
 $(BUILD)/standin/%: $(BUILD)/obj/tests/standin/%.o $(SUPPORT_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(LDFLAGS) -o $@ $^ $(LIBS) $(TOOL_LIBS) -lcmocka
--- /dev/null
+++ b/bench/gate/emulated-caller.c
@@ -0,0 +1,218 @@
+/*
+ * emulated-caller.c - callers in open loop, who come back as they are told.
+ */
+#include "gate/emulator-private.h"
+
+#include <math.h>
+
+/* The balancer asks each second, and believes the second refusal. */
+#define NOTICED_US (1500 * 1000)
+/* What a caller tries in all. */
+#define MOST_TRIES 2
+/* Late answers are worth a tenth to their callers. */
+#define LATE_VALUE 0.1
+
+double value_of_answer(double share, bool in_time)
+{
+	return share * share * (in_time ? 1 : LATE_VALUE);
+}
+
+static struct instance *instance_at(struct world *world, uint32_t i)
+{
+	return g_ptr_array_index(world->instances, i);
+}
+
+static bool is_in_rotation(struct instance *instance)
+{
+	return !instance->unready_us ||
+	       instance->world->now_us - instance->unready_us < NOTICED_US;
+}
+
+/* One of the zone that is in rotation, else of the next zone. */
+static struct instance *draw_instance(struct world *world, uint32_t zone)
+{
+	uint32_t zones = (uint32_t)world->scenario->zones;
+
+	for (uint32_t away = 0; away < zones; away++) {
+		struct instance *drawn = NULL;
+		uint32_t seen = 0;
+
+		for (guint i = 0; i < world->instances->len; i++) {
+			struct instance *instance = instance_at(world, i);
+
+			if (instance->zone != (zone + away) % zones ||
+			    !is_in_rotation(instance))
+				continue;
+			if (g_rand_int_range(world->rand, 0, (gint32)++seen) ==
+			    0)
+				drawn = instance;
+		}
+		if (drawn)
+			return drawn;
+	}
+	return instance_at(world, 0);
+}
+
+static void end_request(struct request *request, const char *outcome)
+{
+	struct emulated_result *result = request->world->result;
+
+	if (*outcome == 'r')
+		result->refused++;
+	else
+		result->failed++;
+	g_free(request);
+}
+
+static void take_at_instance(void *context, void *data)
+{
+	struct request *request = data;
+	struct world *world = request->world;
+	struct instance *instance = instance_at(world, request->instance);
+	char path[MOST_NAME + 4];
+	struct rr_gate_ask ask = {
+		.host = "h",
+		.path = path,
+		.request_id = "id",
+		.deadline_ms =
+			MAX((request->last_us - world->now_us) / 1000, 0),
+		.caller_rtt_us = 2 * ms_to_us(world->scenario->caller_ms),
+		.caller_is_new = request->is_new,
+		.handed_left_us = -1,
+	};
+	uint64_t id;
+
+	ask.path_length = (size_t)g_snprintf(path, sizeof(path), "/%s/1",
+					     request->route->name);
+	instance->taking = request;
+	id = rr_gate_take(instance->ctx, instance->gate, world->now_us, &ask);
+	if (instance->taking) {
+		uint64_t *key = g_new(uint64_t, 1);
+
+		*key = id;
+		g_hash_table_insert(instance->open, key, request);
+		instance->taking = NULL;
+	}
+	set_tick(instance);
+}
+
+static void send_request(struct request *request, int64_t after_us)
+{
+	struct world *world = request->world;
+	int64_t way = ms_to_us(world->scenario->caller_ms);
+
+	request->instance = draw_instance(world, request->zone)->number;
+	/* A connection takes a round trip before the request's own way. */
+	push_event(world->events,
+		   world->now_us + after_us + (request->is_new ? 3 : 1) * way,
+		   take_at_instance, request);
+}
+
+/* What has come to the caller. */
+struct arrival {
+	struct request *request;
+	uint16_t status;
+	double share;
+	uint32_t retry_after_ms;
+};
+
+static void take_success(struct world *world, struct request *request,
+			 double share)
+{
+	struct emulated_result *result = world->result;
+	double wait_us = (double)(world->now_us - request->started_us);
+	bool in_time = wait_us <= ms_to_us(request->route->objective_ms);
+
+	if (in_time)
+		result->in_time++;
+	else
+		result->late++;
+	if (in_time && share < 1)
+		result->partial++;
+	result->value += value_of_answer(share, in_time);
+	g_array_append_val(result->waits_us, wait_us);
+	g_free(request);
+}
+
+static void arrive_at_caller(void *context, void *data)
+{
+	struct arrival *arrival = data;
+	struct request *request = arrival->request;
+	struct world *world = request->world;
+	int64_t again_us = (int64_t)arrival->retry_after_ms * 1000;
+
+	if (arrival->status == 200) {
+		take_success(world, request, arrival->share);
+	} else if (++request->tries < MOST_TRIES &&
+		   world->now_us + again_us < request->last_us) {
+		request->is_new = true;
+		send_request(request, again_us);
+	} else {
+		end_request(request,
+			    arrival->status == 503 ? "refused" : "failed");
+	}
+	g_free(arrival);
+}
+
+void take_gate_answer(struct instance *instance, struct request *request,
+		      const struct rr_gate_answer *answer)
+{
+	struct world *world = instance->world;
+	struct arrival *arrival = g_new0(struct arrival, 1);
+	double shards = world->scenario->shards;
+
+	arrival->request = request;
+	arrival->share = 1;
+	arrival->status = answer->status;
+	arrival->retry_after_ms = answer->retry_after_ms;
+	if (answer->kind == RR_GATE_GATHERED)
+		arrival->share = 1 - (double)answer->missing / shards;
+	if (answer->kind == RR_GATE_FORWARDED)
+		arrival->status = answer->status;
+	push_event(world->events,
+		   world->now_us + ms_to_us(world->scenario->caller_ms),
+		   arrive_at_caller, arrival);
+}
+
+/* The next request of a kind, and the one after it. */
+struct stream {
+	struct world *world;
+	const struct emulated_route *route;
+};
+
+static void begin_request(void *context, void *data)
+{
+	struct stream *stream = data;
+	struct world *world = stream->world;
+	const struct emulated_route *route = stream->route;
+	double gap_s = -log(1 - draw_unit(world)) / route->per_s / world->burst;
+	struct request *request;
+
+	if (world->now_us >= world->end_us) {
+		g_free(stream);
+		return;
+	}
+	push_event(world->events, world->now_us + (int64_t)(gap_s * US_PER_S),
+		   begin_request, stream);
+	request = g_new0(struct request, 1);
+	request->world = world;
+	request->route = route;
+	request->zone = (uint32_t)g_rand_int_range(
+		world->rand, 0, (gint32)world->scenario->zones);
+	request->started_us = world->now_us;
+	request->last_us = world->now_us + ms_to_us(route->deadline_ms);
+	request->is_new = draw_unit(world) < world->scenario->new_callers;
+	world->result->asked++;
+	send_request(request, 0);
+}
+
+void start_callers(struct world *world)
+{
+	for (uint32_t i = 0; i < world->scenario->n_routes; i++) {
+		struct stream *stream = g_new0(struct stream, 1);
+
+		stream->world = world;
+		stream->route = &world->scenario->routes[i];
+		push_event(world->events, world->now_us, begin_request, stream);
+	}
+}
--- /dev/null
+++ b/bench/gate/emulated-fault.c
@@ -0,0 +1,119 @@
+/*
+ * emulated-fault.c - what goes wrong, and when it is well again.
+ */
+#include "gate/emulator-private.h"
+
+/* A new lifetime's entry comes to the instances within this time. */
+#define NEWS_US (400 * 1000)
+
+struct trouble {
+	struct world *world;
+	const struct emulated_fault *fault;
+	GPtrArray *hit; /* struct replica */
+};
+
+static void set_on_replica(struct replica *replica,
+			   const struct emulated_fault *fault, bool on)
+{
+	switch (fault->kind) {
+	case TROUBLE_SLOW:
+		replica->slow = on ? fault->x : 1;
+		return;
+	case TROUBLE_SILENT:
+		replica->silent = on;
+		return;
+	case TROUBLE_GONE:
+	case TROUBLE_REBORN:
+		replica->gone = on;
+		return;
+	case TROUBLE_SHED:
+		replica->shed = on ? fault->x : 0;
+		return;
+	case TROUBLE_FAIL:
+		replica->fail = on ? fault->x : 0;
+		return;
+	case TROUBLE_CUT:
+	case TROUBLE_BURST:
+	case N_TROUBLES:
+		return;
+	}
+}
+
+static void tell_rebirth(void *context, void *data)
+{
+	struct replica *replica = data;
+	struct world *world = replica->world;
+
+	for (guint i = 0; i < world->instances->len; i++)
+		list_replica(g_ptr_array_index(world->instances, i), replica,
+			     false);
+}
+
+static void end_trouble(void *context, void *data)
+{
+	struct trouble *trouble = data;
+	struct world *world = trouble->world;
+
+	if (trouble->fault->kind == TROUBLE_CUT)
+		world->cut_zone = -1;
+	if (trouble->fault->kind == TROUBLE_BURST)
+		world->burst = 1;
+	for (guint i = 0; i < trouble->hit->len; i++) {
+		struct replica *replica = g_ptr_array_index(trouble->hit, i);
+
+		set_on_replica(replica, trouble->fault, false);
+		if (trouble->fault->kind != TROUBLE_REBORN)
+			continue;
+		replica->born_ms += 1 + (int64_t)(trouble->fault->for_s * 1000);
+		push_event(world->events, world->now_us + NEWS_US, tell_rebirth,
+			   replica);
+	}
+	g_ptr_array_unref(trouble->hit);
+	g_free(trouble);
+}
+
+static bool is_meant(const struct emulated_fault *fault,
+		     const struct replica *replica, struct world *world)
+{
+	if (fault->shard >= 0 && replica->shard != (uint32_t)fault->shard)
+		return false;
+	return draw_unit(world) < fault->share;
+}
+
+static void begin_trouble(void *context, void *data)
+{
+	struct trouble *trouble = data;
+	struct world *world = trouble->world;
+	const struct emulated_fault *fault = trouble->fault;
+
+	if (fault->kind == TROUBLE_CUT)
+		world->cut_zone = (int)fault->x;
+	if (fault->kind == TROUBLE_BURST)
+		world->burst = MAX(fault->x, 0.01);
+	for (guint i = 0; i < world->replicas->len; i++) {
+		struct replica *replica = g_ptr_array_index(world->replicas, i);
+
+		if (!is_meant(fault, replica, world))
+			continue;
+		set_on_replica(replica, fault, true);
+		g_ptr_array_add(trouble->hit, replica);
+	}
+	push_event(world->events,
+		   world->now_us + (int64_t)(fault->for_s * US_PER_S),
+		   end_trouble, trouble);
+}
+
+void start_faults(struct world *world)
+{
+	for (uint32_t i = 0; i < world->scenario->n_faults; i++) {
+		struct trouble *trouble = g_new0(struct trouble, 1);
+
+		trouble->world = world;
+		trouble->fault = &world->scenario->faults[i];
+		trouble->hit = g_ptr_array_new();
+		push_event(world->events,
+			   world->now_us +
+				   (int64_t)(trouble->fault->at_s * US_PER_S),
+			   begin_trouble, trouble);
+	}
+}
--- /dev/null
+++ b/bench/gate/emulated-replica.c
@@ -0,0 +1,226 @@
+/*
+ * emulated-replica.c - slots, queue, pauses and troubles of a replica.
+ */
+#include "gate/emulator-private.h"
+
+#include <math.h>
+
+#define FIRST_BORN_MS INT64_C(1700000000000)
+/* Replicas of one service differ: the slowest takes so much longer. */
+#define SPEED_SPREAD 0.5
+#define LEAST_SPEED 0.8
+
+void keep_work(struct work *work)
+{
+	work->refs++;
+}
+
+void drop_work(struct work *work)
+{
+	if (!--work->refs)
+		g_free(work);
+}
+
+void start_replicas(struct world *world)
+{
+	const struct emulated_scenario *scenario = world->scenario;
+	uint32_t per_shard = (uint32_t)scenario->replicas;
+	uint32_t n = (uint32_t)scenario->shards * per_shard;
+
+	for (uint32_t i = 0; i < n; i++) {
+		struct replica *replica = g_new0(struct replica, 1);
+
+		replica->world = world;
+		replica->number = i;
+		replica->shard = i / per_shard;
+		replica->zone = (replica->shard + i % per_shard) %
+				(uint32_t)scenario->zones;
+		replica->id = g_strdup_printf("r%u", i);
+		replica->born_ms = FIRST_BORN_MS;
+		replica->speed = LEAST_SPEED + SPEED_SPREAD * draw_unit(world);
+		replica->slow = 1;
+		replica->pause_offset_us =
+			(int64_t)(draw_unit(world) *
+				  ms_to_us(scenario->pause_every_ms));
+		g_queue_init(&replica->waiting);
+		g_ptr_array_add(world->replicas, replica);
+	}
+}
+
+void drop_replica(gpointer data)
+{
+	struct replica *replica = data;
+	struct work *work;
+
+	while ((work = g_queue_pop_head(&replica->waiting)))
+		drop_work(work);
+	g_free(replica->id);
+	g_free(replica);
+}
+
+void list_replica(struct instance *instance, const struct replica *replica,
+		  bool draining)
+{
+	char service[16];
+	char address[32];
+	char zone[16];
+	struct rr_listing listing = {
+		.id = replica->id,
+		.born_ms = replica->born_ms,
+		.service = service,
+		.address = address,
+		.zone = zone,
+		.slots = (uint32_t)instance->world->scenario->slots,
+		.draining = draining,
+	};
+
+	g_snprintf(service, sizeof(service), "s%u", replica->shard);
+	g_snprintf(address, sizeof(address), "10.0.0.1:%u",
+		   1000 + replica->number);
+	g_snprintf(zone, sizeof(zone), "z%u", replica->zone);
+	rr_gate_list(instance->ctx, instance->gate, instance->world->now_us,
+		     &listing);
+	set_tick(instance);
+}
+
+/* When work of so long ends that begins now: a pause stops it. */
+static int64_t end_of(const struct replica *replica, double work_us)
+{
+	const struct world *world = replica->world;
+	int64_t every_us = ms_to_us(world->scenario->pause_every_ms);
+	int64_t pause_us = ms_to_us(world->scenario->pause_ms);
+	int64_t end_us = world->now_us + (int64_t)work_us;
+	int64_t into_us;
+	int64_t next_us;
+
+	if (!every_us || !pause_us)
+		return end_us;
+	into_us = (world->now_us + replica->pause_offset_us) % every_us;
+	if (into_us < pause_us)
+		end_us += pause_us - into_us;
+	for (next_us = world->now_us - into_us + every_us; next_us < end_us;
+	     next_us += every_us)
+		end_us += pause_us;
+	return end_us;
+}
+
+static void end_work(void *context, void *data);
+
+static void start_work(struct replica *replica, struct work *work)
+{
+	struct world *world = replica->world;
+	double work_us = work->work_us * replica->speed * replica->slow;
+	int64_t end_us = end_of(replica, work_us);
+
+	work->running = true;
+	replica->busy++;
+	replica->used_us += (int64_t)work_us;
+	keep_work(work);
+	push_event(world->events, end_us, end_work, work);
+}
+
+static void start_next(struct replica *replica)
+{
+	uint32_t slots = (uint32_t)replica->world->scenario->slots;
+
+	while (replica->busy < slots && replica->waiting.length) {
+		struct work *work = g_queue_pop_head(&replica->waiting);
+
+		start_work(replica, work);
+		drop_work(work);
+	}
+}
+
+/* A reply that is on its way. */
+struct reply {
+	struct work *work;
+	enum rr_gate_outcome outcome;
+	uint16_t status;
+	bool unreachable;
+};
+
+static void deliver(void *context, void *data)
+{
+	struct reply *reply = data;
+
+	reply_to_gate(reply->work, reply->outcome, reply->status,
+		      reply->unreachable);
+	drop_work(reply->work);
+	g_free(reply);
+}
+
+static void send_reply(struct work *work, enum rr_gate_outcome outcome,
+		       uint16_t status, bool unreachable)
+{
+	struct world *world = work->world;
+	const struct instance *instance =
+		g_ptr_array_index(world->instances, work->instance);
+	int64_t back_us = way_us(world, work->replica->zone, instance->zone);
+	struct reply *reply;
+
+	work->over = true;
+	if (work->withdrawn || back_us < 0)
+		return;
+	reply = g_new0(struct reply, 1);
+	reply->work = work;
+	reply->outcome = outcome;
+	reply->status = status;
+	reply->unreachable = unreachable;
+	keep_work(work);
+	push_event(world->events, world->now_us + back_us, deliver, reply);
+}
+
+static void end_work(void *context, void *data)
+{
+	struct work *work = data;
+	struct replica *replica = work->replica;
+
+	if (work->running) {
+		work->running = false;
+		replica->busy--;
+		if (!replica->silent && !replica->gone)
+			send_reply(work, RR_GATE_ANSWERED,
+				   draw_unit(replica->world) < replica->fail ?
+					   500 :
+					   200,
+				   false);
+		start_next(replica);
+	}
+	drop_work(work);
+}
+
+void arrive_at_replica(void *context, void *data)
+{
+	struct work *work = data;
+	struct replica *replica = work->replica;
+
+	if (replica->gone) {
+		send_reply(work, RR_GATE_UNSENT, 0, true);
+	} else if (!replica->silent && !work->withdrawn) {
+		if (draw_unit(replica->world) < replica->shed ||
+		    replica->waiting.length >=
+			    (guint)replica->world->scenario->queue) {
+			send_reply(work, RR_GATE_REFUSED, 503, false);
+		} else {
+			keep_work(work);
+			g_queue_push_tail(&replica->waiting, work);
+			start_next(replica);
+		}
+	}
+	drop_work(work);
+}
+
+void leave_replica(void *context, void *data)
+{
+	struct work *work = data;
+	struct replica *replica = work->replica;
+
+	if (work->running) {
+		work->running = false;
+		replica->busy--;
+		start_next(replica);
+	} else if (g_queue_remove(&replica->waiting, work)) {
+		drop_work(work);
+	}
+	drop_work(work);
+}
--- /dev/null
+++ b/bench/gate/emulator.c
@@ -0,0 +1,472 @@
+/*
+ * emulator.c - the gates' actions, ways and clock of the emulated world.
+ */
+#include "gate/emulator-private.h"
+
+#include <math.h>
+
+/* A connection that does not come about is given up after this. */
+#define CONNECT_TIMEOUT_US (400 * 1000)
+/* One way within a zone. */
+#define NEAR_US 100
+/* Virtual time begins here: 0 means "never" to the gate. */
+#define BEGIN_US (INT64_C(1000) * 1000 * 1000)
+/* What is still open at the end is let run out for so long. */
+#define RUN_OUT_US (6 * G_USEC_PER_SEC)
+
+int64_t ms_to_us(double ms)
+{
+	return (int64_t)(ms * US_PER_MS);
+}
+
+double draw_unit(struct world *world)
+{
+	return g_rand_double(world->rand);
+}
+
+int64_t way_us(const struct world *world, uint32_t from, uint32_t to)
+{
+	if (from == to)
+		return NEAR_US;
+	if ((int)from == world->cut_zone || (int)to == world->cut_zone)
+		return -1;
+	return ms_to_us(world->scenario->far_ms);
+}
+
+/* The gate's clock. */
+
+static void tick(void *context, void *data)
+{
+	struct instance *instance = data;
+	int64_t now_us = instance->world->now_us;
+
+	/* One set for later: an earlier tick has come since. */
+	if (instance->tick_us != now_us)
+		return;
+	instance->tick_us = INT64_MAX;
+	if (rr_gate_wake_us(instance->gate) <= now_us)
+		rr_gate_tick(instance->ctx, instance->gate, now_us);
+	set_tick(instance);
+}
+
+void set_tick(struct instance *instance)
+{
+	struct world *world = instance->world;
+	int64_t wake_us = rr_gate_wake_us(instance->gate);
+	const char *reason;
+
+	if (rr_gate_serves(instance->gate, &reason))
+		instance->unready_us = 0;
+	else if (!instance->unready_us)
+		instance->unready_us = world->now_us;
+	if (wake_us == INT64_MAX)
+		return;
+	wake_us = MAX(wake_us, world->now_us);
+	if (wake_us >= instance->tick_us)
+		return;
+	instance->tick_us = wake_us;
+	push_event(world->events, wake_us, tick, instance);
+}
+
+/* The gate's actions. */
+
+static struct replica *replica_of(struct world *world, const char *lifetime)
+{
+	guint64 number = g_ascii_strtoull(lifetime + 1, NULL, 10);
+
+	return g_ptr_array_index(world->replicas, number);
+}
+
+static double draw_work_us(struct world *world,
+			   const struct emulated_route *route)
+{
+	double mean_us = route->work_ms * US_PER_MS;
+
+	return mean_us * (0.5 - 0.5 * log(1 - draw_unit(world)));
+}
+
+static void give_up_connecting(void *context, void *data)
+{
+	struct work *work = data;
+
+	reply_to_gate(work, RR_GATE_UNSENT, 0, true);
+	drop_work(work);
+}
+
+/* How long until the request is at the replica; -1: it never is. */
+static int64_t time_to(struct instance *instance, struct replica *replica)
+{
+	struct world *world = instance->world;
+	int64_t way = way_us(world, instance->zone, replica->zone);
+	uint32_t *idle = &instance->idle[replica->number];
+
+	if (*idle && !replica->gone) {
+		--*idle;
+		return way < 0 || replica->silent ? INT64_MAX : way;
+	}
+	if (way < 0 || replica->silent)
+		return -1;
+	return 3 * way + ms_to_us(world->scenario->connect_ms);
+}
+
+static struct request *find_request(struct instance *instance, uint64_t id)
+{
+	struct request *request = g_hash_table_lookup(instance->open, &id);
+
+	return request ? request : instance->taking;
+}
+
+static void send_attempt(void *data, const struct rr_gate_send *send)
+{
+	struct instance *instance = data;
+	struct world *world = instance->world;
+	struct request *request = find_request(instance, send->request);
+	struct work *work = g_new0(struct work, 1);
+	int64_t after_us;
+
+	work->world = world;
+	work->attempt = send->attempt;
+	work->instance = instance->number;
+	work->replica = replica_of(world, send->lifetime);
+	work->work_us = draw_work_us(world, request->route);
+	work->refs = 1;
+	g_hash_table_insert(instance->works, &work->attempt, work);
+	world->result->attempts++;
+	after_us = time_to(instance, work->replica);
+	if (after_us == INT64_MAX)
+		return;
+	keep_work(work);
+	if (after_us < 0)
+		push_event(world->events, world->now_us + CONNECT_TIMEOUT_US,
+			   give_up_connecting, work);
+	else
+		push_event(world->events, world->now_us + after_us,
+			   arrive_at_replica, work);
+}
+
+static void withdraw(void *data, uint64_t attempt)
+{
+	struct instance *instance = data;
+	struct world *world = instance->world;
+	struct work *work = g_hash_table_lookup(instance->works, &attempt);
+	int64_t way;
+
+	if (!work)
+		return;
+	work->withdrawn = true;
+	way = way_us(world, instance->zone, work->replica->zone);
+	g_hash_table_remove(instance->works, &attempt);
+	if (way < 0) {
+		drop_work(work);
+		return;
+	}
+	push_event(world->events, world->now_us + way, leave_replica, work);
+}
+
+static bool recall(void *data, uint64_t attempt)
+{
+	return false;
+}
+
+static void give_answer(void *data, const struct rr_gate_answer *answer)
+{
+	struct instance *instance = data;
+	struct request *request = find_request(instance, answer->request);
+
+	if (request == instance->taking)
+		instance->taking = NULL;
+	g_hash_table_remove(instance->open, &answer->request);
+	take_gate_answer(instance, request, answer);
+}
+
+static void open_connection(void *data, const char *lifetime,
+			    const char *address)
+{
+	struct instance *instance = data;
+	const struct replica *replica = replica_of(instance->world, lifetime);
+
+	instance->idle[replica->number] = 1;
+}
+
+struct probe {
+	struct instance *instance;
+	char *lifetime;
+	bool reached;
+};
+
+static void end_probe(void *context, void *data)
+{
+	struct probe *probe = data;
+	struct instance *instance = probe->instance;
+
+	rr_gate_probed(instance->ctx, instance->gate, instance->world->now_us,
+		       probe->lifetime, probe->reached);
+	set_tick(instance);
+	g_free(probe->lifetime);
+	g_free(probe);
+}
+
+static void send_probe(void *data, const char *lifetime, const char *address)
+{
+	struct instance *instance = data;
+	struct world *world = instance->world;
+	const struct replica *replica = replica_of(world, lifetime);
+	int64_t way = way_us(world, instance->zone, replica->zone);
+	struct probe *probe = g_new0(struct probe, 1);
+
+	probe->instance = instance;
+	probe->lifetime = g_strdup(lifetime);
+	probe->reached = way >= 0 && !replica->silent && !replica->gone;
+	push_event(world->events,
+		   world->now_us + (probe->reached || replica->gone ?
+					    2 * MAX(way, NEAR_US) :
+					    CONNECT_TIMEOUT_US),
+		   end_probe, probe);
+}
+
+static void forget(void *data, const char *lifetime)
+{
+	struct instance *instance = data;
+
+	instance->idle[replica_of(instance->world, lifetime)->number] = 0;
+}
+
+void reply_to_gate(struct work *work, enum rr_gate_outcome outcome,
+		   uint16_t status, bool unreachable)
+{
+	struct world *world = work->world;
+	struct instance *instance =
+		g_ptr_array_index(world->instances, work->instance);
+	static const uint8_t record[16] = { 'r' };
+	struct rr_gate_reply reply = {
+		.attempt = work->attempt,
+		.outcome = outcome,
+		.status = status,
+		.seal = "seal",
+		.body = record,
+		.length = sizeof(record),
+		.unreachable = unreachable,
+	};
+
+	if (work->withdrawn)
+		return;
+	if (outcome == RR_GATE_ANSWERED || outcome == RR_GATE_REFUSED)
+		instance->idle[work->replica->number]++;
+	g_hash_table_remove(instance->works, &work->attempt);
+	rr_gate_reply(instance->ctx, instance->gate, world->now_us, &reply);
+	set_tick(instance);
+	drop_work(work);
+}
+
+/* Making the world. */
+
+static struct rr_route *make_route(const struct world *world,
+				   const struct emulated_route *from)
+{
+	struct rr_route *route = g_new0(struct rr_route, 1);
+	size_t n = from->least_share > 0 ? (size_t)world->scenario->shards : 1;
+
+	route->name = g_strdup(from->name);
+	route->host = g_strdup("h");
+	route->prefix = g_strdup_printf("/%s/", from->name);
+	route->mode =
+		from->least_share > 0 ? RR_ROUTE_GATHER : RR_ROUTE_FORWARD;
+	route->idempotent = true;
+	route->timeout_ms = (uint32_t)from->deadline_ms;
+	route->objective_ms = (uint32_t)from->objective_ms;
+	route->max_attempts = (uint32_t)from->max_attempts;
+	route->least_share = from->least_share;
+	route->top_k = 1;
+	route->parts = g_new0(struct rr_route_part, n);
+	route->n_parts = n;
+	for (size_t i = 0; i < n; i++) {
+		route->parts[i].service = g_strdup_printf("s%zu", i);
+		route->parts[i].weight = 1;
+	}
+	return route;
+}
+
+static void set_routes(struct instance *instance)
+{
+	const struct emulated_scenario *scenario = instance->world->scenario;
+	struct rr_route_table *table = rr_new_route_table(1);
+
+	for (uint32_t i = 0; i < scenario->n_routes; i++)
+		rr_add_route(table,
+			     make_route(instance->world, &scenario->routes[i]));
+	for (uint32_t i = 0; i < (uint32_t)scenario->shards; i++) {
+		struct rr_route_service *service =
+			g_new0(struct rr_route_service, 1);
+
+		service->name = g_strdup_printf("s%u", i);
+		service->max_connections = (uint32_t)scenario->connections;
+		rr_add_route_service(table, service);
+	}
+	rr_gate_set_routes(instance->ctx, instance->gate,
+			   instance->world->now_us, table);
+	rr_drop_route_table(table);
+}
+
+static struct instance *new_instance(struct world *world, uint32_t number,
+				     uint32_t seed)
+{
+	struct instance *instance = g_new0(struct instance, 1);
+	const struct emulated_scenario *scenario = world->scenario;
+	struct rr_context_options context = { .seed = seed + number };
+	char zone[16];
+	struct rr_gate_options options = {
+		.zone = zone,
+		.actions = {
+			.send = send_attempt,
+			.withdraw = withdraw,
+			.recall = recall,
+			.answer = give_answer,
+			.open = open_connection,
+			.probe = send_probe,
+			.forget = forget,
+			.data = instance,
+		},
+		.extra_ratio = scenario->extra_ratio,
+		.extra_slack = scenario->extra_slack,
+		.extra_window_ms = 10000,
+		/* Long enough ago that its window is full. */
+		.began_us = 1,
+		.strength = 1,
+		.policy = world->policy,
+	};
+
+	instance->world = world;
+	instance->number = number;
+	instance->zone = number % (uint32_t)scenario->zones;
+	instance->tick_us = INT64_MAX;
+	g_snprintf(zone, sizeof(zone), "z%u", instance->zone);
+	instance->open = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       g_free, NULL);
+	instance->works = g_hash_table_new(g_int64_hash, g_int64_equal);
+	instance->idle = g_new0(uint32_t, world->replicas->len);
+	instance->ctx = rr_new_context(&context);
+	instance->gate = rr_new_gate(instance->ctx, &options);
+	return instance;
+}
+
+static void start_instance(struct instance *instance)
+{
+	struct world *world = instance->world;
+
+	set_routes(instance);
+	for (guint i = 0; i < world->replicas->len; i++)
+		list_replica(instance, g_ptr_array_index(world->replicas, i),
+			     false);
+	rr_gate_set_instances(instance->ctx, instance->gate,
+			      world->instances->len);
+	set_tick(instance);
+}
+
+static void drop_instance(gpointer data)
+{
+	struct instance *instance = data;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, instance->open);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_free(value);
+	g_hash_table_iter_init(&iter, instance->works);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		drop_work(value);
+	g_hash_table_unref(instance->works);
+	g_hash_table_unref(instance->open);
+	rr_drop_gate(instance->gate);
+	rr_drop_context(instance->ctx);
+	g_free(instance->idle);
+	g_free(instance);
+}
+
+static double measure_slot_use(const struct world *world)
+{
+	double used_us = 0;
+	double had_us = world->scenario->seconds * US_PER_S *
+			world->scenario->slots * world->replicas->len;
+
+	for (guint i = 0; i < world->replicas->len; i++) {
+		const struct replica *replica =
+			g_ptr_array_index(world->replicas, i);
+
+		used_us += (double)replica->used_us;
+	}
+	return used_us / had_us;
+}
+
+/* What never was answered has failed. */
+static void count_unanswered(struct emulated_result *result)
+{
+	result->failed = result->asked - result->in_time - result->late -
+			 result->refused;
+}
+
+void emulate(const struct emulated_scenario *scenario,
+	     const struct rr_gate_policy *policy, uint32_t seed,
+	     struct emulated_result *result)
+{
+	struct world world = {
+		.scenario = scenario,
+		.policy = policy,
+		.result = result,
+		.events = new_event_queue(),
+		.now_us = BEGIN_US,
+		.end_us = BEGIN_US + (int64_t)(scenario->seconds * US_PER_S),
+		.rand = g_rand_new_with_seed(seed),
+		.cut_zone = -1,
+		.burst = 1,
+	};
+
+	*result = (struct emulated_result){ 0 };
+	result->waits_us = g_array_new(FALSE, FALSE, sizeof(double));
+	world.replicas = g_ptr_array_new_with_free_func(drop_replica);
+	world.instances = g_ptr_array_new_with_free_func(drop_instance);
+	start_replicas(&world);
+	for (uint32_t i = 0; i < (uint32_t)scenario->instances; i++)
+		g_ptr_array_add(world.instances, new_instance(&world, i, seed));
+	for (guint i = 0; i < world.instances->len; i++)
+		start_instance(g_ptr_array_index(world.instances, i));
+	start_callers(&world);
+	start_faults(&world);
+	while (next_event_us(world.events) <= world.end_us + RUN_OUT_US)
+		run_next_event(world.events, &world.now_us, &world);
+	count_unanswered(result);
+	result->slot_use = measure_slot_use(&world);
+	drop_event_queue(world.events, NULL);
+	g_ptr_array_unref(world.instances);
+	g_ptr_array_unref(world.replicas);
+	g_rand_free(world.rand);
+}
+
+void clear_emulated_result(struct emulated_result *result)
+{
+	g_array_unref(result->waits_us);
+}
+
+double mean_value(const struct emulated_result *result)
+{
+	return result->asked ? result->value / (double)result->asked : 0;
+}
+
+static gint compare_doubles(gconstpointer a, gconstpointer b)
+{
+	double first = *(const double *)a;
+	double second = *(const double *)b;
+
+	return (first > second) - (first < second);
+}
+
+double wait_quantile_ms(const struct emulated_result *result, double quantile)
+{
+	guint n = result->waits_us->len;
+
+	if (!n)
+		return 0;
+	g_array_sort(result->waits_us, compare_doubles);
+	return g_array_index(result->waits_us, double,
+			     (guint)(quantile * (n - 1))) /
+	       US_PER_MS;
+}
--- /dev/null
+++ b/bench/gate/emulator.h
@@ -0,0 +1,113 @@
+/*
+ * emulator.h - several gates in virtual time against emulated replicas.
+ *
+ * One scenario is a deployment, its load and what goes wrong; a run repeats
+ * exactly for one seed.  Replicas have slots and queues, pause, shed, slow
+ * down, fall silent and are cut off; callers come in open loop, come back as
+ * they are told, and move on where an instance says that it is not ready.
+ * Processor time of the gates is not emulated.
+ */
+#ifndef BENCH_GATE_EMULATOR_H
+#define BENCH_GATE_EMULATOR_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ragwort/gate-policy.h"
+
+#define MOST_ROUTES 4
+#define MOST_FAULTS 16
+#define MOST_NAME 32
+
+struct emulated_route {
+	char name[MOST_NAME];
+	double per_s; /* of all callers together */
+	double objective_ms;
+	double deadline_ms;
+	double least_share; /* of the shards; 0: one replica serves it */
+	double work_ms;	    /* mean; exponential beyond a half of it */
+	double max_attempts;
+};
+
+enum emulated_trouble {
+	TROUBLE_SLOW,	/* work takes x times as long */
+	TROUBLE_SILENT, /* nothing comes back */
+	TROUBLE_GONE,	/* connections are refused */
+	TROUBLE_SHED,	/* a share x of the requests is refused */
+	TROUBLE_FAIL,	/* a share x is answered with a failure */
+	TROUBLE_CUT,	/* zone number x is cut off from the others */
+	TROUBLE_BURST,	/* x times as many requests */
+	TROUBLE_REBORN, /* gone, and born again under its id in the end */
+	N_TROUBLES,
+};
+
+struct emulated_fault {
+	enum emulated_trouble kind;
+	double at_s;
+	double for_s;
+	double share; /* of the replicas, drawn at random */
+	double x;
+	double shard; /* only replicas of that one; below 0: of any */
+};
+
+struct emulated_scenario {
+	char name[MOST_NAME];
+	double seconds;
+	double instances;
+	double zones;
+	double shards;
+	double replicas; /* of each shard */
+	double slots;
+	double queue; /* requests that wait at a replica at most */
+	double connections;
+	double connect_ms; /* for a new one, beside its round trip */
+	double pause_ms;   /* each replica stops for so long */
+	double pause_every_ms;
+	double far_ms;	    /* one way between zones */
+	double caller_ms;   /* one way to callers */
+	double new_callers; /* share of requests on a connection of their own */
+	double extra_ratio;
+	double extra_slack;
+	struct emulated_route routes[MOST_ROUTES];
+	uint32_t n_routes;
+	struct emulated_fault faults[MOST_FAULTS];
+	uint32_t n_faults;
+};
+
+struct emulated_result {
+	uint64_t asked;
+	uint64_t in_time;
+	uint64_t late;
+	uint64_t partial; /* of those in time */
+	uint64_t refused;
+	uint64_t failed; /* or never answered */
+	double value;	 /* see value_of_answer() */
+	uint64_t attempts;
+	uint64_t first_attempts; /* one a part */
+	double slot_use;
+	GArray *waits_us; /* double: from the caller's start to its answer */
+};
+
+/* The usual deployment: what a scenario file leaves out. */
+void init_scenario(struct emulated_scenario *scenario);
+/*
+ * Read a scenario's file; false with faults appended.  Keys are those of the
+ * struct, routes and faults are lists of mappings.
+ */
+bool load_scenario(const char *file, struct emulated_scenario *scenario,
+		   GPtrArray *faults);
+/* A deployment nobody has seen, drawn from a seed. */
+void draw_scenario(uint32_t seed, struct emulated_scenario *scenario);
+/* What a share of the parts is worth to its caller, in time or late. */
+double value_of_answer(double share, bool in_time);
+/* Clear with clear_emulated_result(). */
+void emulate(const struct emulated_scenario *scenario,
+	     const struct rr_gate_policy *policy, uint32_t seed,
+	     struct emulated_result *result);
+void clear_emulated_result(struct emulated_result *result);
+/* Of what callers are owed, the part that they get. */
+double mean_value(const struct emulated_result *result);
+double wait_quantile_ms(const struct emulated_result *result, double quantile);
+
+#endif
