--- a/bench/gate.c
+++ b/bench/gate.c
@@ -17,11 +17,13 @@
 #include "support/paths.h"
 
 #define SCENARIOS "bench/gate/scenarios"
+#define MOST_SET 16
 
 struct experiment {
 	uint32_t seed;
 	uint32_t seeds;
 	const char *label; /* what differs from the default policy */
+	struct rr_gate_policy policy;
 };
 
 static void print_run(const struct emulated_scenario *scenario,
@@ -32,15 +34,16 @@
 	       "\"value\":%.4f,\"asked\":%" G_GUINT64_FORMAT
 	       ",\"in_time\":%" G_GUINT64_FORMAT ",\"late\":%" G_GUINT64_FORMAT
 	       ",\"partial\":%" G_GUINT64_FORMAT
+	       ",\"returned\":%" G_GUINT64_FORMAT
 	       ",\"refused\":%" G_GUINT64_FORMAT
 	       ",\"failed\":%" G_GUINT64_FORMAT
 	       ",\"attempts\":%" G_GUINT64_FORMAT
 	       ",\"slot_use\":%.3f,\"p50_ms\":%.1f,\"p99_ms\":%.1f}\n",
 	       scenario->name, experiment->label, seed, mean_value(result),
 	       result->asked, result->in_time, result->late, result->partial,
-	       result->refused, result->failed, result->attempts,
-	       result->slot_use, wait_quantile_ms(result, 0.5),
-	       wait_quantile_ms(result, 0.99));
+	       result->returned, result->refused, result->failed,
+	       result->attempts, result->slot_use,
+	       wait_quantile_ms(result, 0.5), wait_quantile_ms(result, 0.99));
 	fflush(stdout);
 }
 
@@ -82,10 +85,9 @@
 static void ablate(const struct emulated_scenario *scenario, const char *name,
 		   struct experiment experiment)
 {
-	struct rr_gate_policy policy;
+	struct rr_gate_policy policy = experiment.policy;
 	char label[64];
 
-	rr_init_gate_policy(&policy);
 	if (!rr_set_gate_policy(&policy, name, "off"))
 		return;
 	g_snprintf(label, sizeof(label), "without %s", name);
@@ -116,13 +118,12 @@
 	for (int i = 0; good && i < steps; i++) {
 		double from = g_ascii_strtod(range[0], NULL);
 		double to = g_ascii_strtod(range[1], NULL);
-		struct rr_gate_policy policy;
+		struct rr_gate_policy policy = experiment.policy;
 		char value[32];
 		char label[96];
 
 		g_ascii_formatd(value, sizeof(value), "%.6g",
 				from + (to - from) * i / MAX(steps - 1, 1));
-		rr_init_gate_policy(&policy);
 		good = rr_set_gate_policy(&policy, words[0], value);
 		g_snprintf(label, sizeof(label), "%s=%s", words[0], value);
 		experiment.label = label;
@@ -134,25 +135,12 @@
 	return good;
 }
 
-/* One try, no queue, no hedge, no regard to what was seen. */
 static double run_plain(struct emulated_scenario scenario,
 			struct experiment experiment)
 {
-	static const char *const off[] = {
-		"admit_by_wait",
-		"choose_by_stalls",
-		"choose_by_slowness",
-		"choose_by_losses",
-		"choose_avoids_suspects",
-		"limit_adapts",
-		"hedge_slow",
-		"silence_of_zones",
-	};
 	struct rr_gate_policy policy;
 
-	rr_init_gate_policy(&policy);
-	for (size_t i = 0; i < G_N_ELEMENTS(off); i++)
-		rr_set_gate_policy(&policy, off[i], "off");
+	init_plain_policy(&policy);
 	scenario.routes[0].max_attempts = 1;
 	experiment.label = "plain";
 	return run_scenario(&scenario, &policy, &experiment);
@@ -161,25 +149,27 @@
 /* Deployments nobody has seen: the policy is to lose to the plain one in none. */
 static void run_drawn(int n, struct experiment experiment)
 {
-	struct rr_gate_policy policy;
 	double worst = 1;
+	double sum = 0;
 	uint32_t worst_seed = 0;
 
-	rr_init_gate_policy(&policy);
 	for (uint32_t i = 1; i <= (uint32_t)n; i++) {
 		struct emulated_scenario scenario;
 		double gain;
 
 		draw_scenario(i, &scenario);
-		gain = run_scenario(&scenario, &policy, &experiment) -
+		gain = run_scenario(&scenario, &experiment.policy,
+				    &experiment) -
 		       run_plain(scenario, experiment);
+		sum += gain;
 		if (gain < worst) {
 			worst = gain;
 			worst_seed = i;
 		}
 	}
-	printf("{\"drawn\":%d,\"worst_gain\":%.4f,\"worst\":\"drawn-%u\"}\n", n,
-	       worst, worst_seed);
+	printf("{\"drawn\":%d,\"mean_gain\":%.4f,\"worst_gain\":%.4f,"
+	       "\"worst\":\"drawn-%u\"}\n",
+	       n, sum / n, worst, worst_seed);
 }
 
 struct arguments {
@@ -190,6 +180,7 @@
 	struct arg_str *vary;
 	struct arg_int *steps;
 	struct arg_str *ablate;
+	struct arg_str *set;
 	struct arg_int *drawn;
 	struct arg_int *draw;
 	struct arg_lit *help;
@@ -201,10 +192,7 @@
 		    const struct arguments *arguments,
 		    const struct experiment *experiment)
 {
-	struct rr_gate_policy policy;
-
-	rr_init_gate_policy(&policy);
-	run_scenario(scenario, &policy, experiment);
+	run_scenario(scenario, &experiment->policy, experiment);
 	if (arguments->ablate->count)
 		ablate_all(scenario, arguments->ablate->sval[0], experiment);
 	if (!arguments->vary->count)
@@ -263,6 +251,25 @@
 	return good;
 }
 
+/* NAME=VALUE of the command line; false if one is none of the policy. */
+static bool set_all(const struct arg_str *set, struct rr_gate_policy *policy)
+{
+	bool good = true;
+
+	for (int i = 0; i < set->count; i++) {
+		char **words = g_strsplit(set->sval[i], "=", 2);
+
+		if (!words[0] || !words[1] ||
+		    !rr_set_gate_policy(policy, words[0], words[1])) {
+			fprintf(stderr, "gate: %s is none of the policy\n",
+				set->sval[i]);
+			good = false;
+		}
+		g_strfreev(words);
+	}
+	return good;
+}
+
 static int print_help(void **table)
 {
 	printf("Usage: gate");
@@ -284,6 +291,8 @@
 		.ablate =
 			arg_str0(NULL, "ablate", "NAME",
 				 "a switch of the policy off, or all in turn"),
+		.set = arg_strn(NULL, "set", "NAME=VALUE", 0, MOST_SET,
+				"of the policy, for all of this"),
 		.drawn = arg_int0(NULL, "drawn", "N",
 				  "so many deployments drawn at random"),
 		.draw = arg_int0(NULL, "draw", "SEED", "one of them"),
@@ -292,8 +301,8 @@
 	};
 	void *table[] = { arguments.all,    arguments.scenario, arguments.seed,
 			  arguments.seeds,  arguments.vary,	arguments.steps,
-			  arguments.ablate, arguments.drawn,	arguments.draw,
-			  arguments.help,   arguments.end };
+			  arguments.ablate, arguments.set,	arguments.drawn,
+			  arguments.draw,   arguments.help,	arguments.end };
 	struct experiment experiment = { .label = "default" };
 	bool good = true;
 
@@ -308,6 +317,9 @@
 		return print_help(table);
 	experiment.seed = (uint32_t)arguments.seed->ival[0];
 	experiment.seeds = (uint32_t)MAX(arguments.seeds->ival[0], 1);
+	rr_init_gate_policy(&experiment.policy);
+	if (!set_all(arguments.set, &experiment.policy))
+		return 2;
 	if (arguments.all->count)
 		good = run_all(&arguments, &experiment);
 	if (arguments.scenario->count)
--- a/bench/gate/emulated-caller.c
+++ b/bench/gate/emulated-caller.c
@@ -146,6 +146,7 @@
 	} else if (++request->tries < MOST_TRIES &&
 		   world->now_us + again_us < request->last_us) {
 		request->is_new = true;
+		world->result->returned++;
 		send_request(request, again_us);
 	} else {
 		end_request(request,
@@ -185,7 +186,8 @@
 	struct stream *stream = data;
 	struct world *world = stream->world;
 	const struct emulated_route *route = stream->route;
-	double gap_s = -log(1 - draw_unit(world)) / route->per_s / world->burst;
+	double gap_s = -log(1 - g_rand_double(world->arrivals)) / route->per_s /
+		       world->burst;
 	struct request *request;
 
 	if (world->now_us >= world->end_us) {
@@ -198,10 +200,11 @@
 	request->world = world;
 	request->route = route;
 	request->zone = (uint32_t)g_rand_int_range(
-		world->rand, 0, (gint32)world->scenario->zones);
+		world->arrivals, 0, (gint32)world->scenario->zones);
 	request->started_us = world->now_us;
 	request->last_us = world->now_us + ms_to_us(route->deadline_ms);
-	request->is_new = draw_unit(world) < world->scenario->new_callers;
+	request->is_new =
+		g_rand_double(world->arrivals) < world->scenario->new_callers;
 	world->result->asked++;
 	send_request(request, 0);
 }
--- a/bench/gate/emulated-fault.c
+++ b/bench/gate/emulated-fault.c
@@ -77,7 +77,7 @@
 {
 	if (fault->shard >= 0 && replica->shard != (uint32_t)fault->shard)
 		return false;
-	return draw_unit(world) < fault->share;
+	return g_rand_double(world->layout) < fault->share;
 }
 
 static void begin_trouble(void *context, void *data)
--- a/bench/gate/emulated-replica.c
+++ b/bench/gate/emulated-replica.c
@@ -37,10 +37,11 @@
 				(uint32_t)scenario->zones;
 		replica->id = g_strdup_printf("r%u", i);
 		replica->born_ms = FIRST_BORN_MS;
-		replica->speed = LEAST_SPEED + SPEED_SPREAD * draw_unit(world);
+		replica->speed = LEAST_SPEED +
+				 SPEED_SPREAD * g_rand_double(world->layout);
 		replica->slow = 1;
 		replica->pause_offset_us =
-			(int64_t)(draw_unit(world) *
+			(int64_t)(g_rand_double(world->layout) *
 				  ms_to_us(scenario->pause_every_ms));
 		g_queue_init(&replica->waiting);
 		g_ptr_array_add(world->replicas, replica);
--- a/bench/gate/emulator-private.h
+++ b/bench/gate/emulator-private.h
@@ -79,6 +79,9 @@
 	int64_t now_us;
 	int64_t end_us;
 	GRand *rand;
+	/* Of their own, so that they are the same ones by any policy. */
+	GRand *arrivals;
+	GRand *layout;	      /* speeds, pauses, and whom a trouble hits */
 	GPtrArray *replicas;  /* struct replica */
 	GPtrArray *instances; /* struct instance */
 	int cut_zone;	      /* -1: none */
--- a/bench/gate/emulator.c
+++ b/bench/gate/emulator.c
@@ -416,6 +416,8 @@
 		.now_us = BEGIN_US,
 		.end_us = BEGIN_US + (int64_t)(scenario->seconds * US_PER_S),
 		.rand = g_rand_new_with_seed(seed),
+		.arrivals = g_rand_new_with_seed(~seed),
+		.layout = g_rand_new_with_seed(seed ^ 0x5a5a5a5a),
 		.cut_zone = -1,
 		.burst = 1,
 	};
@@ -439,6 +441,8 @@
 	g_ptr_array_unref(world.instances);
 	g_ptr_array_unref(world.replicas);
 	g_rand_free(world.rand);
+	g_rand_free(world.arrivals);
+	g_rand_free(world.layout);
 }
 
 void clear_emulated_result(struct emulated_result *result)
--- a/bench/gate/emulator.h
+++ b/bench/gate/emulator.h
@@ -81,8 +81,9 @@
 	uint64_t late;
 	uint64_t partial; /* of those in time */
 	uint64_t refused;
-	uint64_t failed; /* or never answered */
-	double value;	 /* see value_of_answer() */
+	uint64_t returned; /* came a second time, after a refusal or failure */
+	uint64_t failed;   /* or never answered */
+	double value;	   /* see value_of_answer() */
 	uint64_t attempts;
 	uint64_t first_attempts; /* one a part */
 	double slot_use;
@@ -99,6 +100,8 @@
 		   GPtrArray *faults);
 /* A deployment nobody has seen, drawn from a seed. */
 void draw_scenario(uint32_t seed, struct emulated_scenario *scenario);
+/* One try, no queue, no hedge, no regard to what was seen. */
+void init_plain_policy(struct rr_gate_policy *policy);
 /* What a share of the parts is worth to its caller, in time or late. */
 double value_of_answer(double share, bool in_time);
 /* Clear with clear_emulated_result(). */
--- a/bench/gate/scenario.c
+++ b/bench/gate/scenario.c
@@ -317,3 +317,21 @@
 	draw_faults(rand, scenario);
 	g_rand_free(rand);
 }
+
+void init_plain_policy(struct rr_gate_policy *policy)
+{
+	static const char *const off[] = {
+		"admit_by_wait",
+		"choose_by_stalls",
+		"choose_by_slowness",
+		"choose_by_losses",
+		"choose_avoids_suspects",
+		"limit_adapts",
+		"hedge_slow",
+		"silence_of_zones",
+	};
+
+	rr_init_gate_policy(policy);
+	for (size_t i = 0; i < G_N_ELEMENTS(off); i++)
+		rr_set_gate_policy(policy, off[i], "off");
+}
--- a/include/ragwort/gate-policy-list.h
+++ b/include/ragwort/gate-policy-list.h
@@ -67,6 +67,7 @@
 
 /* Replicas and zones that have fallen silent. */
 RR_POLICY_TIME(silence_replica_us, 400000, "silence, added up over attempts that follow each other, that is no pause any more (the longest known are 250 ms)")
+RR_POLICY_SWITCH(silence_of_open_attempts, true, "silence is judged while attempts are open, and not only when they are given up")
 RR_POLICY_SWITCH(silence_of_zones, true, "a zone that is cut off is left alone as one")
 RR_POLICY_SWITCH(silence_unready, true, "an instance that is cut off from all other zones and lacks a route says that it is not ready")
 RR_POLICY_TIME(silence_zone_us, 200000, "a zone's replicas do not pause together: so long without any answer is a cut")
--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -211,12 +211,6 @@
 		doubt_zone(ctx, gate, zone);
 }
 
-void rr_note_overdue(struct rr_context *ctx, struct rr_gate *gate,
-		     struct rr_endpoint *endpoint)
-{
-	look_for_silence(ctx, gate, endpoint->zone);
-}
-
 static void judge_zone(struct rr_context *ctx, struct rr_gate *gate,
 		       struct rr_gate_zone *zone)
 {
@@ -247,15 +241,37 @@
 	set_probe(gate, endpoint);
 }
 
-void rr_note_given_up(struct rr_context *ctx, struct rr_gate *gate,
-		      struct rr_endpoint *endpoint)
+static void judge_replica(struct rr_context *ctx, struct rr_gate *gate,
+			  struct rr_endpoint *endpoint)
 {
 	if (rr_track_silent_us(&endpoint->track, gate->now_us) >=
 	    gate->policy.silence_replica_us)
 		suspect(ctx, gate, endpoint, "silent");
+}
+
+void rr_note_given_up(struct rr_context *ctx, struct rr_gate *gate,
+		      struct rr_endpoint *endpoint)
+{
+	judge_replica(ctx, gate, endpoint);
 	judge_zone(ctx, gate, endpoint->zone);
 }
 
+/*
+ * Guards against silence that is never judged: where no extra attempt is left,
+ * an attempt is not given up before its request's deadline, and requests
+ * would go to a dead replica until then.
+ */
+void rr_note_overdue(struct rr_context *ctx, struct rr_gate *gate,
+		     struct rr_endpoint *endpoint)
+{
+#ifndef RR_MUTANT_GATE_OPEN_IS_FINE
+	if (gate->policy.silence_of_open_attempts &&
+	    !rr_is_suspected(&endpoint->track, gate->now_us))
+		judge_replica(ctx, gate, endpoint);
+#endif
+	look_for_silence(ctx, gate, endpoint->zone);
+}
+
 void rr_note_lost(struct rr_context *ctx, struct rr_gate *gate,
 		  struct rr_endpoint *endpoint, enum rr_loss loss)
 {
--- a/tests/test-gate-zone.c
+++ b/tests/test-gate-zone.c
@@ -278,6 +278,34 @@
 	test_drop_scene(scene);
 }
 
+/*
+ * Story: a replica dies while its service has no extra attempt left.  What is
+ * there is not hedged, so not given up before its deadline, ten seconds on;
+ * until then more requests go to the dead replica, and wait as long.
+ */
+static void test_silence_shows_without_extra_attempts(void **state)
+{
+	struct test_route route = test_often_route;
+	struct gate_scene *scene = test_new_scene(7);
+
+	(void)state;
+	route.timeout_ms = 20000;
+	test_list(scene, "s.a", "s", "a");
+	test_set_routes(scene, 5, &route, 1);
+	test_list(scene, "t.b", "t", "b");
+	test_earn_extras(scene, "/often/1");
+	test_take(scene, "/often/1", 10000);
+	assert_string_equal(test_sent_at(scene, 0)->endpoint, "s.a");
+	test_pass(scene, 900 * TEST_MS);
+	assert_false(test_sent_at(scene, 0)->withdrawn);
+	assert_true(scene->probes->len > 0);
+	test_list(scene, "s.b", "s", "b");
+	test_take(scene, "/often/1", 10000);
+	assert_string_equal(test_sent_at(scene, scene->sent->len - 1)->endpoint,
+			    "s.b");
+	test_drop_scene(scene);
+}
+
 /*
  * Story: replicas of a zone pause at once, for a tenth of a second.  Their
  * machines answer a new connection, so their zone is not left alone.
@@ -318,6 +346,7 @@
 		cmocka_unit_test(test_a_dark_replica_is_probed),
 		cmocka_unit_test(test_a_cut_shows_before_attempts_are_given_up),
 		cmocka_unit_test(test_a_pause_is_no_cut),
+		cmocka_unit_test(test_silence_shows_without_extra_attempts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
