--- a/bench/gate/scenario.c
+++ b/bench/gate/scenario.c
@@ -321,13 +321,9 @@
 void init_plain_policy(struct rr_gate_policy *policy)
 {
 	static const char *const off[] = {
-		"admit_by_wait",
-		"choose_by_stalls",
-		"choose_by_slowness",
-		"choose_by_losses",
-		"choose_avoids_suspects",
-		"limit_adapts",
-		"hedge_slow",
+		"admit_by_wait",    "choose_by_slowness",
+		"choose_by_losses", "choose_avoids_suspects",
+		"limit_adapts",	    "hedge_slow",
 		"silence_of_zones",
 	};
 
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -12,7 +12,6 @@
 enum tier {
 	TIER_GOOD,
 	TIER_AWAY,     /* an instance of another zone */
-	TIER_STALLED,  /* pauses, sheds or is stuck */
 	TIER_UNLISTED, /* its entry has just gone */
 	N_TIERS,
 };
@@ -64,29 +63,10 @@
 	return false;
 }
 
-static bool is_stalled(const struct rr_gate *gate,
-		       const struct rr_endpoint *endpoint, int64_t typical_us)
-{
-	const struct rr_gate_attempt *oldest =
-		endpoint->live.head ? endpoint->live.head->data : NULL;
-	const struct rr_gate_policy *policy = &gate->policy;
-	double bound_us = policy->choose_stalled_factor * (double)typical_us *
-			  rr_track_slowness(&endpoint->track, gate->now_us);
-
-	if (endpoint->track.shed_until_us > gate->now_us)
-		return true;
-	bound_us = MAX(bound_us, (double)policy->choose_least_stalled_us);
-	return oldest && (double)(gate->now_us - oldest->sent_us) > bound_us;
-}
-
-static enum tier tier_of(const struct rr_gate *gate,
-			 const struct rr_endpoint *endpoint, int64_t typical_us)
+static enum tier tier_of(const struct rr_endpoint *endpoint)
 {
 	if (!endpoint->listed)
 		return TIER_UNLISTED;
-	if (gate->policy.choose_by_stalls &&
-	    is_stalled(gate, endpoint, typical_us))
-		return TIER_STALLED;
 	return endpoint->away ? TIER_AWAY : TIER_GOOD;
 }
 
@@ -242,7 +222,7 @@
 			full = true;
 			continue;
 		}
-		tier = tier_of(gate, endpoint, typical_us);
+		tier = tier_of(endpoint);
 		if (tier > best)
 			continue;
 		if (tier < best)
--- a/source/core/track.c
+++ b/source/core/track.c
@@ -22,8 +22,6 @@
  */
 #define FIRST_SUSPICION_US (400 * 1000)
 #define MOST_SUSPICION_US (3 * G_USEC_PER_SEC)
-/* A full replica is left alone for about one work item. */
-#define SHED_US (20 * 1000)
 
 void rr_init_track(struct rr_track *track)
 {
@@ -109,7 +107,6 @@
 
 void rr_track_shed(struct rr_track *track, int64_t now_us)
 {
-	track->shed_until_us = now_us + SHED_US;
 	mix_losses(track, now_us, 1);
 	rr_track_seen(track, now_us);
 }
--- a/source/core/track.h
+++ b/source/core/track.h
@@ -26,7 +26,6 @@
 	int64_t open_since_us; /* 0: no attempt is open */
 	uint32_t silences_in_row;
 	int64_t suspected_until_us;
-	int64_t shed_until_us;
 };
 
 /* How a loss showed. */
