--- a/bench/gate/emulated-replica.c
+++ b/bench/gate/emulated-replica.c
@@ -221,7 +221,7 @@
 		replica->busy--;
 		start_next(replica);
 	} else if (g_queue_remove(&replica->waiting, work)) {
-		drop_work(work);
+		work->refs--; /* the queue's, and not the last one */
 	}
 	drop_work(work);
 }
