gate: the times of a request stand apart; behaviour unchanged

Ruled out: nothing. Change: gate-times.c; a flag. Figures: the gate's tests unchanged. Conclusion: for reading only.

--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -37,9 +37,9 @@
 	bool silent;	     /* left alone until it is heard again */
 	/* It seems silent, or another zone is: probes find out. */
 	bool doubted;
-	int64_t doubted_us;   /* since when */
-	uint32_t open_probes; /* sent since, and not answered yet */
-	uint32_t watch;	      /* the latest timer set; earlier ones are void */
+	int64_t doubted_us; /* since when */
+	bool probed;	    /* since then */
+	uint32_t watch;	    /* the latest timer set; earlier ones are void */
 	uint32_t failed_probes; /* since the last sign of life */
 	int64_t heard_us;
 };
@@ -340,6 +340,21 @@
  */
 void rr_earn_extras(struct rr_gate *gate, struct rr_gate_run *run);
 
+/* gate-times.c */
+/* From its caller's deadline, the route's timeout and objective. */
+void rr_set_run_times(const struct rr_gate *gate, struct rr_gate_run *run,
+		      const struct rr_gate_ask *ask);
+/*
+ * Until when another instance's answer is waited for: as long again as its
+ * caller wants to wait.  Guards against requests that are held to their
+ * deadline by an instance that is frozen.
+ */
+int64_t rr_hand_over_end_us(const struct rr_gate *gate,
+			    const struct rr_gate_run *run);
+/* When a caller is asked back that will wait for so long, drawn at random. */
+uint32_t rr_draw_retry_ms(struct rr_context *ctx, const struct rr_gate *gate,
+			  int64_t left_us);
+
 /* gate-run.c */
 /* What was handed over, and was not run there, is served here after all. */
 void rr_take_back(struct rr_context *ctx, struct rr_gate *gate,
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -37,16 +37,6 @@
 	g_hash_table_remove(gate->runs, &run->id);
 }
 
-static uint32_t draw_retry_ms(struct rr_context *ctx,
-			      const struct rr_gate *gate, int64_t left_us)
-{
-	double from = gate->policy.retry_from;
-	double to = gate->policy.retry_to;
-	double part = from + (to - from) * rr_random_unit(ctx);
-
-	return MAX(1, (uint32_t)(part * (double)left_us / 1000));
-}
-
 static bool is_promise(uint16_t status)
 {
 	return status == 503 || status == 429;
@@ -142,7 +132,7 @@
 	};
 
 	if (is_promise(status))
-		answer.retry_after_ms = draw_retry_ms(
+		answer.retry_after_ms = rr_draw_retry_ms(
 			ctx, gate,
 			run->deadline_us ?
 				MAX(run->deadline_us - gate->now_us, 0) :
@@ -290,18 +280,6 @@
 	}
 }
 
-/*
- * Until when another instance's answer is waited for: as long again as its
- * caller wants to wait.  Guards against requests that are held to their
- * deadline by an instance that is frozen.
- */
-static int64_t hand_over_end_us(const struct rr_gate *gate,
-				const struct rr_gate_run *run)
-{
-	return run->cut_us + gate->policy.answer_hand_back_us +
-	       (run->cut_us - run->started_us);
-}
-
 void rr_advance_run(struct rr_context *ctx, struct rr_gate *gate,
 		    struct rr_gate_run *run)
 {
@@ -309,7 +287,7 @@
 		advance_gather(ctx, gate, run);
 		return;
 	}
-	if (run->handed && gate->now_us >= hand_over_end_us(gate, run) &&
+	if (run->handed && gate->now_us >= rr_hand_over_end_us(gate, run) &&
 	    !run->n_lacking) {
 		fail_run(ctx, gate, run, "strong-instance-silent");
 		return;
@@ -395,55 +373,6 @@
 	rr_init_top_records(&run->top, route->top_k);
 }
 
-/* For an answer's way out. */
-static int64_t kept_back_us(const struct rr_gate *gate, int64_t objective_us)
-{
-	double part = (double)objective_us / gate->policy.answer_write_part;
-
-	return MAX(gate->policy.answer_least_write_us, (int64_t)part);
-}
-
-static void set_times(struct rr_gate_run *run, const struct rr_gate *gate,
-		      const struct rr_gate_ask *ask)
-{
-	int64_t objective_us = (int64_t)run->route->objective_ms * 1000;
-	int64_t rtt_us = ask->caller_rtt_us > 0 ?
-				 ask->caller_rtt_us :
-				 gate->policy.answer_guessed_rtt_us;
-	int64_t way_us = rtt_us;
-
-	/*
-	 * Guards against answers that leave in time and come late: a caller
-	 * counts from when it began to connect, a round trip before it could
-	 * send.
-	 */
-#ifndef RR_MUTANT_GATE_FORGETS_CONNECT
-	if (ask->caller_is_new && gate->policy.answer_counts_connect)
-		way_us += rtt_us;
-#endif
-
-	run->started_us = gate->now_us;
-	run->end_us = INT64_MAX;
-	if (run->route->timeout_ms)
-		run->end_us =
-			gate->now_us + (int64_t)run->route->timeout_ms * 1000;
-	if (ask->deadline_ms >= 0) {
-		run->deadline_us = gate->now_us + ask->deadline_ms * 1000;
-		run->end_us = MIN(run->end_us, run->deadline_us);
-	} else if (run->route->timeout_ms) {
-		run->deadline_us = run->end_us;
-	}
-	run->cut_us = run->end_us;
-	if (ask->handed_left_us >= 0)
-		run->cut_us = MIN(run->end_us,
-				  gate->now_us + ask->handed_left_us -
-					  gate->policy.answer_hand_back_us);
-	else if (objective_us)
-		run->cut_us = MIN(run->cut_us,
-				  gate->now_us + objective_us - way_us -
-					  kept_back_us(gate, objective_us));
-}
-
 /* Send each part for the first time, or give it up. */
 static void start_parts(struct rr_context *ctx, struct rr_gate *gate,
 			struct rr_gate_run *run)
@@ -484,7 +413,7 @@
 	uint64_t id = run->id;
 
 	rr_set_timer(gate->timers,
-		     run->handed ? hand_over_end_us(gate, run) : run->cut_us,
+		     run->handed ? rr_hand_over_end_us(gate, run) : run->cut_us,
 		     RR_TIMER_GATE_LOOK, id, 0);
 	if (run->end_us != run->cut_us && run->end_us != INT64_MAX)
 		rr_set_timer(gate->timers, run->end_us, RR_TIMER_GATE_LOOK, id,
@@ -510,7 +439,7 @@
 	};
 
 	if (is_promise(status))
-		answer.retry_after_ms = draw_retry_ms(
+		answer.retry_after_ms = rr_draw_retry_ms(
 			ctx, gate,
 			ask->deadline_ms >= 0 ? ask->deadline_ms * 1000 :
 						gate->policy.retry_base_us);
@@ -553,7 +482,7 @@
 	run->routes_age_us = now_us - gate->table_since_us;
 	run->for_other = ask->handed_left_us >= 0;
 	g_hash_table_insert(gate->runs, &run->id, run);
-	set_times(run, gate, ask);
+	rr_set_run_times(gate, run, ask);
 	if (run->for_other || !rr_hand_over(gate, run))
 		add_parts(ctx, gate, run);
 	start_run(ctx, gate, run);
--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -91,7 +91,7 @@
 
 	if (!endpoint)
 		return;
-	zone->open_probes++;
+	zone->probed = true;
 	gate->actions.probe(gate->actions.data, endpoint->lifetime,
 			    endpoint->address);
 }
@@ -113,7 +113,7 @@
 	zone->doubted = true;
 	zone->doubted_us = gate->now_us;
 	zone->failed_probes = 0;
-	zone->open_probes = 0;
+	zone->probed = false;
 	for (uint32_t i = 0; i < gate->policy.silence_doubt_probes; i++)
 		probe_zone(ctx, gate, zone);
 	watch_zone(gate, zone, gate->policy.silence_verdict_us);
@@ -361,7 +361,7 @@
 		      struct rr_gate_zone *zone)
 {
 	if (gate->now_us - zone->doubted_us < gate->policy.silence_verdict_us ||
-	    !zone->open_probes)
+	    !zone->probed)
 		return;
 #ifndef RR_MUTANT_GATE_SLOW_VERDICT
 	silence_zone(ctx, gate, zone);
