gate-list, emulator, tests: what the last read-through found, behaviour unchanged

Ruled out: one scene for all test files of the gate (their replicas differ). Change: end_endpoint(); dead code gone; reply_from() and list_as() serve. Conclusion: for reading only.

--- a/bench/gate/emulated-caller.c
+++ b/bench/gate/emulated-caller.c
@@ -53,17 +53,6 @@
 	return instance_at(world, 0);
 }
 
-static void end_request(struct request *request, const char *outcome)
-{
-	struct emulated_result *result = request->world->result;
-
-	if (*outcome == 'r')
-		result->refused++;
-	else
-		result->failed++;
-	g_free(request);
-}
-
 static void take_at_instance(void *context, void *data)
 {
 	struct request *request = data;
@@ -149,8 +138,10 @@
 		world->result->returned++;
 		send_request(request, again_us);
 	} else {
-		end_request(request,
-			    arrival->status == 503 ? "refused" : "failed");
+		/* What is neither answered nor refused is counted as failed. */
+		if (arrival->status == 503)
+			world->result->refused++;
+		g_free(request);
 	}
 	g_free(arrival);
 }
@@ -168,8 +159,6 @@
 	arrival->retry_after_ms = answer->retry_after_ms;
 	if (answer->kind == RR_GATE_GATHERED)
 		arrival->share = 1 - (double)answer->missing / shards;
-	if (answer->kind == RR_GATE_FORWARDED)
-		arrival->status = answer->status;
 	push_event(world->events,
 		   world->now_us + ms_to_us(world->scenario->caller_ms),
 		   arrive_at_caller, arrival);
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -184,6 +184,14 @@
 	rr_drop_endpoint(endpoint);
 }
 
+/* Its lifetime is over: attempts in flight keep it until they end. */
+static void end_endpoint(struct rr_context *ctx, struct rr_gate *gate,
+			 struct rr_endpoint *endpoint, const char *reason)
+{
+	rr_retire_endpoint(ctx, gate, endpoint, reason);
+	remove_endpoint(gate, endpoint);
+}
+
 /*
  * Whether a connection is made before it is needed: not by those that hand
  * searches over, nor where there is not one for everybody.
@@ -222,8 +230,7 @@
 	/* Within a lifetime a drain is for good, wherever it is listed. */
 	drained = before->draining && before->born_ms == listing->born_ms;
 	name = g_strdup(before->lifetime);
-	rr_retire_endpoint(ctx, gate, before, "replaced");
-	remove_endpoint(gate, before);
+	end_endpoint(ctx, gate, before, "replaced");
 	endpoint = add_endpoint(gate, listing, name);
 	endpoint->draining = drained;
 	g_free(name);
@@ -333,8 +340,7 @@
 		    gate->now_us - endpoint->unlisted_us <
 			    gate->policy.list_unlisted_grace_us)
 			continue;
-		rr_retire_endpoint(ctx, gate, endpoint, "unlisted");
-		remove_endpoint(gate, endpoint);
+		end_endpoint(ctx, gate, endpoint, "unlisted");
 		return;
 	}
 }
@@ -344,10 +350,8 @@
 {
 	struct rr_endpoint *endpoint = g_hash_table_lookup(gate->endpoints, id);
 
-	if (!endpoint)
-		return;
-	rr_retire_endpoint(ctx, gate, endpoint, reason);
-	remove_endpoint(gate, endpoint);
+	if (endpoint)
+		end_endpoint(ctx, gate, endpoint, reason);
 }
 
 static bool has_endpoint(const struct rr_gate *gate, const char *name)
--- a/tests/test-gate-lifetime.c
+++ b/tests/test-gate-lifetime.c
@@ -17,28 +17,29 @@
 
 static const char *const one_service[] = { "s", NULL };
 
-static void list_born(struct gate_scene *scene, int64_t born_ms)
-{
-	struct test_lifetime lifetime = {
-		.id = "r", .service = "s", .zone = "a", .born_ms = born_ms
-	};
-
-	test_list_lifetime(scene, &lifetime);
-}
-
-static void list_draining(struct gate_scene *scene, int64_t born_ms)
+static void list_as(struct gate_scene *scene, int64_t born_ms, bool draining)
 {
 	struct test_lifetime lifetime = {
 		.id = "r",
 		.service = "s",
 		.zone = "a",
 		.born_ms = born_ms,
-		.draining = true,
+		.draining = draining,
 	};
 
 	test_list_lifetime(scene, &lifetime);
 }
 
+static void list_born(struct gate_scene *scene, int64_t born_ms)
+{
+	list_as(scene, born_ms, false);
+}
+
+static void list_draining(struct gate_scene *scene, int64_t born_ms)
+{
+	list_as(scene, born_ms, true);
+}
+
 /* One replica, "r", of the service of a route. */
 static struct gate_scene *start(const struct test_route *route)
 {
--- a/tests/test-gate-zone.c
+++ b/tests/test-gate-zone.c
@@ -12,6 +12,18 @@
 
 #include "support/gate-scene.h"
 
+/* Replicas of these zones answer what is open there. */
+static void reply_from(struct gate_scene *scene, const char *zones)
+{
+	for (guint j = 0; j < scene->sent->len; j++) {
+		struct test_sent *sent = test_sent_at(scene, j);
+		const char *zone = strchr(sent->endpoint, '.') + 1;
+
+		if (!sent->replied && !sent->withdrawn && strchr(zones, *zone))
+			test_reply(scene, sent, RR_GATE_ANSWERED, 200);
+	}
+}
+
 /*
  * Story: a network cut silences every replica of the other zones at once.
  * Searches need shards that are only there: this instance says that it is not
@@ -34,12 +46,7 @@
 	for (int i = 0; i < 16; i++) {
 		test_take(scene, "/search/1", 200);
 		test_pass(scene, 3 * TEST_MS);
-		for (guint j = 0; j < scene->sent->len; j++) {
-			struct test_sent *sent = test_sent_at(scene, j);
-
-			if (!sent->replied && strstr(sent->endpoint, ".a"))
-				test_reply(scene, sent, RR_GATE_ANSWERED, 200);
-		}
+		reply_from(scene, "a");
 		test_pass(scene, 60 * TEST_MS);
 	}
 	assert_false(rr_gate_serves(scene->gate, &reason));
@@ -227,18 +234,6 @@
 	test_drop_scene(scene);
 }
 
-/* Near shards answer; of far ones a share, or none. */
-static void reply_from(struct gate_scene *scene, const char *zones)
-{
-	for (guint j = 0; j < scene->sent->len; j++) {
-		struct test_sent *sent = test_sent_at(scene, j);
-		const char *zone = strchr(sent->endpoint, '.') + 1;
-
-		if (!sent->replied && !sent->withdrawn && strchr(zones, *zone))
-			test_reply(scene, sent, RR_GATE_ANSWERED, 200);
-	}
-}
-
 /*
  * Story: a zone is cut off.  Its searches wait for shards of other zones until
  * their deadline, so that no attempt is given up for a second; refused for as
