gate, gateway: an instance's own delay is not the silence of others

Cause: while the loop is busy, frozen or without its share, answers lie unread, and timers that come due in that time judge as if nothing had been sent.

Change: a turn of 10 ms or more, or a wait that ends so late, is told to the gate before anything is read: attempts, replicas and zones are not older for it.

The mutant that blames others fails test-gate-zone.

--- a/include/ragwort/counter-list.h
+++ b/include/ragwort/counter-list.h
@@ -32,6 +32,7 @@
 RR_COUNTER(RR_N_RELOADED, "reloads_total", "times that SIGHUP was followed and everything was read again")
 RR_COUNTER(RR_N_RELOAD_FAILED, "reloads_failed_total", "times that something could not be read again and stayed as it was")
 RR_COUNTER(RR_N_PEER_STALE, "peer_messages_stale_total", "peer messages for another incarnation or past their deadline")
+RR_COUNTER(RR_N_HELD_UP, "loop_held_up_total", "times that this instance's own loop was late, which counts as nobody's silence")
 RR_COUNTER(RR_N_STORE_CALLS, "store_calls_total", "calls to the platform's key-value service")
 RR_COUNTER(RR_N_PEER_NEWS_CALLS, "peer_news_calls_total", "calls to other instances for the store's news")
 RR_COUNTER(RR_N_NEWS_PASSED_ON, "news_passed_on_total", "answers with the store's news to other instances")
--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -241,6 +241,12 @@
 void rr_gate_probed(struct rr_context *ctx, struct rr_gate *gate,
 		    int64_t now_us, const char *lifetime, bool reached);
 
+/*
+ * This instance was late by so long: answers may have come that it had no time
+ * to read.  To be told before they are handed in, and before the next tick.
+ */
+void rr_gate_held_up(struct rr_context *ctx, struct rr_gate *gate,
+		     int64_t now_us, int64_t delay_us);
 void rr_gate_tick(struct rr_context *ctx, struct rr_gate *gate, int64_t now_us);
 /* When rr_gate_tick() is due; INT64_MAX for never. */
 int64_t rr_gate_wake_us(const struct rr_gate *gate);
--- a/source/gateway/gateway-private.h
+++ b/source/gateway/gateway-private.h
@@ -26,6 +26,7 @@
 	GSource source; /* first: GLib allocates the whole */
 	struct rr_gateway *gateway;
 	int64_t due_us;
+	int64_t woke_us; /* when the loop last stopped waiting; 0: not yet */
 };
 
 /* Another instance that waits for the store's news. */
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -15,6 +15,11 @@
 #define FLUSH_US (200 * 1000)
 /* While stopping, how often it is looked at what is still open. */
 #define STOP_CHECK_US (100 * 1000)
+/*
+ * A turn of the loop that takes so long, or a wait that ends so late, holds
+ * up what others answer: much less than silence is judged by.
+ */
+#define HELD_UP_US (10 * 1000)
 /* Of the ready and metrics addresses: few ask, and seldom. */
 #define MOST_ASKERS 64
 
@@ -130,6 +135,13 @@
 	return due_us;
 }
 
+static void note_delay(struct rr_gateway *gateway, int64_t now_us,
+		       int64_t delay_us)
+{
+	if (delay_us >= HELD_UP_US)
+		rr_gate_held_up(gateway->ctx, gateway->gate, now_us, delay_us);
+}
+
 /*
  * Once a turn, before the loop waits.  No ready time of GLib's: each change
  * of it wakes the loop for a turn of its own.
@@ -137,20 +149,28 @@
 static gboolean prepare_tick(GSource *source, gint *timeout_ms)
 {
 	struct tick_source *ticker = (struct tick_source *)source;
+	int64_t now_us = rr_gateway_now_us();
 	int64_t wait_us;
 
-	ticker->due_us = next_tick_us(ticker->gateway);
+	if (ticker->woke_us)
+		note_delay(ticker->gateway, now_us, now_us - ticker->woke_us);
+	ticker->due_us = MAX(next_tick_us(ticker->gateway), now_us);
 	*timeout_ms = -1;
 	if (ticker->due_us == INT64_MAX)
 		return FALSE;
-	wait_us = MAX(ticker->due_us - rr_gateway_now_us(), 0);
+	wait_us = ticker->due_us - now_us;
 	*timeout_ms = (gint)MIN((wait_us + 999) / 1000, G_MAXINT);
 	return !wait_us;
 }
 
 static gboolean check_tick(GSource *source)
 {
-	return ((struct tick_source *)source)->due_us <= rr_gateway_now_us();
+	struct tick_source *ticker = (struct tick_source *)source;
+
+	ticker->woke_us = rr_gateway_now_us();
+	note_delay(ticker->gateway, ticker->woke_us,
+		   ticker->woke_us - ticker->due_us);
+	return ticker->due_us <= ticker->woke_us;
 }
 
 static gboolean dispatch_tick(GSource *source, GSourceFunc callback,
--- a/tests/test-gate-zone.c
+++ b/tests/test-gate-zone.c
@@ -330,6 +330,52 @@
 	test_drop_scene(scene);
 }
 
+/*
+ * Story: a weak instance gathers searches of 180 shards, and its own work
+ * holds its loop up for 150 ms.  All answers are there, unread.  It took that
+ * for the silence of every zone, called itself cut off, and callers were sent
+ * away from a fleet that was well.
+ */
+static void test_own_delay_is_not_silence(void **state)
+{
+	enum { SHARDS = 180 };
+	struct gate_scene *scene = test_new_scene(7);
+	const char *names[SHARDS + 1] = { NULL };
+	struct test_route route = test_search_route;
+	const char *reason;
+
+	(void)state;
+	for (int i = 0; i < SHARDS; i++) {
+		char *id = g_strdup_printf("s%d.%c", i, 'b' + i % 4);
+
+		names[i] = g_strdup_printf("s%d", i);
+		test_list(scene, id, names[i], strchr(id, '.') + 1);
+		g_free(id);
+	}
+	route.services = names;
+	route.objective_ms = 240;
+	test_set_routes(scene, 5, &route, 1);
+	for (int i = 0; i < 3; i++) {
+		test_take(scene, "/search/1", 900);
+		scene->now_us += 150 * TEST_MS;
+		rr_gate_held_up(scene->ctx, scene->gate, scene->now_us,
+				150 * TEST_MS);
+		/* Timers that came due meanwhile, then what was unread. */
+		rr_gate_tick(scene->ctx, scene->gate, scene->now_us);
+		assert_int_equal(scene->probes->len, 0);
+		assert_true(rr_gate_serves(scene->gate, &reason));
+		test_reply_all(scene);
+		test_pass(scene, 100 * TEST_MS);
+	}
+	/* Without a delay the same silence is judged. */
+	test_take(scene, "/search/1", 900);
+	test_pass(scene, 300 * TEST_MS);
+	assert_true(scene->probes->len > 0);
+	for (int i = 0; i < SHARDS; i++)
+		g_free((char *)names[i]);
+	test_drop_scene(scene);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -342,6 +388,7 @@
 		cmocka_unit_test(test_a_cut_shows_before_attempts_are_given_up),
 		cmocka_unit_test(test_a_pause_is_no_cut),
 		cmocka_unit_test(test_silence_shows_without_extra_attempts),
+		cmocka_unit_test(test_own_delay_is_not_silence),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
