--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -40,6 +40,28 @@
 	return false;
 }
 
+/*
+ * Whether no other replica of its service may be there, and no probe has found
+ * that it is not there either.
+ */
+static bool is_last_hope(const struct rr_gate *gate,
+			 const struct rr_endpoint *endpoint)
+{
+	const GPtrArray *endpoints = endpoint->service->endpoints;
+
+	if (endpoint->service == gate->strong ||
+	    endpoint->track.silences_in_row > 1)
+		return false;
+	for (guint i = 0; i < endpoints->len; i++) {
+		const struct rr_endpoint *other =
+			g_ptr_array_index(endpoints, i);
+
+		if (other != endpoint && !other->draining)
+			return false;
+	}
+	return true;
+}
+
 bool rr_takes_work(const struct rr_gate *gate,
 		   const struct rr_endpoint *endpoint)
 {
@@ -48,8 +70,17 @@
 #endif
 	if (endpoint->draining || endpoint->zone->silent)
 		return false;
-	return !gate->policy.choose_avoids_suspects ||
-	       !rr_is_suspected(&endpoint->track, gate->now_us);
+	if (!gate->policy.choose_avoids_suspects ||
+	    !rr_is_suspected(&endpoint->track, gate->now_us))
+		return true;
+		/*
+	 * Guards against a shard of one replica that was slow or unreachable
+	 * for a moment and is given up for seconds: there is no other to ask.
+	 */
+#ifdef RR_MUTANT_GATE_SPARES_THE_ONLY_ONE
+	return false;
+#endif
+	return is_last_hope(gate, endpoint);
 }
 
 bool rr_service_reachable(const struct rr_gate *gate,
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -315,7 +315,8 @@
 			   "earlier-lifetime");
 		return;
 	case RR_LIFETIME_UNTOLD:
-		log_listed(ctx, gate, listing, "endpoint-left-out", "start-not-told");
+		log_listed(ctx, gate, listing, "endpoint-left-out",
+			   "start-not-told");
 		rr_gate_unlist(ctx, gate, now_us, listing->id);
 		return;
 	case RR_LIFETIME_OTHER:
--- a/tests/test-gate-choose.c
+++ b/tests/test-gate-choose.c
@@ -97,12 +97,43 @@
 	test_drop_scene(scene);
 }
 
+/*
+ * Story: a shard has one replica, and its connection fails once.  It was left
+ * alone for half a second then, and each search of that time lacked the shard
+ * for certain.  Nobody else is there to ask: it is asked, until a probe finds
+ * that it is not there.
+ */
+static void test_the_only_replica_is_still_asked(void **state)
+{
+	struct gate_scene *scene = test_new_scene(1);
+
+	(void)state;
+	test_list(scene, "s.a", "s", "a");
+	/* Its zone is well. */
+	test_list(scene, "other.a", "other", "a");
+	test_set_routes(scene, 1, &test_often_route, 1);
+	test_take(scene, "/often/1", 900);
+	test_reply(scene, test_sent_at(scene, 0), RR_GATE_SILENT, 0);
+	test_take(scene, "/often/1", 900);
+	assert_int_equal(scene->sent->len, 2);
+	test_reply_all(scene);
+	test_take(scene, "/often/1", 900);
+	test_reply(scene, test_sent_at(scene, 2), RR_GATE_SILENT, 0);
+	test_pass(scene, 450 * TEST_MS);
+	rr_gate_probed(scene->ctx, scene->gate, scene->now_us, "s.a", false);
+	test_take(scene, "/often/1", 900);
+	assert_int_equal(scene->sent->len, 3);
+	assert_int_equal(test_last_answer(scene)->status, 503);
+	test_drop_scene(scene);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_near_unless_callers_would_notice),
 		cmocka_unit_test(test_far_when_the_near_one_is_slow),
 		cmocka_unit_test(test_a_replica_that_sheds_is_asked_seldom),
+		cmocka_unit_test(test_the_only_replica_is_still_asked),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
