news: an asker from before this instance's own beginning reads anew

Cause: an instance that started at revision 50 answered an asker that had followed up to 40 with the changes it knew. A replica removed at 45 was in neither's news: the asker kept it listed for good, and sent it requests.

Change: the news know the revision they begin with and say that what was before is forgotten; whoever asks then reads everything.

test-news fails without it (mutant NEWS_BEGINS_UNTOLD).

--- a/source/core/news.c
+++ b/source/core/news.c
@@ -87,6 +87,17 @@
 		forget_removed(news);
 }
 
+/*
+ * Guards against an asker that has an older list than this one began with: it
+ * would never hear of a replica that was removed in between.
+ */
+void rr_begin_news(struct rr_news *news, uint64_t revision)
+{
+#ifndef RR_MUTANT_NEWS_BEGINS_UNTOLD
+	news->floor = MAX(news->floor, revision);
+#endif
+}
+
 static gint compare_revisions(gconstpointer a, gconstpointer b)
 {
 	const struct rr_news_item *one = a;
--- a/source/core/news.h
+++ b/source/core/news.h
@@ -17,6 +17,11 @@
 void rr_drop_news(struct rr_news *news);
 /* An item was written, or removed: its value is NULL.  Strings are copied. */
 void rr_keep_news(struct rr_news *news, const struct rr_news_item *item);
+/*
+ * All items as they were at a revision have been kept: what was removed before
+ * is not known here.
+ */
+void rr_begin_news(struct rr_news *news, uint64_t revision);
 /*
  * Changes behind a revision as struct rr_news_item, the oldest first; of
  * revision 0 all items there are.  They point into `news` until it changes.
--- a/tests/test-news.c
+++ b/tests/test-news.c
@@ -91,11 +91,32 @@
 	rr_drop_news(news);
 }
 
+/*
+ * Story: an instance starts again and reads the list at revision 50; a replica
+ * was removed at 45.  Another that followed up to 40 turns to it for news.  Of
+ * the removal neither of them would ever hear: it has to read anew.
+ */
+static void test_removals_before_the_beginning(void **state)
+{
+	struct rr_news *news = rr_new_news();
+
+	(void)state;
+	keep(news, "a", 3, "A");
+	rr_begin_news(news, 50);
+	assert_null(rr_news_after(news, 40));
+	assert_after(news, 50, "");
+	assert_after(news, 0, "a=A@3 ");
+	keep(news, "a", 51, NULL);
+	assert_after(news, 50, "a=-@51 ");
+	rr_drop_news(news);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_changes_in_order),
 		cmocka_unit_test(test_removed_keys_are_bounded),
+		cmocka_unit_test(test_removals_before_the_beginning),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
