--- a/fuzz/entries.c
+++ b/fuzz/entries.c
@@ -1,6 +1,7 @@
 /*
  * entries.c - fuzz target: what anybody may write into the store under the
- * keys of replicas and instances, and how it is passed on.
+ * keys of replicas and instances, how it is passed on, and what instances ask
+ * each other to write.
  *
  * The first byte is the length of the key, the key and its value follow.
  */
@@ -69,6 +70,26 @@
 	g_free(value);
 }
 
+/* Either entries that may be written, or a reason. */
+static void parse_entries(const char *text, size_t length)
+{
+	const char *fault;
+	struct rr_entry_call *call = rr_parse_entry_call(text, length, &fault);
+
+	if (!call == !fault)
+		abort();
+	if (!call)
+		return;
+	for (guint i = 0; i < call->entered->len; i++) {
+		const struct rr_instance *instance =
+			g_ptr_array_index(call->entered, i);
+
+		if (!*instance->id || !instance->zone || !instance->address)
+			abort();
+	}
+	rr_free_entry_call(call);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t length)
 {
 	size_t key_length;
@@ -84,6 +105,7 @@
 	decode_listing(key, text, length);
 	decode_instance(key, text, length);
 	pass_on(key, text, length);
+	parse_entries(text, length);
 	g_free(key);
 	return 0;
 }
--- a/include/ragwort/feed.h
+++ b/include/ragwort/feed.h
@@ -4,9 +4,9 @@
  *
  * Decisions only: when to read, watch, renew and try again.  The carrier
  * makes the calls in the platform's format and hands the replies in.  Calls
- * are few, since each is paid for: one read of everything at the start, then
- * one long watch; the renewal of this instance's own entry, which is cheap,
- * tells whether the store still answers.
+ * are few, since each is paid for.  A few instances of each zone watch the
+ * store and keep the entries of all under their leases; the others ask these
+ * for news, and are entered by them.  See docs/design/store-calls.md.
  */
 #ifndef RAGWORT_FEED_H
 #define RAGWORT_FEED_H
@@ -24,8 +24,17 @@
 	RR_FEED_WATCH, /* what changed */
 	RR_FEED_GRANT, /* a lease */
 	RR_FEED_KEEP,  /* renew it */
-	RR_FEED_ENTER, /* write this instance's entry under it */
-	RR_FEED_LEAVE, /* end the lease, and with it the entry */
+	RR_FEED_ENTER, /* write and remove entries under it */
+	RR_FEED_LEAVE, /* end the lease, and with it the entries */
+};
+
+/* An instance, as its entry tells of it. */
+struct rr_instance {
+	char *id;
+	char *zone;
+	char *address;	 /* IP:PORT for other instances; "" for none */
+	double strength; /* its share of a processor */
+	int64_t born_ms; /* when it started, in Unix milliseconds; 0: untold */
 };
 
 struct rr_feed_call {
@@ -33,11 +42,14 @@
 	const char *peer; /* IP:PORT of an instance to ask; NULL: the store */
 	enum rr_feed_call_kind kind;
 	const char *after_key;	 /* range: the last key had; NULL: the first */
+	bool may_be_old;	 /* range: what was there seconds ago will do */
 	uint64_t after_revision; /* watch */
 	uint32_t wait_ms;	 /* watch: longest until an empty answer */
 	uint32_t ttl_ms;	 /* grant */
-	uint64_t lease;		 /* keep, enter, leave */
-	uint32_t timeout_ms;	 /* then it has failed */
+	uint64_t lease;		 /* keep, enter, leave; 0: the peer's */
+	const GPtrArray *entered; /* enter: const struct rr_instance */
+	const GPtrArray *removed; /* enter: const char, ids */
+	uint32_t timeout_ms;	  /* then it has failed */
 };
 
 enum rr_feed_item_kind {
@@ -47,15 +59,6 @@
 	RR_FEED_INSTANCE,
 };
 
-/* Another instance, as its entry tells of it. */
-struct rr_instance {
-	char *id;
-	char *zone;
-	char *address;	 /* IP:PORT for other instances; "" for none */
-	double strength; /* its share of a processor */
-	int64_t born_ms; /* when it started, in Unix milliseconds; 0: untold */
-};
-
 struct rr_feed_item {
 	enum rr_feed_item_kind kind;
 	char *key;
@@ -87,7 +90,7 @@
 	uint16_t code;	   /* HTTP status; 0: no answer */
 	GPtrArray *items;  /* struct rr_feed_item; NULL: none */
 	bool more;	   /* range: another page follows */
-	uint64_t revision; /* range, watch: of the store */
+	uint64_t revision; /* range, watch, enter: of the store */
 	uint64_t lease;	   /* grant */
 };
 
@@ -115,7 +118,7 @@
 
 struct rr_feed_options {
 	struct rr_feed_actions actions;
-	/* This instance; its strings may be NULL, its address is not used. */
+	/* This instance; its strings may be NULL. */
 	struct rr_instance self;
 	/* IP:PORT of instances to read from while the store is away. */
 	const char *const *seeds; /* ends with NULL; NULL: none */
@@ -148,6 +151,13 @@
  * does it pass changes on.
  */
 bool rr_feed_passes_on(const struct rr_feed *feed);
+/*
+ * Whether it did a moment ago, and asks anew: who waits here for changes is
+ * better off waiting than asking another.
+ */
+bool rr_feed_passes_on_soon(const struct rr_feed *feed, int64_t now_us);
+/* When that is over; INT64_MAX: it is, or it passes on. */
+int64_t rr_feed_soon_until_us(const struct rr_feed *feed);
 /* The revision up to which changes are known here. */
 uint64_t rr_feed_revision(const struct rr_feed *feed);
 /*
@@ -157,7 +167,18 @@
  */
 GArray *rr_feed_changes(const struct rr_feed *feed, uint64_t after);
 
+/*
+ * Another instance asks to be entered in the store by this one, and asks
+ * again every few seconds.  False: this one does not do so now.
+ */
+bool rr_feed_enroll(struct rr_context *ctx, struct rr_feed *feed,
+		    int64_t now_us, const struct rr_instance *instance);
+/* Another instance that was entered by this one leaves. */
+void rr_feed_strike_off(struct rr_feed *feed, int64_t now_us, const char *id);
+
 void rr_free_feed_item(gpointer item);
+/* For rr_free_instance(); strings that are NULL become "". */
+struct rr_instance *rr_copy_instance(const struct rr_instance *instance);
 void rr_free_instance(struct rr_instance *instance);
 
 #endif
--- a/source/core/feed-count.c
+++ b/source/core/feed-count.c
@@ -4,10 +4,11 @@
 #include "core/feed-private.h"
 
 /*
- * The count of instances shrinks only after this: budgets hold for windows
- * of ten seconds, and entries lapse when the store is away.
+ * The count of instances shrinks only after this: budgets hold for windows of
+ * ten seconds, entries lapse when the store is away, and those that nobody
+ * enters any more are a while without (feed-entry.c).
  */
-#define SHRINK_US (12 * G_USEC_PER_SEC)
+#define SHRINK_US (20 * G_USEC_PER_SEC)
 /*
  * Instances that start together have all entered by then.  Where so many
  * entries stand already, it is a restart among others, and they count at
--- /dev/null
+++ b/source/core/feed-entry.c
@@ -0,0 +1,272 @@
+/*
+ * feed-entry.c - the entries of instances in the store.
+ *
+ * Those that watch the store enter themselves, each under a lease of its own;
+ * the others ask one of these to enter them under its lease, and ask again
+ * every few seconds.  What an instance that died has entered stands until its
+ * lease ends; by then the others have asked another one.
+ */
+#include "core/feed-private.h"
+
+#include "ragwort/counters.h"
+#include "ragwort/log.h"
+
+/*
+ * Entries last this long without renewal: a freeze of seconds leaves them in
+ * place, so that the others do not take this instance's share.
+ */
+#define LEASE_MS 12000
+/*
+ * Renewal, which also tells whether the store answers: a change has to be in
+ * force within three seconds, and a watch that fell silent shows only here.
+ */
+#define KEEP_US (1500 * 1000)
+/* How often others are asked to keep the entry: a third of the lease. */
+#define ASK_US (4 * G_USEC_PER_SEC)
+/* Entries of others wait so long, so that those that start together share. */
+#define GATHER_US (400 * 1000)
+/* Keys of one write, as the platform allows. */
+#define MOST_KEYS 32
+/*
+ * Nobody has entered this instance for so long, though it asked: it enters
+ * itself.  Longer than a lease, behind which others are asked.
+ */
+#define UNENTERED_US (15 * G_USEC_PER_SEC)
+
+/* The instance to be entered by; NULL: by itself. */
+static const char *find_enterer(struct rr_feed *feed)
+{
+	if (feed->now_us - feed->entered_well_us >= UNENTERED_US)
+		feed->enters_itself = true;
+	if (feed->enters_itself)
+		return NULL;
+	return rr_find_enterer(feed->sources, feed->enterer_turn);
+}
+
+static void write_entries(struct rr_context *ctx, struct rr_feed *feed)
+{
+	struct rr_roster_batch batch =
+		rr_take_roster_batch(feed->roster, MOST_KEYS - 1);
+	struct rr_feed_call call = { .kind = RR_FEED_ENTER,
+				     .lease = feed->lease,
+				     .entered = batch.entered,
+				     .removed = batch.removed };
+
+	if (!feed->entered)
+		g_ptr_array_insert(batch.entered, 0, feed->self);
+	rr_start_feed_call(ctx, feed, &feed->entry, &call);
+	rr_clear_roster_batch(&batch);
+}
+
+/*
+ * Guards against a lease that ends since entries are written one after the
+ * other: a write does not renew it.
+ */
+static bool must_keep(const struct rr_feed *feed)
+{
+	return feed->entered && feed->now_us - feed->kept_us >= ASK_US;
+}
+
+/* Enter this instance and others by calls to the store. */
+static void renew(struct rr_context *ctx, struct rr_feed *feed)
+{
+	struct rr_feed_call call = { .kind = RR_FEED_GRANT,
+				     .ttl_ms = LEASE_MS,
+				     .lease = feed->lease };
+
+	g_clear_pointer(&feed->enterer, g_free);
+	rr_strike_off_silent(feed->roster,
+			     feed->now_us - (int64_t)LEASE_MS * 1000);
+	if (feed->lease && !must_keep(feed) &&
+	    (!feed->entered || rr_roster_is_due(feed->roster))) {
+		write_entries(ctx, feed);
+		return;
+	}
+	if (feed->lease)
+		call.kind = RR_FEED_KEEP;
+	rr_start_feed_call(ctx, feed, &feed->entry, &call);
+}
+
+/* The lease is left to end: by then the entry is under the other's. */
+static void ask_to_be_entered(struct rr_context *ctx, struct rr_feed *feed,
+			      const char *enterer)
+{
+	GPtrArray *entered = g_ptr_array_new();
+	struct rr_feed_call call = { .kind = RR_FEED_ENTER,
+				     .entered = entered };
+
+	g_ptr_array_add(entered, feed->self);
+	g_free(feed->enterer);
+	feed->enterer = g_strdup(enterer);
+	call.peer = feed->enterer;
+	feed->lease = 0;
+	feed->entered = false;
+	feed->suspect = false;
+	rr_roster_lapsed(feed->roster);
+	rr_start_feed_call(ctx, feed, &feed->entry, &call);
+	g_ptr_array_unref(entered);
+}
+
+/* Who is entered by whom shows once everything was read. */
+static bool may_enter(const struct rr_feed *feed)
+{
+	return feed->has_read && !feed->alone_until_us && !feed->leaving &&
+	       rr_sources_may_follow(feed->sources);
+}
+
+void rr_tick_feed_entry(struct rr_context *ctx, struct rr_feed *feed)
+{
+	const char *enterer;
+
+	if (feed->entry.call || !may_enter(feed) ||
+	    feed->entry.due_us > feed->now_us)
+		return;
+	enterer = find_enterer(feed);
+	if (enterer)
+		ask_to_be_entered(ctx, feed, enterer);
+	else
+		renew(ctx, feed);
+}
+
+int64_t rr_feed_entry_wake_us(const struct rr_feed *feed)
+{
+	if (feed->entry.call || !may_enter(feed))
+		return INT64_MAX;
+	return feed->entry.due_us;
+}
+
+static void take_from_store(struct rr_context *ctx, struct rr_feed *feed,
+			    const struct rr_feed_reply *reply)
+{
+	rr_end_feed_suspicion(ctx, feed);
+	feed->entered_well_us = feed->now_us;
+	switch (feed->entry.kind) {
+	case RR_FEED_GRANT:
+		feed->lease = reply->lease;
+		feed->kept_us = feed->now_us;
+		feed->entered = false;
+		feed->entry.due_us = feed->now_us;
+		return;
+	case RR_FEED_ENTER:
+		feed->entered = true;
+		rr_roster_written(feed->roster, reply->revision);
+		break;
+	default:
+		feed->kept_us = feed->now_us;
+		break;
+	}
+	feed->entry.due_us =
+		feed->now_us +
+		(rr_roster_is_due(feed->roster) ? GATHER_US : KEEP_US);
+}
+
+/* Another instance took this one's entry over. */
+static void take_from_enterer(struct rr_feed *feed)
+{
+	feed->entered_well_us = feed->now_us;
+	feed->entry.due_us = feed->now_us + ASK_US;
+}
+
+static void take_failure(struct rr_context *ctx, struct rr_feed *feed)
+{
+	if (feed->enterer) {
+		feed->enterer_turn++;
+	} else {
+		rr_count(ctx, RR_N_STORE_FAILURES, 1);
+		feed->suspect = true;
+		rr_roster_not_written(feed->roster);
+		rr_note_feed_reached(ctx, feed, false);
+	}
+	rr_delay_feed_line(ctx, feed, &feed->entry);
+}
+
+void rr_take_feed_entry(struct rr_context *ctx, struct rr_feed *feed,
+			const struct rr_feed_reply *reply)
+{
+	feed->entry.call = 0;
+	switch (reply->status) {
+	case RR_FEED_OK:
+		feed->entry.backoff_us = 0;
+		if (feed->enterer)
+			take_from_enterer(feed);
+		else
+			take_from_store(ctx, feed, reply);
+		return;
+	case RR_FEED_NO_LEASE:
+		rr_end_feed_suspicion(ctx, feed);
+		feed->lease = 0;
+		feed->entered = false;
+		feed->enters_itself = false;
+		feed->entered_well_us = feed->now_us;
+		rr_roster_lapsed(feed->roster);
+		rr_delay_feed_line(ctx, feed, &feed->entry);
+		return;
+	case RR_FEED_FORGOTTEN:
+	case RR_FEED_FAILED:
+		take_failure(ctx, feed);
+		return;
+	}
+}
+
+bool rr_feed_enroll(struct rr_context *ctx, struct rr_feed *feed,
+		    int64_t now_us, const struct rr_instance *instance)
+{
+	feed->now_us = now_us;
+	if (feed->leaving || !feed->entered || feed->enterer ||
+	    !feed->reached || g_strcmp0(instance->zone, feed->self->zone))
+		return false;
+	if (!rr_enroll(feed->roster, instance, now_us)) {
+		rr_log(ctx, RR_LOG_WARNING, "not-entered",
+		       RR_FIELD_STRING("instance", instance->id),
+		       RR_FIELD_STRING("reason", "too-many"));
+		return false;
+	}
+	if (rr_roster_is_due(feed->roster))
+		feed->entry.due_us =
+			MIN(feed->entry.due_us, now_us + GATHER_US);
+	return true;
+}
+
+void rr_feed_strike_off(struct rr_feed *feed, int64_t now_us, const char *id)
+{
+	feed->now_us = now_us;
+	rr_strike_off(feed->roster, id);
+	if (rr_roster_is_due(feed->roster))
+		feed->entry.due_us =
+			MIN(feed->entry.due_us, now_us + GATHER_US);
+}
+
+/* Its own entry goes; those of others stand until they have asked another. */
+static void remove_own_entry(struct rr_context *ctx, struct rr_feed *feed,
+			     const char *peer)
+{
+	GPtrArray *removed = g_ptr_array_new();
+	struct rr_feed_call call = { .kind = RR_FEED_ENTER,
+				     .peer = peer,
+				     .lease = feed->lease,
+				     .removed = removed };
+
+	g_ptr_array_add(removed, feed->self->id);
+	rr_start_feed_call(ctx, feed, &feed->entry, &call);
+	g_ptr_array_unref(removed);
+}
+
+void rr_feed_leave(struct rr_context *ctx, struct rr_feed *feed, int64_t now_us)
+{
+	struct rr_feed_call call = { .kind = RR_FEED_LEAVE,
+				     .lease = feed->lease };
+
+	feed->now_us = now_us;
+	if (feed->leaving)
+		return;
+	feed->leaving = true;
+	if (feed->entry.call)
+		feed->actions.cancel(feed->actions.data, feed->entry.call);
+	feed->entry.call = 0;
+	if (feed->enterer)
+		remove_own_entry(ctx, feed, feed->enterer);
+	else if (feed->lease && rr_roster_is_empty(feed->roster))
+		rr_start_feed_call(ctx, feed, &feed->entry, &call);
+	else if (feed->lease)
+		remove_own_entry(ctx, feed, NULL);
+}
--- a/source/core/feed-items.c
+++ b/source/core/feed-items.c
@@ -35,9 +35,21 @@
 	g_free(instance);
 }
 
+struct rr_instance *rr_copy_instance(const struct rr_instance *instance)
+{
+	struct rr_instance *copy = g_new0(struct rr_instance, 1);
+
+	copy->id = g_strdup(instance->id ? instance->id : "");
+	copy->zone = g_strdup(instance->zone ? instance->zone : "");
+	copy->address = g_strdup(instance->address ? instance->address : "");
+	copy->strength = instance->strength;
+	copy->born_ms = instance->born_ms;
+	return copy;
+}
+
 static void forget_instance(struct rr_feed *feed, const char *id)
 {
-	rr_note_source(feed->sources, id, NULL);
+	rr_note_source(feed->sources, feed->now_us, id, NULL);
 	feed->actions.instance(feed->actions.data, id, NULL);
 }
 
@@ -104,7 +116,8 @@
 		feed->actions.listed(feed->actions.data, item->replica);
 		break;
 	case RR_FEED_INSTANCE:
-		rr_note_source(feed->sources, item->id, item->instance);
+		rr_note_source(feed->sources, feed->now_us, item->id,
+			       item->instance);
 		feed->actions.instance(feed->actions.data, item->id,
 				       item->instance);
 		break;
@@ -135,6 +148,9 @@
 
 	if (item->kind == RR_FEED_OTHER)
 		return;
+	if (item->kind == RR_FEED_INSTANCE)
+		rr_roster_heard(feed->roster, item->id, item->revision,
+				item->removed);
 #ifndef RR_MUTANT_FEED_OLD_NEWS
 	if (known && item->revision < known->revision)
 		return;
--- a/source/core/feed-private.h
+++ b/source/core/feed-private.h
@@ -4,6 +4,7 @@
 #ifndef RAGWORT_CORE_FEED_PRIVATE_H
 #define RAGWORT_CORE_FEED_PRIVATE_H
 
+#include "core/feed-roster.h"
 #include "core/feed-source.h"
 #include "core/news.h"
 #include "ragwort/feed.h"
@@ -13,7 +14,7 @@
 	uint64_t call; /* under way; 0: none */
 	enum rr_feed_call_kind kind;
 	int64_t since_us; /* when it was made */
-	int64_t due_us; /* of the next call, while none is under way */
+	int64_t due_us;	  /* of the next call, while none is under way */
 	int64_t backoff_us;
 };
 
@@ -31,26 +32,38 @@
 	uint64_t next_call;
 	int64_t now_us;
 	uint32_t news_bound_ms;
+	struct rr_instance *self;
 	struct rr_sources *sources;
 	struct rr_news *news;
 	bool reached;
 	bool leaving;
 	/* Reading. */
 	struct rr_feed_line reading;
-	char *asked; /* the peer of the call under way; NULL: the store */
-	bool heard;  /* the last question was answered */
+	char *asked;	  /* the peer of the call under way; NULL: the store */
+	bool from_asked;  /* the range under way goes on at that peer */
+	bool heard;	  /* the last question was answered */
+	int64_t heard_us; /* when one was */
+	int64_t passed_on_us; /* when changes could last be passed on */
 	/* A question failed, and the store has answered none since. */
 	bool doubted;
 	bool has_read;
 	bool ranging;
 	char *after_key;
-	uint64_t range_revision; /* of the first page */
-	uint64_t revision;	 /* up to which changes are known */
-	GHashTable *known;	 /* key -> struct rr_feed_known */
+	uint64_t range_revision; /* the least of its pages */
+	int64_t alone_until_us;	 /* nobody else was known; 0: it is over */
+	bool was_alone;
+	uint64_t revision; /* up to which changes are known */
+	GHashTable *known; /* key -> struct rr_feed_known */
 	/* The entry. */
 	struct rr_feed_line entry;
+	struct rr_roster *roster; /* others that are entered by this one */
 	uint64_t lease;
 	bool entered;
+	char *enterer;		 /* the peer asked to enter; NULL: the store */
+	guint enterer_turn;	 /* which of them is asked */
+	int64_t entered_well_us; /* when the entry was last known to be kept */
+	bool enters_itself;	 /* nobody else did */
+	int64_t kept_us;	 /* when the lease was last renewed */
 	/* A renewal failed: the watch may have fallen silent as well. */
 	bool suspect;
 	/* The count. */
@@ -59,6 +72,30 @@
 	int64_t shrink_us; /* 0: the count has not shrunk */
 };
 
+/* feed.c: calls, and what is made of their answers */
+void rr_start_feed_call(struct rr_context *ctx, struct rr_feed *feed,
+			struct rr_feed_line *line, struct rr_feed_call *call);
+void rr_log_feed_call(struct rr_context *ctx, const struct rr_feed *feed,
+		      const struct rr_feed_line *line, const char *peer,
+		      const struct rr_feed_reply *reply);
+/* The next call of a line waits, longer after each failure. */
+void rr_delay_feed_line(struct rr_context *ctx, struct rr_feed *feed,
+			struct rr_feed_line *line);
+void rr_note_feed_reached(struct rr_context *ctx, struct rr_feed *feed,
+			  bool reached);
+/*
+ * The store answers again after it did not: the watch may wait on a
+ * connection that nothing will come back on, so it is asked anew.
+ */
+void rr_end_feed_suspicion(struct rr_context *ctx, struct rr_feed *feed);
+
+/* feed-entry.c: this instance's entry, and those of others */
+/* Make the next call for them, if one is due. */
+void rr_tick_feed_entry(struct rr_context *ctx, struct rr_feed *feed);
+void rr_take_feed_entry(struct rr_context *ctx, struct rr_feed *feed,
+			const struct rr_feed_reply *reply);
+int64_t rr_feed_entry_wake_us(const struct rr_feed *feed);
+
 /* feed-items.c: what is known of the store's keys */
 /*
  * An item that is older than what is known of its key counts for nothing.
--- a/source/core/feed-rank.c
+++ b/source/core/feed-rank.c
@@ -12,11 +12,8 @@
  */
 #define ASKERS 12
 /*
- * In a zone of so many one watches: two would be most of them, and each change
- * wakes and pays for every watch.  Where the one freezes, those that ask it
- * turn to the store within half the bound on news.  Priced calls of nine
- * instances in four zones on a hard day 0.0089 to 0.0061 of what callers are
- * owed, mean worth 0.8732 to 0.8754, better on 13 of 15 days.
+ * In a zone of so many one enters the others, in larger ones two: where the
+ * one is lost, they enter themselves.
  */
 #define SMALL_ZONE 3
 /* Entries tell strength in thousandths of a core. */
@@ -46,9 +43,19 @@
 	return strcmp(a->id, b->id) < 0;
 }
 
+/*
+ * As few as tell all of a zone in three levels: each change wakes and pays for
+ * every watch.  Where the one freezes, those that ask it turn to the watchers
+ * of other zones within half the bound on news.
+ */
 guint rr_zone_watchers(guint n_instances)
 {
-	return n_instances <= SMALL_ZONE ? 1 : RR_WATCHERS;
+	return n_instances <= 1 + ASKERS + ASKERS * ASKERS ? 1 : RR_WATCHERS;
+}
+
+guint rr_zone_enterers(guint n_instances)
+{
+	return n_instances <= SMALL_ZONE ? 1 : RR_ENTERERS;
 }
 
 struct rr_place rr_find_place(guint rank, guint n)
--- a/source/core/feed-rank.h
+++ b/source/core/feed-rank.h
@@ -12,6 +12,14 @@
 
 /* Most instances of a zone that watch the store. */
 #define RR_WATCHERS 2
+/* Most instances of a zone that enter the others in the store. */
+#define RR_ENTERERS 2
+/*
+ * The first of a zone, of which each watches while all before it do not hear
+ * the store.  Guards against a store that turns some instances away, and those
+ * that watch first of all.
+ */
+#define RR_STANDBYS 4
 
 /*
  * The first few of a zone watch, and each level has room for so many that ask
@@ -26,8 +34,10 @@
 
 /* Whether `a` is before `b`, the same for every instance that asks. */
 bool rr_goes_before(const struct rr_instance *a, const struct rr_instance *b);
-/* How many watch in a zone of so many: one may freeze or be cut off. */
+/* How many watch in a zone of so many. */
 guint rr_zone_watchers(guint n_instances);
+/* How many enter others in a zone of so many: one may die or be cut off. */
+guint rr_zone_enterers(guint n_instances);
 /* The place in a zone of `n` of the instance before which `rank` others go. */
 struct rr_place rr_find_place(guint rank, guint n);
 
--- a/source/core/feed-source.c
+++ b/source/core/feed-source.c
@@ -20,6 +20,21 @@
 #define MOST_STORE_WAIT_US (1500 * 1000)
 #define FIRST_INSTANCE_WAIT_US (1 * G_USEC_PER_SEC)
 #define MOST_INSTANCE_WAIT_US (8 * G_USEC_PER_SEC)
+/* Of the one to ask first: it soon hears the store again. */
+#define MOST_ABOVE_WAIT_US (2 * G_USEC_PER_SEC)
+/*
+ * Watchers of other zones that are asked before the store.  Guards against a
+ * store that turns a zone's two watchers away: all others of the zone would
+ * watch it themselves, and each change would be paid for by each.
+ */
+#define FAR_BEFORE_STORE 2
+
+/*
+ * An instance whose entry has gone keeps its place for so long.  Guards against
+ * a store that ends the leases of some: all others would find themselves in
+ * other places, and ask instances that know nothing of it yet.
+ */
+#define GONE_US (12 * G_USEC_PER_SEC)
 
 #define STORE ""
 
@@ -41,9 +56,12 @@
 	struct rr_instance self; /* its address is not needed */
 	bool may_follow;
 	GHashTable *instances; /* id -> struct rr_instance */
+	GHashTable *gone;      /* id -> when its entry went, int64_t */
 	GPtrArray *order;      /* struct source, the first to ask first */
 	bool is_old;	       /* the order: entries have changed since */
+	GPtrArray *enterers;   /* addresses, char; none: it enters itself */
 	bool is_asked;	       /* a level of its zone is below it */
+	bool stands_by;	       /* it watches, or does where others fail */
 	uint32_t watchers;     /* of all zones */
 };
 
@@ -93,7 +111,7 @@
 
 /* The first instances of one zone, fewer where it has no more. */
 struct first {
-	const struct rr_instance *instances[RR_WATCHERS];
+	const struct rr_instance *instances[RR_STANDBYS];
 	guint n;
 	guint n_all; /* instances of the zone */
 };
@@ -111,9 +129,9 @@
 
 	while (place && rr_goes_before(instance, first->instances[place - 1]))
 		place--;
-	if (place == RR_WATCHERS)
+	if (place == RR_STANDBYS)
 		return;
-	first->n = MIN(first->n + 1, RR_WATCHERS);
+	first->n = MIN(first->n + 1, RR_STANDBYS);
 	for (guint i = first->n - 1; i > place; i--)
 		first->instances[i] = first->instances[i - 1];
 	first->instances[place] = instance;
@@ -185,9 +203,11 @@
 
 /* The place of this instance in its zone, and the one that it asks first. */
 struct own_place {
+	guint rank;
 	struct rr_place place;
 	const struct rr_instance *above; /* NULL: its level asks the watchers */
 	bool is_asked;			 /* a level is below it */
+	bool enters;			 /* itself, and others */
 };
 
 static struct own_place find_own_place(const struct rr_sources *sources)
@@ -195,10 +215,12 @@
 	guint n_behind;
 	GPtrArray *before = find_before(sources, &n_behind);
 	guint n = before->len + 1 + n_behind;
-	struct own_place own = { .place = rr_find_place(before->len, n) };
+	struct own_place own = { .rank = before->len,
+				 .place = rr_find_place(before->len, n) };
 	const struct rr_place *place = &own.place;
 
 	own.is_asked = n > place->end;
+	own.enters = before->len < rr_zone_enterers(n);
 	if (place->level > 1)
 		own.above = g_ptr_array_index(
 			before,
@@ -207,40 +229,57 @@
 	return own;
 }
 
-/*
- * Watchers of a zone, `most` of them at the most, from one on that differs
- * from instance to instance.
- */
-static void append_watchers(GPtrArray *order, const struct rr_sources *sources,
-			    const struct first *first, enum source_kind kind,
-			    guint most)
+/* One watcher of a zone, another from instance to instance. */
+static void append_watcher(GPtrArray *order, const struct rr_sources *sources,
+			   const struct first *first)
 {
-	guint from = g_str_hash(sources->self.id);
-	guint n = count_watching(first);
+	const struct rr_instance *instance =
+		first->instances[g_str_hash(sources->self.id) %
+				 count_watching(first)];
 
-	for (guint i = 0; i < MIN(n, most); i++) {
-		const struct rr_instance *instance =
-			first->instances[(from + i) % n];
+	if (*instance->address)
+		append_source(order, sources, instance->address, SOURCE_BESIDE);
+}
 
-		if (!is_self(sources, instance) && *instance->address)
-			append_source(order, sources, instance->address, kind);
-	}
+static gint compare_zones(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
 
-static void append_far_watchers(GPtrArray *order,
-				const struct rr_sources *sources,
-				GHashTable *zones)
+/* The other zones in their order, from one on that differs by instance. */
+static GPtrArray *list_far_zones(const struct rr_sources *sources,
+				 GHashTable *zones)
 {
+	GPtrArray *sorted = g_ptr_array_new();
+	GPtrArray *turned = g_ptr_array_new();
 	GHashTableIter iter;
 	gpointer zone;
-	gpointer first;
 
 	g_hash_table_iter_init(&iter, zones);
-	while (g_hash_table_iter_next(&iter, &zone, &first)) {
+	while (g_hash_table_iter_next(&iter, &zone, NULL)) {
 		if (strcmp(zone, sources->self.zone))
-			append_watchers(order, sources, first, SOURCE_BESIDE,
-					RR_WATCHERS);
+			g_ptr_array_add(sorted, zone);
 	}
+	g_ptr_array_sort(sorted, compare_zones);
+	for (guint i = 0; i < sorted->len; i++)
+		g_ptr_array_add(turned,
+				g_ptr_array_index(
+					sorted, (g_str_hash(sources->self.id) +
+						 i) % sorted->len));
+	g_ptr_array_unref(sorted);
+	return turned;
+}
+
+/* One watcher of each other zone, from the `from`th to before the `end`th. */
+static void append_far_watchers(GPtrArray *order,
+				const struct rr_sources *sources,
+				GHashTable *zones, const GPtrArray *far,
+				guint from, guint end)
+{
+	for (guint i = from; i < MIN(far->len, end); i++)
+		append_watcher(
+			order, sources,
+			g_hash_table_lookup(zones, g_ptr_array_index(far, i)));
 }
 
 static uint32_t count_first(GHashTable *zones)
@@ -265,32 +304,95 @@
 	}
 }
 
+/* Those of its zone that enter others; none for one that is among them. */
+static void find_enterers(struct rr_sources *sources, const struct first *near,
+			  bool enters)
+{
+	guint n = MIN(near->n, rr_zone_enterers(near->n_all));
+	guint from = g_str_hash(sources->self.id);
+
+	g_ptr_array_set_size(sources->enterers, 0);
+	for (guint i = 0; i < n && !enters; i++) {
+		const struct rr_instance *instance =
+			near->instances[(from + i) % n];
+
+		if (*instance->address)
+			g_ptr_array_add(sources->enterers,
+					g_strdup(instance->address));
+	}
+}
+
+/*
+ * Those of its own zone that hear the store, or may: the watchers, from one on
+ * that differs from instance to instance, then the standbys.  From those that
+ * go before it up to its own place, or from there on.
+ */
+static void append_near(GPtrArray *order, const struct rr_sources *sources,
+			const struct first *near, const struct own_place *own,
+			bool before)
+{
+	guint n_watching = count_watching(near);
+	guint from = g_str_hash(sources->self.id);
+
+	for (guint i = 0; i < near->n; i++) {
+		guint at = i < n_watching ? (from + i) % n_watching : i;
+		const struct rr_instance *instance = near->instances[at];
+
+		if ((at < own->rank) != before || is_self(sources, instance) ||
+		    instance == own->above || !*instance->address)
+			continue;
+		append_source(order, sources, instance->address,
+			      before ? SOURCE_ABOVE : SOURCE_BESIDE);
+	}
+}
+
+static void append_store(GPtrArray *order, const struct rr_sources *sources)
+{
+	append_source(order, sources, STORE, SOURCE_STORE);
+}
+
+/*
+ * A watcher asks the store first; a standby where no one before it hears it;
+ * the others once two other zones' watchers do not either.
+ */
+static void append_all(GPtrArray *order, const struct rr_sources *sources,
+		       GHashTable *zones, const struct own_place *own)
+{
+	const struct first *near =
+		g_hash_table_lookup(zones, sources->self.zone);
+	GPtrArray *far = list_far_zones(sources, zones);
+	bool stands_by = own->rank < RR_STANDBYS;
+	guint far_before = stands_by ? 0 : FAR_BEFORE_STORE;
+
+	if (!own->place.level)
+		append_store(order, sources);
+	if (own->above && *own->above->address)
+		append_source(order, sources, own->above->address,
+			      SOURCE_ABOVE);
+	append_near(order, sources, near, own, true);
+	append_far_watchers(order, sources, zones, far, 0, far_before);
+	if (own->place.level)
+		append_store(order, sources);
+	append_near(order, sources, near, own, false);
+	append_far_watchers(order, sources, zones, far, far_before, far->len);
+	g_ptr_array_unref(far);
+}
+
 static void make_order(struct rr_sources *sources)
 {
 	GPtrArray *order = g_ptr_array_new_with_free_func(free_source);
 	GHashTable *zones = find_first(sources);
-	const struct first *near =
-		g_hash_table_lookup(zones, sources->self.zone);
 	struct own_place own = find_own_place(sources);
-	bool watches = !sources->may_follow || !own.place.level;
 
 	sources->is_asked = sources->may_follow && own.is_asked;
-	if (watches)
-		append_source(order, sources, STORE, SOURCE_STORE);
-	if (sources->may_follow) {
-		if (own.above && *own.above->address)
-			append_source(order, sources, own.above->address,
-				      SOURCE_ABOVE);
-		/* Two are waited for at the most, then the store is asked. */
-		append_watchers(order, sources, near,
-				watches ? SOURCE_BESIDE : SOURCE_ABOVE,
-				own.above ? RR_WATCHERS - 1 : RR_WATCHERS);
-	}
-	if (!watches)
-		append_source(order, sources, STORE, SOURCE_STORE);
+	sources->stands_by = !sources->may_follow || own.rank < RR_STANDBYS;
 	if (sources->may_follow)
-		append_far_watchers(order, sources, zones);
+		append_all(order, sources, zones, &own);
+	else
+		append_store(order, sources);
 	append_seeds(order, sources);
+	find_enterers(sources, g_hash_table_lookup(zones, sources->self.zone),
+		      !sources->may_follow || own.enters);
 	sources->watchers = sources->may_follow ?
 				    count_first(zones) :
 				    g_hash_table_size(sources->instances) + 1;
@@ -306,6 +408,23 @@
 		make_order(sources);
 }
 
+/* Forget those whose entries went long ago. */
+static void forget_gone(struct rr_sources *sources, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer id;
+	gpointer gone_us;
+
+	g_hash_table_iter_init(&iter, sources->gone);
+	while (g_hash_table_iter_next(&iter, &id, &gone_us)) {
+		if (now_us - *(int64_t *)gone_us < GONE_US)
+			continue;
+		g_hash_table_remove(sources->instances, id);
+		g_hash_table_iter_remove(&iter);
+		sources->is_old = true;
+	}
+}
+
 struct rr_sources *rr_new_sources(const struct rr_instance *self,
 				  const char *const *seeds)
 {
@@ -316,7 +435,10 @@
 	sources->self.strength = self->strength;
 	sources->instances = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   NULL, free_instance);
+	sources->gone =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sources->order = g_ptr_array_new_with_free_func(free_source);
+	sources->enterers = g_ptr_array_new_with_free_func(g_free);
 	for (; seeds && *seeds; seeds++)
 		append_source(sources->order, sources, *seeds, SOURCE_SEED);
 	make_order(sources);
@@ -328,28 +450,46 @@
 	if (!sources)
 		return;
 	g_hash_table_unref(sources->instances);
+	g_hash_table_unref(sources->gone);
 	g_ptr_array_unref(sources->order);
+	g_ptr_array_unref(sources->enterers);
 	g_free(sources->self.id);
 	g_free(sources->self.zone);
 	g_free(sources);
 }
 
-void rr_note_source(struct rr_sources *sources, const char *id,
+static void note_gone(struct rr_sources *sources, int64_t now_us,
+		      const char *id)
+{
+	int64_t *gone_us;
+
+	if (!g_hash_table_contains(sources->instances, id) ||
+	    g_hash_table_contains(sources->gone, id))
+		return;
+	gone_us = g_new(int64_t, 1);
+	*gone_us = now_us;
+	g_hash_table_insert(sources->gone, g_strdup(id), gone_us);
+}
+
+void rr_note_source(struct rr_sources *sources, int64_t now_us, const char *id,
 		    const struct rr_instance *instance)
 {
 	struct rr_instance *kept;
 
-	g_hash_table_remove(sources->instances, id);
-	if (instance && instance->zone && instance->address &&
-	    strcmp(id, sources->self.id)) {
-		kept = g_new0(struct rr_instance, 1);
-		kept->id = g_strdup(id);
-		kept->zone = g_strdup(instance->zone);
-		kept->address = g_strdup(instance->address);
-		kept->strength = instance->strength;
-		g_hash_table_insert(sources->instances, kept->id, kept);
+	if (!instance) {
+		note_gone(sources, now_us, id);
+		return;
 	}
+	g_hash_table_remove(sources->instances, id);
+	g_hash_table_remove(sources->gone, id);
 	sources->is_old = true;
+	if (!instance->zone || !instance->address ||
+	    !strcmp(id, sources->self.id))
+		return;
+	kept = rr_copy_instance(instance);
+	g_free(kept->id);
+	kept->id = g_strdup(id);
+	g_hash_table_insert(sources->instances, kept->id, kept);
 }
 
 void rr_allow_following(struct rr_sources *sources)
@@ -365,6 +505,7 @@
 {
 	const struct source *store;
 
+	forget_gone(sources, now_us);
 	refresh(sources);
 	store = find_source(sources, STORE);
 	*due_us = INT64_MAX;
@@ -384,6 +525,31 @@
 	return NULL;
 }
 
+bool rr_may_ask_store(struct rr_sources *sources, int64_t now_us)
+{
+	refresh(sources);
+	return find_source(sources, STORE)->bad_until_us <= now_us;
+}
+
+/*
+ * Guards against a store that is away for all: hundreds that nobody can tell
+ * anything would call it each second.  A few do, and tell the others.
+ */
+static bool waits_for_store(const struct rr_sources *sources,
+			    const struct source *source)
+{
+	return is_store(source) && sources->stands_by;
+}
+
+static int64_t most_wait_us(const struct rr_sources *sources,
+			    const struct source *source)
+{
+	if (waits_for_store(sources, source))
+		return MOST_STORE_WAIT_US;
+	return source->kind == SOURCE_ABOVE ? MOST_ABOVE_WAIT_US :
+					      MOST_INSTANCE_WAIT_US;
+}
+
 void rr_source_failed(struct rr_context *ctx, struct rr_sources *sources,
 		      const char *address, int64_t now_us)
 {
@@ -395,11 +561,12 @@
 	source = find_source(sources, address);
 	if (!source)
 		return;
-	most_us = is_store(source) ? MOST_STORE_WAIT_US : MOST_INSTANCE_WAIT_US;
+	most_us = most_wait_us(sources, source);
 	wait_us = source->wait_us;
 	if (!wait_us)
-		wait_us = is_store(source) ? FIRST_STORE_WAIT_US :
-					     FIRST_INSTANCE_WAIT_US;
+		wait_us = waits_for_store(sources, source) ?
+				  FIRST_STORE_WAIT_US :
+				  FIRST_INSTANCE_WAIT_US;
 	source->wait_us = MIN(2 * wait_us, most_us);
 	/* Drawn, so that instances do not all come back at once. */
 	source->bad_until_us =
@@ -437,6 +604,20 @@
 	return source && source->kind == SOURCE_ABOVE && sources->is_asked;
 }
 
+const char *rr_find_enterer(struct rr_sources *sources, guint turn)
+{
+	guint n;
+
+	refresh(sources);
+	n = sources->enterers->len;
+	return n ? g_ptr_array_index(sources->enterers, turn % n) : NULL;
+}
+
+bool rr_sources_may_follow(const struct rr_sources *sources)
+{
+	return sources->may_follow;
+}
+
 uint32_t rr_count_watchers(struct rr_sources *sources)
 {
 	refresh(sources);
--- a/source/core/feed-source.h
+++ b/source/core/feed-source.h
@@ -23,7 +23,7 @@
 void rr_drop_sources(struct rr_sources *sources);
 
 /* An instance's entry; NULL: it has gone. */
-void rr_note_source(struct rr_sources *sources, const char *id,
+void rr_note_source(struct rr_sources *sources, int64_t now_us, const char *id,
 		    const struct rr_instance *instance);
 /*
  * Follow from now on: before, the entries that are known may be a few of
@@ -38,6 +38,8 @@
  */
 const char *rr_pick_source(struct rr_sources *sources, int64_t now_us,
 			   bool everything, int64_t *due_us);
+/* Whether the store may be asked now, wherever it stands in the order. */
+bool rr_may_ask_store(struct rr_sources *sources, int64_t now_us);
 /* What came of asking. */
 void rr_source_failed(struct rr_context *ctx, struct rr_sources *sources,
 		      const char *address, int64_t now_us);
@@ -50,6 +52,14 @@
  * that no two can tell each other what neither heard of the store.
  */
 bool rr_source_may_be_told(struct rr_sources *sources, const char *address);
+/*
+ * The instance of its zone that enters this one in the store: the first choice
+ * for 0, another for 1 and on in turn; valid until the sources change.  NULL:
+ * this instance enters itself.
+ */
+const char *rr_find_enterer(struct rr_sources *sources, guint turn);
+/* Whether it may follow, see rr_allow_following(). */
+bool rr_sources_may_follow(const struct rr_sources *sources);
 /* How many watch the store, in all zones. */
 uint32_t rr_count_watchers(struct rr_sources *sources);
 
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -1,12 +1,13 @@
 /*
  * feed.c - following the platform's store.
  *
- * Three things go on side by side: reading (a range, then watches), this
- * instance's entry (a lease, its key, its renewal), and the count of
- * instances.  A store that is away changes nothing of what is known.
+ * Three things go on side by side: reading (a range, then watches), entries
+ * (feed-entry.c), and the count of instances (feed-count.c).  A store that is
+ * away changes nothing of what is known.
  */
 #include "core/feed-private.h"
 
+#include <math.h>
 #include <string.h>
 
 #include "ragwort/counters.h"
@@ -30,31 +31,30 @@
  */
 #define PEER_WAIT_PART 4
 #define PEER_TIMEOUT_PART 8
+#define SILENCE_PART 2
+/* Those who ask this instance wait for so long while it asks anew. */
+#define SOON_PART 16
 /*
- * After news, so that a burst of changes costs one watch, not one each.  Each
- * change wakes every watch: the more there are, the longer they wait, up to a
- * part of the bound on news.
+ * After news, so that a burst of changes costs one watch, not one each: a part
+ * of the bound on news.  Each change wakes every watch: the more there are, the
+ * longer they wait, up to a larger part.
  */
-#define MERGE_US (400 * 1000)
+#define MERGE_PART 8
 #define MERGE_WATCHERS 9
-#define MERGE_PART 3
+#define MERGE_MOST_PART 3
 /* Far more than a merge brings on a calm day, far less than a cut answer. */
 #define MANY_CHANGES 64
 /* First and longest wait after a failure; drawn between half and all. */
 #define FIRST_BACKOFF_US (200 * 1000)
 #define MOST_BACKOFF_US (1500 * 1000)
 /*
- * The entry lasts this long without renewal: a freeze of seconds leaves it
- * in place, so that the others do not take this instance's share.
+ * An instance that knows of nobody else looks again after a part of this: the
+ * weaker it is, the later, so that a few strong ones are entered by then and
+ * the others need no call of their own.
  */
-#define LEASE_MS 12000
-/*
- * Renewal, which also tells whether the store answers: a change has to be in
- * force within three seconds, and a watch that fell silent shows only here.
- */
-#define KEEP_US (1500 * 1000)
-/* Of an instance that asks others: a third of the lease. */
-#define FOLLOWER_KEEP_US (4 * G_USEC_PER_SEC)
+#define ALONE_US (4 * G_USEC_PER_SEC)
+/* The least part of it that is waited; the rest is drawn. */
+#define ALONE_LEAST_PART 0.6
 
 static void free_known(gpointer data)
 {
@@ -72,6 +72,8 @@
 
 	feed->actions = options->actions;
 	feed->news_bound_ms = options->news_bound_ms;
+	feed->self = rr_copy_instance(&options->self);
+	feed->roster = rr_new_roster();
 	feed->sources = rr_new_sources(&options->self, options->seeds);
 	feed->news = rr_new_news();
 	feed->now_us = now_us;
@@ -79,7 +81,8 @@
 					    free_known);
 	feed->ranging = true;
 	feed->reading.due_us = now_us;
-	feed->entry.due_us = now_us;
+	feed->heard_us = now_us;
+	feed->entered_well_us = now_us;
 	feed->count_from_us = rr_first_count_us(now_us);
 	feed->reached = true;
 	return feed;
@@ -92,7 +95,10 @@
 	g_hash_table_unref(feed->known);
 	rr_drop_sources(feed->sources);
 	rr_drop_news(feed->news);
+	rr_drop_roster(feed->roster);
+	rr_free_instance(feed->self);
 	g_free(feed->asked);
+	g_free(feed->enterer);
 	g_free(feed->after_key);
 	g_free(feed);
 }
@@ -103,6 +109,15 @@
 	[RR_FEED_ENTER] = "entry", [RR_FEED_LEAVE] = "leave",
 };
 
+static const enum rr_counter call_counters[] = {
+	[RR_FEED_RANGE] = RR_N_STORE_READS,
+	[RR_FEED_WATCH] = RR_N_STORE_WATCHES,
+	[RR_FEED_GRANT] = RR_N_STORE_LEASES,
+	[RR_FEED_KEEP] = RR_N_STORE_RENEWALS,
+	[RR_FEED_ENTER] = RR_N_STORE_ENTRIES,
+	[RR_FEED_LEAVE] = RR_N_STORE_LEASES,
+};
+
 static const char *const status_names[] = {
 	[RR_FEED_OK] = "ok",
 	[RR_FEED_FORGOTTEN] = "forgotten",
@@ -114,9 +129,9 @@
  * One line for each call that is paid for in full or came to nothing: what a
  * renewal or another instance answers is told by counters.
  */
-static void log_call(struct rr_context *ctx, const struct rr_feed *feed,
-		     const struct rr_feed_line *line, const char *peer,
-		     const struct rr_feed_reply *reply)
+void rr_log_feed_call(struct rr_context *ctx, const struct rr_feed *feed,
+		      const struct rr_feed_line *line, const char *peer,
+		      const struct rr_feed_reply *reply)
 {
 	bool good = reply->status == RR_FEED_OK;
 
@@ -133,8 +148,8 @@
 	       RR_FIELD_U64("known", feed->revision));
 }
 
-static void start_call(struct rr_context *ctx, struct rr_feed *feed,
-		       struct rr_feed_line *line, struct rr_feed_call *call)
+void rr_start_feed_call(struct rr_context *ctx, struct rr_feed *feed,
+			struct rr_feed_line *line, struct rr_feed_call *call)
 {
 	call->id = line->call = ++feed->next_call;
 	line->kind = call->kind;
@@ -143,7 +158,12 @@
 		call->wait_ms +
 		(call->peer ? feed->news_bound_ms / PEER_TIMEOUT_PART :
 			      CALL_TIMEOUT_MS);
-	rr_count(ctx, call->peer ? RR_N_PEER_NEWS_CALLS : RR_N_STORE_CALLS, 1);
+	if (call->peer) {
+		rr_count(ctx, RR_N_PEER_NEWS_CALLS, 1);
+	} else {
+		rr_count(ctx, RR_N_STORE_CALLS, 1);
+		rr_count(ctx, call_counters[call->kind], 1);
+	}
 	feed->actions.call(feed->actions.data, call);
 }
 
@@ -152,9 +172,13 @@
  * then: it hears nothing until its end, while renewals are answered.  A first
  * watch that soon ends shows it, and the next one may be long.
  */
-static uint32_t watch_ms(const struct rr_feed *feed, bool peer)
+static uint32_t watch_ms(struct rr_feed *feed, bool peer)
 {
-	if (peer)
+	/* After a silent one the next is to say at once whether it hears. */
+	if (peer && !feed->heard)
+		return 0;
+	/* One that others tell would not notice that its own watch is deaf. */
+	if (peer || rr_sources_follow(feed->sources))
 		return feed->news_bound_ms / PEER_WAIT_PART;
 #ifndef RR_MUTANT_FEED_LONG_WATCH
 	if (feed->doubted)
@@ -163,39 +187,54 @@
 	return WATCH_MS;
 }
 
+/* Nobody was heard for so long: the store is next. */
+static int64_t silence_us(const struct rr_feed *feed)
+{
+	return (int64_t)feed->news_bound_ms * 1000 / SILENCE_PART;
+}
+
+/* Whom to ask next; NULL: nobody now, until *due_us. */
+static const char *pick_source(struct rr_feed *feed, int64_t *due_us)
+{
+	if (feed->ranging && feed->from_asked)
+		return feed->asked;
+	/*
+	 * Guards against several before the store that are frozen: each is
+	 * waited for, and the bound on news would be over.
+	 */
+	if (feed->now_us - feed->heard_us >= silence_us(feed) &&
+	    rr_may_ask_store(feed->sources, feed->now_us))
+		return "";
+	return rr_pick_source(feed->sources, feed->now_us, feed->ranging,
+			      due_us);
+}
+
 static void read_on(struct rr_context *ctx, struct rr_feed *feed)
 {
 	struct rr_feed_call call = { .kind = RR_FEED_WATCH };
-	const char *source =
-		rr_pick_source(feed->sources, feed->now_us, feed->ranging,
-			       &feed->reading.due_us);
+	char *source = g_strdup(pick_source(feed, &feed->reading.due_us));
 
 	if (!source)
 		return;
 	g_free(feed->asked);
 	call.peer = feed->asked = *source ? g_strdup(source) : NULL;
+	g_free(source);
 	if (feed->ranging) {
 		call.kind = RR_FEED_RANGE;
 		call.after_key = feed->after_key;
+		/*
+		 * What an old copy lacks is told by the first watch.  Later on
+		 * it would unlist what came after it.
+		 */
+		call.may_be_old = !feed->has_read || feed->was_alone;
 	} else {
 		call.after_revision = feed->revision;
 		call.wait_ms = watch_ms(feed, call.peer != NULL);
 	}
-	start_call(ctx, feed, &feed->reading, &call);
-}
-
-static void renew(struct rr_context *ctx, struct rr_feed *feed)
-{
-	struct rr_feed_call call = { .kind = RR_FEED_GRANT,
-				     .ttl_ms = LEASE_MS,
-				     .lease = feed->lease };
-
-	if (feed->lease)
-		call.kind = feed->entered ? RR_FEED_KEEP : RR_FEED_ENTER;
-	start_call(ctx, feed, &feed->entry, &call);
+	rr_start_feed_call(ctx, feed, &feed->reading, &call);
 }
 
-static void wait_longer(struct rr_context *ctx, struct rr_feed *feed,
+void rr_delay_feed_line(struct rr_context *ctx, struct rr_feed *feed,
 			struct rr_feed_line *line)
 {
 	line->backoff_us = line->backoff_us ?
@@ -206,11 +245,13 @@
 					 (double)line->backoff_us);
 }
 
-static void note_reached(struct rr_context *ctx, struct rr_feed *feed,
-			 bool reached)
+void rr_note_feed_reached(struct rr_context *ctx, struct rr_feed *feed,
+			  bool reached)
 {
 	if (feed->reached == reached)
 		return;
+	if (!reached && rr_feed_passes_on(feed))
+		feed->passed_on_us = feed->now_us;
 	feed->reached = reached;
 	rr_log(ctx, RR_LOG_WARNING, reached ? "store-regained" : "store-lost",
 	       RR_FIELD_U64("revision", feed->revision));
@@ -229,13 +270,78 @@
 		((struct rr_feed_known *)known)->seen = false;
 }
 
+/* Whether no other instance has an entry. */
+static bool knows_nobody(const struct rr_feed *feed)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, feed->known);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rr_feed_known *known = value;
+
+		if (known->kind == RR_FEED_INSTANCE &&
+		    strcmp(known->id, feed->self->id))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Guards against a first start of all, in which each would take itself for
+ * the first of its zone, watch the store and enter itself by calls of its own.
+ */
+static void wait_for_others(struct rr_context *ctx, struct rr_feed *feed)
+{
+	double drawn =
+		ALONE_LEAST_PART + (1 - ALONE_LEAST_PART) * rr_random_unit(ctx);
+	double weakness = 1 - MIN(feed->self->strength, 1);
+
+	feed->was_alone = true;
+	feed->alone_until_us = feed->now_us + (int64_t)(weakness * weakness *
+							drawn * ALONE_US);
+	start_range(feed);
+	feed->reading.due_us = feed->alone_until_us;
+}
+
+/* Who was alone has looked for others twice. */
+static void stop_waiting(struct rr_feed *feed)
+{
+	if (feed->was_alone)
+		rr_allow_following(feed->sources);
+	feed->was_alone = false;
+	feed->alone_until_us = 0;
+}
+
+static void end_range(struct rr_context *ctx, struct rr_feed *feed)
+{
+	rr_forget_unseen(feed);
+	g_clear_pointer(&feed->after_key, g_free);
+	feed->ranging = false;
+	feed->from_asked = false;
+	feed->revision = feed->range_revision;
+	rr_begin_news(feed->news, feed->revision);
+	feed->reading.due_us = feed->now_us;
+	rr_log(ctx, RR_LOG_INFO, "store-read",
+	       RR_FIELD_U64("revision", feed->revision),
+	       RR_FIELD_U64("items", g_hash_table_size(feed->known)));
+	feed->has_read = true;
+	feed->alone_until_us = 0;
+	if (!feed->was_alone && !feed->asked && knows_nobody(feed))
+		wait_for_others(ctx, feed);
+	else
+		stop_waiting(feed);
+}
+
 static void take_page(struct rr_context *ctx, struct rr_feed *feed,
 		      const struct rr_feed_reply *reply)
 {
 	const struct rr_feed_item *last = NULL;
 
-	if (!feed->after_key)
-		feed->range_revision = reply->revision;
+	/* Old copies of different age may give the pages. */
+	feed->range_revision =
+		feed->after_key ? MIN(feed->range_revision, reply->revision) :
+				  reply->revision;
 	for (guint i = 0; reply->items && i < reply->items->len; i++) {
 		last = g_ptr_array_index(reply->items, i);
 		rr_take_feed_item(ctx, feed, last);
@@ -246,15 +352,7 @@
 		feed->reading.due_us = feed->now_us;
 		return;
 	}
-	rr_forget_unseen(feed);
-	g_clear_pointer(&feed->after_key, g_free);
-	feed->ranging = false;
-	feed->revision = feed->range_revision;
-	feed->reading.due_us = feed->now_us;
-	rr_log(ctx, RR_LOG_INFO, "store-read",
-	       RR_FIELD_U64("revision", feed->revision),
-	       RR_FIELD_U64("items", g_hash_table_size(feed->known)));
-	feed->has_read = true;
+	end_range(ctx, feed);
 }
 
 /*
@@ -267,11 +365,12 @@
 	int64_t many =
 		MAX(1, rr_count_watchers(feed->sources) / MERGE_WATCHERS);
 
+	int64_t bound_us = (int64_t)feed->news_bound_ms * 1000;
+
 	/* What another instance tells is merged already. */
 	if (n >= MANY_CHANGES || feed->asked)
 		return 0;
-	return MIN(many * MERGE_US,
-		   (int64_t)feed->news_bound_ms * 1000 / MERGE_PART);
+	return MIN(many * bound_us / MERGE_PART, bound_us / MERGE_MOST_PART);
 }
 
 static void take_changes(struct rr_context *ctx, struct rr_feed *feed,
@@ -287,14 +386,17 @@
 		feed->now_us + (news ? merge_us(feed, reply->items->len) : 0);
 }
 
-/* A range of an instance that has fallen behind would take things back. */
+/*
+ * A range of an instance that has fallen behind, or an old copy of the store,
+ * would take things back.
+ */
 static bool is_behind(const struct rr_feed *feed,
 		      const struct rr_feed_reply *reply)
 {
 #ifdef RR_MUTANT_FEED_OLDER_COPY
 	return false;
 #endif
-	return feed->asked && feed->ranging && reply->revision < feed->revision;
+	return feed->ranging && reply->revision < feed->revision;
 }
 
 static void take_good_reading(struct rr_context *ctx, struct rr_feed *feed,
@@ -302,9 +404,10 @@
 {
 	rr_source_answered(feed->sources, feed->asked ? feed->asked : "");
 	feed->heard = true;
+	feed->heard_us = feed->now_us;
 	if (!feed->asked) {
 		feed->doubted = false;
-		note_reached(ctx, feed, true);
+		rr_note_feed_reached(ctx, feed, true);
 	}
 	if (feed->ranging)
 		take_page(ctx, feed, reply);
@@ -313,6 +416,41 @@
 	rr_look_at_count(feed);
 }
 
+/* Go on with what is known: its changes may be had elsewhere. */
+static void leave_range(struct rr_feed *feed)
+{
+	feed->ranging = false;
+	feed->from_asked = false;
+	g_clear_pointer(&feed->after_key, g_free);
+}
+
+static void log_failed_reading(struct rr_context *ctx,
+			       const struct rr_feed *feed, bool forgotten)
+{
+	rr_count(ctx, RR_N_STORE_FAILURES, 1);
+	rr_log(ctx, RR_LOG_INFO, "read-failed",
+	       RR_FIELD_STRING("reason",
+			       forgotten ? "history-forgotten" : "no-answer"),
+	       RR_FIELD_STRING("from", feed->asked ? feed->asked : "store"),
+	       RR_FIELD_BOOL("range", feed->ranging),
+	       RR_FIELD_U64("revision", feed->revision));
+}
+
+static void take_failed_range(struct rr_context *ctx, struct rr_feed *feed)
+{
+	bool store = !feed->asked;
+
+	if (feed->has_read && (feed->from_asked || feed->was_alone)) {
+		leave_range(feed);
+		stop_waiting(feed);
+	} else {
+		/* Pages belong together: from the first one again. */
+		start_range(feed);
+	}
+	if (store)
+		rr_note_feed_reached(ctx, feed, false);
+}
+
 static void take_reading(struct rr_context *ctx, struct rr_feed *feed,
 			 const struct rr_feed_reply *reply)
 {
@@ -324,27 +462,21 @@
 		take_good_reading(ctx, feed, reply);
 		return;
 	}
+	if (rr_feed_passes_on(feed))
+		feed->passed_on_us = feed->now_us;
 	feed->heard = false;
 	feed->doubted = true;
-	rr_count(ctx, RR_N_STORE_FAILURES, 1);
-	rr_log(ctx, RR_LOG_INFO, "read-failed",
-	       RR_FIELD_STRING("reason",
-			       forgotten ? "history-forgotten" : "no-answer"),
-	       RR_FIELD_STRING("from", feed->asked ? feed->asked : "store"),
-	       RR_FIELD_BOOL("range", feed->ranging),
-	       RR_FIELD_U64("revision", feed->revision));
-	if (forgotten && !feed->asked) {
+	log_failed_reading(ctx, feed, forgotten);
+	/* Who no longer has the changes has the whole. */
+	if (forgotten) {
 		start_range(feed);
+		feed->from_asked = feed->asked != NULL;
 		return;
 	}
 	rr_source_failed(ctx, feed->sources, feed->asked ? feed->asked : "",
 			 feed->now_us);
-	if (feed->ranging) {
-		/* Pages belong together: from the first one again. */
-		start_range(feed);
-		if (!feed->asked)
-			note_reached(ctx, feed, false);
-	}
+	if (feed->ranging)
+		take_failed_range(ctx, feed);
 }
 
 static void ask_anew(struct rr_feed *feed)
@@ -366,18 +498,18 @@
 
 	if (!feed->reading.call || feed->reading.kind != RR_FEED_WATCH)
 		return;
+	/* One that has just begun is not worth breaking off. */
+	if (feed->now_us - feed->reading.since_us <
+	    (int64_t)feed->news_bound_ms * 1000 / PEER_WAIT_PART)
+		return;
 	better = rr_pick_source(feed->sources, feed->now_us, false, &due_us);
 	if (better && strcmp(better, feed->asked ? feed->asked : ""))
 		ask_anew(feed);
 }
 
-/*
- * The store answers again after it did not: the watch may wait on a
- * connection that nothing will come back on, so it is asked anew.
- */
-static void end_suspicion(struct rr_context *ctx, struct rr_feed *feed)
+void rr_end_feed_suspicion(struct rr_context *ctx, struct rr_feed *feed)
 {
-	note_reached(ctx, feed, true);
+	rr_note_feed_reached(ctx, feed, true);
 	rr_source_answered(feed->sources, "");
 	if (!feed->suspect)
 		return;
@@ -392,55 +524,16 @@
 		ask_anew(feed);
 }
 
-static int64_t keep_us(struct rr_feed *feed)
-{
-	return feed->asked && rr_sources_follow(feed->sources) ?
-		       FOLLOWER_KEEP_US :
-		       KEEP_US;
-}
-
-static void take_entry(struct rr_context *ctx, struct rr_feed *feed,
-		       const struct rr_feed_reply *reply)
-{
-	enum rr_feed_call_kind kind = feed->entry.kind;
-
-	feed->entry.call = 0;
-	switch (reply->status) {
-	case RR_FEED_OK:
-		feed->entry.backoff_us = 0;
-		end_suspicion(ctx, feed);
-		if (kind == RR_FEED_GRANT)
-			feed->lease = reply->lease;
-		feed->entered = kind != RR_FEED_GRANT;
-		feed->entry.due_us =
-			feed->now_us + (feed->entered ? keep_us(feed) : 0);
-		return;
-	case RR_FEED_NO_LEASE:
-		end_suspicion(ctx, feed);
-		feed->lease = 0;
-		feed->entered = false;
-		wait_longer(ctx, feed, &feed->entry);
-		return;
-	case RR_FEED_FORGOTTEN:
-	case RR_FEED_FAILED:
-		rr_count(ctx, RR_N_STORE_FAILURES, 1);
-		feed->suspect = true;
-		note_reached(ctx, feed, false);
-		wait_longer(ctx, feed, &feed->entry);
-		return;
-	}
-}
-
 void rr_feed_reply(struct rr_context *ctx, struct rr_feed *feed, int64_t now_us,
 		   const struct rr_feed_reply *reply)
 {
 	feed->now_us = now_us;
 	if (reply->call && reply->call == feed->reading.call) {
-		log_call(ctx, feed, &feed->reading, feed->asked, reply);
+		rr_log_feed_call(ctx, feed, &feed->reading, feed->asked, reply);
 		take_reading(ctx, feed, reply);
 	} else if (reply->call && reply->call == feed->entry.call) {
-		log_call(ctx, feed, &feed->entry, NULL, reply);
-		take_entry(ctx, feed, reply);
+		rr_log_feed_call(ctx, feed, &feed->entry, feed->enterer, reply);
+		rr_take_feed_entry(ctx, feed, reply);
 	}
 }
 
@@ -450,9 +543,8 @@
 	turn_to_better(feed);
 	if (!feed->reading.call && feed->reading.due_us <= now_us)
 		read_on(ctx, feed);
-	if (!feed->entry.call && feed->entry.due_us <= now_us && !feed->leaving)
-		renew(ctx, feed);
 	rr_look_at_count(feed);
+	rr_tick_feed_entry(ctx, feed);
 }
 
 int64_t rr_feed_wake_us(const struct rr_feed *feed)
@@ -461,8 +553,7 @@
 
 	if (!feed->reading.call)
 		wake_us = feed->reading.due_us;
-	if (!feed->entry.call && !feed->leaving)
-		wake_us = MIN(wake_us, feed->entry.due_us);
+	wake_us = MIN(wake_us, rr_feed_entry_wake_us(feed));
 	if (feed->has_read && !feed->told)
 		wake_us = MIN(wake_us,
 			      MAX(feed->count_from_us, feed->now_us + 1));
@@ -471,22 +562,6 @@
 	return wake_us;
 }
 
-void rr_feed_leave(struct rr_context *ctx, struct rr_feed *feed, int64_t now_us)
-{
-	struct rr_feed_call call = { .kind = RR_FEED_LEAVE,
-				     .lease = feed->lease };
-
-	feed->now_us = now_us;
-	if (feed->leaving)
-		return;
-	feed->leaving = true;
-	if (!feed->lease)
-		return;
-	if (feed->entry.call)
-		feed->actions.cancel(feed->actions.data, feed->entry.call);
-	start_call(ctx, feed, &feed->entry, &call);
-}
-
 bool rr_feed_has_read(const struct rr_feed *feed)
 {
 	return feed->has_read;
@@ -505,10 +580,35 @@
 	if (!feed->has_read || feed->ranging || feed->leaving)
 		return false;
 	if (!feed->asked)
-		return feed->reached;
+		return feed->reached &&
+		       (feed->heard || !rr_sources_follow(feed->sources));
 	return feed->heard && rr_source_may_be_told(feed->sources, feed->asked);
 }
 
+/*
+ * Guards against a store that turns an instance away: all that ask it, those
+ * that ask these, and the standbys that are about to take its place, would be
+ * refused at the same moment, and each would go to the store.
+ */
+int64_t rr_feed_soon_until_us(const struct rr_feed *feed)
+{
+	int64_t soon_us = (int64_t)feed->news_bound_ms * 1000 / SOON_PART;
+
+	if (!feed->passed_on_us || rr_feed_passes_on(feed))
+		return INT64_MAX;
+	return feed->passed_on_us + soon_us;
+}
+
+bool rr_feed_passes_on_soon(const struct rr_feed *feed, int64_t now_us)
+{
+	int64_t until_us = rr_feed_soon_until_us(feed);
+
+#ifdef RR_MUTANT_FEED_REFUSES_AT_ONCE
+	return false;
+#endif
+	return !feed->leaving && until_us != INT64_MAX && now_us < until_us;
+}
+
 uint64_t rr_feed_revision(const struct rr_feed *feed)
 {
 	return feed->revision;
--- a/source/gateway/gateway-callers.c
+++ b/source/gateway/gateway-callers.c
@@ -275,9 +275,12 @@
 {
 	struct rr_news_call call;
 
-	if (!rr_http_value(message, LEFT_HEADER) &&
-	    rr_parse_news_call(message->target, &call))
+	if (rr_http_value(message, LEFT_HEADER))
+		take_request(data, caller, message, true);
+	else if (rr_parse_news_call(message->target, &call))
 		rr_take_news_call(data, caller, &call);
+	else if (rr_is_entry_call(message->method, message->target))
+		rr_take_entry_call(data, caller, message);
 	else
 		take_request(data, caller, message, true);
 }
--- a/source/gateway/gateway-news.c
+++ b/source/gateway/gateway-news.c
@@ -4,7 +4,10 @@
  */
 #include "gateway/gateway-private.h"
 
+#include <string.h>
+
 #include "ragwort/counters.h"
+#include "ragwort/log.h"
 
 static void refuse(struct rr_caller *caller, uint16_t status)
 {
@@ -49,6 +52,8 @@
 		return true;
 	}
 	if (!rr_feed_passes_on(gateway->feed)) {
+		if (rr_feed_passes_on_soon(gateway->feed, rr_gateway_now_us()))
+			return false;
 		refuse(caller, 503);
 		return true;
 	}
@@ -71,6 +76,48 @@
 		g_array_append_val(gateway->askers, asker);
 }
 
+/* Whether all of a call was taken; else whoever asks turns to another. */
+static bool take_entries(struct rr_gateway *gateway,
+			 const struct rr_entry_call *call)
+{
+	int64_t now_us = rr_gateway_now_us();
+
+	for (guint i = 0; i < call->removed->len; i++)
+		rr_feed_strike_off(gateway->feed, now_us,
+				   g_ptr_array_index(call->removed, i));
+	for (guint i = 0; i < call->entered->len; i++) {
+		if (!rr_feed_enroll(gateway->ctx, gateway->feed, now_us,
+				    g_ptr_array_index(call->entered, i)))
+			return false;
+	}
+	return true;
+}
+
+void rr_take_entry_call(struct rr_gateway *gateway, struct rr_caller *caller,
+			const struct rr_http_message *message)
+{
+	const char *body = rr_entry_taken_body();
+	struct rr_front_answer taken = { .status = 200,
+					 .body = (const uint8_t *)body,
+					 .length = strlen(body) };
+	const char *fault;
+	struct rr_entry_call *call = rr_parse_entry_call(
+		(const char *)message->body, message->body_length, &fault);
+
+	if (!call) {
+		rr_count(gateway->ctx, RR_N_PEER_BAD, 1);
+		rr_log(gateway->ctx, RR_LOG_WARNING, "entry-call-refused",
+		       RR_FIELD_STRING("reason", fault));
+		refuse(caller, 400);
+		return;
+	}
+	if (take_entries(gateway, call))
+		rr_answer_caller(caller, &taken);
+	else
+		refuse(caller, 503);
+	rr_free_entry_call(call);
+}
+
 void rr_answer_askers(struct rr_gateway *gateway, int64_t now_us)
 {
 	guint i = 0;
@@ -95,6 +142,10 @@
 		wake_us = MIN(wake_us,
 			      g_array_index(gateway->askers, struct asker, i)
 				      .until_us);
+	if (!gateway->askers->len)
+		return wake_us;
+	if (!rr_feed_passes_on(gateway->feed))
+		return rr_feed_soon_until_us(gateway->feed);
 	return wake_us;
 }
 
--- a/source/gateway/gateway-private.h
+++ b/source/gateway/gateway-private.h
@@ -99,6 +99,9 @@
 /* gateway-news.c: the store's news for other instances */
 void rr_take_news_call(struct rr_gateway *gateway, struct rr_caller *caller,
 		       const struct rr_news_call *call);
+/* Another instance asks to be entered in the store, or leaves. */
+void rr_take_entry_call(struct rr_gateway *gateway, struct rr_caller *caller,
+			const struct rr_http_message *message);
 /* Answer those who have waited long enough, or for whom there is news. */
 void rr_answer_askers(struct rr_gateway *gateway, int64_t now_us);
 int64_t rr_askers_wake_us(const struct rr_gateway *gateway);
--- a/source/gateway/gateway-store.c
+++ b/source/gateway/gateway-store.c
@@ -20,16 +20,9 @@
 static void make_call(void *data, const struct rr_feed_call *call)
 {
 	struct rr_gateway *gateway = data;
-	struct rr_platform_entry entry = {
-		.instance = gateway->settings->instance,
-		.zone = gateway->settings->zone,
-		.address = gateway->settings->peer_address,
-		.strength = gateway->settings->strength,
-		.born_ms = gateway->born_ms,
-	};
 	const char *address =
 		call->peer ? call->peer : gateway->settings->store_address;
-	GString *bytes = rr_encode_feed_call(call, address, &entry);
+	GString *bytes = rr_encode_feed_call(call, address);
 	struct rr_request_bytes request = {
 		.head = bytes->str,
 		.head_length = bytes->len,
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -163,6 +163,7 @@
 	return !wait_us;
 }
 
+/* Once a turn, when the loop has waited: before anything is read. */
 static gboolean check_tick(GSource *source)
 {
 	struct tick_source *ticker = (struct tick_source *)source;
@@ -252,7 +253,9 @@
 		.self = {
 			.id = gateway->settings->instance,
 			.zone = gateway->settings->zone,
+			.address = gateway->settings->peer_address,
 			.strength = gateway->settings->strength,
+			.born_ms = gateway->born_ms,
 		},
 		.seeds = (const char *const *)gateway->settings->seed_peers,
 		.news_bound_ms = gateway->settings->news_bound_ms,
--- a/source/net/platform-entry.c
+++ b/source/net/platform-entry.c
@@ -58,22 +58,25 @@
 static gboolean renew_entry(gpointer data)
 {
 	struct rr_platform_port *port = data;
-	struct rr_platform_entry entry = {
-		.instance = port->options.instance,
-		.zone = port->options.zone,
-		.address = port->options.peer_address,
+	struct rr_instance self = {
+		.id = (char *)port->options.instance,
+		.zone = (char *)port->options.zone,
+		.address = (char *)port->options.peer_address,
 		.strength = 1,
 		.born_ms = port->born_ms,
 	};
+	gpointer entries[] = { &self };
+	GPtrArray entered = { .pdata = entries, .len = 1 };
 	struct rr_feed_call wanted = {
 		.kind = next_call(port),
 		.ttl_ms = port->options.lease_ms,
 		.lease = port->lease,
+		.entered = &entered,
 	};
 	struct rr_store_call call;
 
 	port->entry_timer = 0;
-	rr_make_feed_call(&call, &wanted, &entry);
+	rr_make_feed_call(&call, &wanted);
 	rr_start_platform_call(port, &call, port->options.call_timeout_ms,
 			       take_entry_reply, port);
 	return G_SOURCE_REMOVE;
--- a/tests/support/feed-scene.h
+++ b/tests/support/feed-scene.h
@@ -16,6 +16,8 @@
 	uint64_t after_revision;
 	uint32_t wait_ms;
 	uint64_t lease;
+	bool may_be_old;
+	GString *entries; /* "+entered" and "-removed" instances */
 	bool over;
 };
 
@@ -29,12 +31,16 @@
 };
 
 struct feed_scene *feed_new_scene_from(const char *const *seeds);
+/* An instance of that strength. */
+struct feed_scene *feed_new_scene_of(double strength);
 struct feed_scene *feed_new_scene(void);
 void feed_drop_scene(struct feed_scene *scene);
 void feed_pass(struct feed_scene *scene, int64_t us);
 /* The open call of a kind; NULL if there is none. */
 struct feed_call *feed_find_call(struct feed_scene *scene,
 				 enum rr_feed_call_kind kind);
+/* How many calls the store has had. */
+guint feed_count_store_calls(struct feed_scene *scene);
 guint feed_count_calls(struct feed_scene *scene, enum rr_feed_call_kind kind);
 struct rr_feed_item *feed_make_item(const char *what, uint64_t revision);
 /*
