gate: why parts of a search lack stands in its last line; what lacks is told step by step

Change: the line answered counts parts that lack by reason and says when all had been asked and when the last part came; where a request's steps are over the bound those of the parts that lack are told. explain says it in words.

test-gate-tell, test-explain.

--- a/include/ragwort/gate-policy-list.h
+++ b/include/ragwort/gate-policy-list.h
@@ -1,6 +1,6 @@
 /*
  * gate-policy-list.h - the table of what the gate decides by: identifier,
- * default, unit, and the load that the figure answers or where it comes from.
+ * default, unit, and the load that the figure answers.
  * Included several times with RR_POLICY_TIME, RR_POLICY_FIGURE,
  * RR_POLICY_COUNT and RR_POLICY_SWITCH defined.
  */
@@ -8,12 +8,12 @@
 
 /* When an answer has to leave. */
 RR_POLICY_TIME(answer_least_write_us, 2000, "kept back for an answer's way out: to be written, with this instance's share of a processor")
-RR_POLICY_FIGURE(answer_write_part, 13, "of the latency objective", "the same for longer objectives, a part of them: half of what a shorter time gains in parts is lost to answers that come late (in credit, mean of fifteen hard days: 0.8659 with a twentieth, 0.8669 with a thirteenth or a ninth)")
+RR_POLICY_FIGURE(answer_write_part, 13, "of the latency objective", "the same for longer objectives, a part of them: half of what a shorter time gains in parts is lost to answers that come late")
 RR_POLICY_TIME(answer_guessed_rtt_us, 4000, "the way to a caller and back where its connection does not tell")
-RR_POLICY_SWITCH(answer_counts_connect, true, "the first request of a connection has waited a round trip already (0.8614 to 0.8659, the same days)")
+RR_POLICY_SWITCH(answer_counts_connect, true, "the first request of a connection has waited a round trip already")
 RR_POLICY_TIME(answer_hand_back_us, 3000, "the way of an answer through the instance that handed a search over")
 RR_POLICY_TIME(answer_left_us, 250000, "a caller that closed its side may still read: for so long it is served")
-RR_POLICY_SWITCH(answer_ends_when_cut, true, "a refusal by an instance that is cut off ends its connection, so that the caller comes to another (0.8690 to 0.8732, the same days)")
+RR_POLICY_SWITCH(answer_ends_when_cut, true, "a refusal by an instance that is cut off ends its connection, so that the caller comes to another")
 
 /* When callers are asked back. */
 RR_POLICY_FIGURE(retry_from, 0.08, "of the time left", "callers are asked back after a part of the time they have left, drawn so that they spread")
@@ -27,7 +27,7 @@
 RR_POLICY_TIME(choose_guess_us, 20000, "usual time of work until any was measured, where the route tells no objective")
 RR_POLICY_FIGURE(choose_guess_part, 10, "of the latency objective", "the same as a part: most work takes a tenth of what callers are promised")
 RR_POLICY_TIME(choose_far_us, 5000, "what the way to another zone counts for at least: bytes between zones are paid for")
-RR_POLICY_FIGURE(choose_far_part, 0.2, "of the time left", "the same, as a part of the time that the caller still waits: time that nobody misses costs nothing (of 90 shards, price of these bytes 0.027 to 0.007; from 0.4 on the share in time falls)")
+RR_POLICY_FIGURE(choose_far_part, 0.2, "of the time left", "the same, as a part of the time that the caller still waits: time that nobody misses costs nothing")
 RR_POLICY_FIGURE(choose_cold_factor, 1.6, "times", "work of a replica that has just started; its listing tells for how long")
 RR_POLICY_FIGURE(choose_busy_weight, 0.3, "of the usual time", "what an open attempt of ours at a replica costs the next")
 RR_POLICY_FIGURE(choose_loss_price, 4, "expected waits", "an attempt lost costs its own time and another's")
@@ -63,7 +63,7 @@
 RR_POLICY_TIME(list_unlisted_grace_us, 1800000, "a last resort for so long: entries lapse while the store is down and are back within two seconds of its return; the shortest time in which a removed replica must be left alone is three")
 
 /* Replicas and zones that have fallen silent. */
-RR_POLICY_TIME(silence_replica_us, 400000, "silence, added up over attempts that follow each other, that is no pause any more (the longest known are 250 ms)")
+RR_POLICY_TIME(silence_replica_us, 400000, "silence, added up over attempts that follow each other, that is no pause any more")
 RR_POLICY_SWITCH(silence_of_open_attempts, true, "silence is judged while attempts are open, and not only when they are given up")
 RR_POLICY_SWITCH(silence_of_zones, true, "a zone that is cut off is left alone as one")
 RR_POLICY_SWITCH(silence_unready, true, "an instance that is cut off from all other zones and lacks a route says that it is not ready")
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -211,7 +211,7 @@
 		return false;
 #ifndef RR_MUTANT_GATE_NO_BUDGET
 	if (extra && rr_extras_left(&part->service->extras, gate->now_us) < 1) {
-		note_refusal(gate, run, part, "no-extra-left");
+		note_refusal(gate, run, part, RR_NO_EXTRA_LEFT);
 		return false;
 	}
 #endif
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -129,6 +129,8 @@
 	struct rr_top_records top;
 	GString *seals;
 	struct rr_trail trail;
+	int64_t asked_us;      /* when every part had been asked or given up */
+	int64_t part_us;       /* when the last part came; 0: none did */
 	int64_t routes_age_us; /* since its version came into force */
 };
 
@@ -363,6 +365,14 @@
 uint32_t rr_draw_retry_ms(struct rr_context *ctx, const struct rr_gate *gate,
 			  int64_t left_us);
 
+/* gate-tell.c */
+/* Why a part was not asked again: the budget of extra attempts is spent. */
+#define RR_NO_EXTRA_LEFT "no-extra-left"
+/* Tell a request whole, or what it lacks, or its end only, or nothing. */
+void rr_tell_answer(struct rr_context *ctx, struct rr_gate *gate,
+		    struct rr_gate_run *run,
+		    const struct rr_gate_answer *answer);
+
 /* gate-run.c */
 /* What was handed over, and was not run there, is served here after all. */
 void rr_take_back(struct rr_context *ctx, struct rr_gate *gate,
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -42,64 +42,6 @@
 	return status == 503 || status == 429;
 }
 
-static bool is_late(const struct rr_gate *gate, const struct rr_gate_run *run)
-{
-	return run->route->objective_ms && gate->now_us > run->cut_us;
-}
-
-/* Whether anything about a request did not go as it should. */
-static bool is_ordinary(const struct rr_gate *gate,
-			const struct rr_gate_run *run,
-			const struct rr_gate_answer *answer)
-{
-	return answer->status < 400 && !answer->missing && !run->left &&
-	       !is_late(gate, run);
-}
-
-static void write_end(struct rr_context *ctx, const struct rr_gate *gate,
-		      const struct rr_gate_run *run,
-		      const struct rr_gate_answer *answer,
-		      size_t steps_left_out)
-{
-	rr_log(ctx, RR_LOG_INFO, "answered",
-	       RR_FIELD_STRING("request", run->request_id),
-	       RR_FIELD_STRING("instance", gate->instance),
-	       RR_FIELD_I64("after_us", gate->now_us - run->started_us),
-	       RR_FIELD_STRING("route", run->route->name),
-	       RR_FIELD_U64("version", rr_route_table_version(run->table)),
-	       RR_FIELD_I64("version_age_us", run->routes_age_us),
-	       RR_FIELD_U64("status", answer->status),
-	       RR_FIELD_STRING("reason", answer->reason),
-	       RR_FIELD_U64("parts", run->n_parts),
-	       RR_FIELD_U64("missing", answer->missing),
-	       RR_FIELD_U64("may_have_run", run->n_run),
-	       RR_FIELD_BOOL("late", is_late(gate, run)),
-	       RR_FIELD_I64("objective_us", run->cut_us - run->started_us),
-	       RR_FIELD_I64("end_us", run->end_us - run->started_us),
-	       RR_FIELD_U64("retry_after_ms", answer->retry_after_ms),
-	       RR_FIELD_U64("steps_left_out", steps_left_out));
-}
-
-/* Tell a request whole, or by its end only, or not at all. */
-static void log_answer(struct rr_context *ctx, struct rr_gate *gate,
-		       const struct rr_gate_run *run,
-		       const struct rr_gate_answer *answer)
-{
-	bool ordinary = is_ordinary(gate, run, answer);
-	size_t steps = run->trail.steps->len;
-
-	if (ordinary && !rr_is_sampled(run->request_id))
-		return;
-	if (rr_take_trail_lines(&gate->log_budget, gate->now_us, steps + 1,
-				ordinary)) {
-		rr_write_steps(ctx, &run->trail, run->request_id,
-			       run->started_us);
-		write_end(ctx, gate, run, answer, 0);
-	} else if (!ordinary) {
-		write_end(ctx, gate, run, answer, steps);
-	}
-}
-
 static void give_answer(struct rr_context *ctx, struct rr_gate *gate,
 			struct rr_gate_run *run, struct rr_gate_answer *answer)
 {
@@ -107,8 +49,8 @@
 	if (is_promise(answer->status) && answer->kind == RR_GATE_OWN)
 		rr_invariant("not-run", run->n_run == 0);
 	gate->actions.answer(gate->actions.data, answer);
-	/* Told afterwards: forty lines take longer than many an answer. */
-	log_answer(ctx, gate, run, answer);
+	/* Told afterwards: its lines take longer than many an answer. */
+	rr_tell_answer(ctx, gate, run, answer);
 	end_run(ctx, gate, run);
 }
 
@@ -182,6 +124,7 @@
 	g_string_append(run->seals, reply->seal);
 	part->status = RR_PART_IN;
 	run->n_in++;
+	run->part_us = gate->now_us;
 	rr_advance_run(ctx, gate, run);
 }
 
@@ -393,6 +336,7 @@
 		if (!rr_try_part(ctx, gate, run, i, "first") && !part->waiting)
 			rr_give_up_part(run, part);
 	}
+	run->asked_us = gate->now_us;
 	rr_advance_run(ctx, gate, run);
 }
 
@@ -530,6 +474,6 @@
 		return;
 	run->left = true;
 	note_left(gate, run, "closed");
-	log_answer(ctx, gate, run, &none);
+	rr_tell_answer(ctx, gate, run, &none);
 	end_run(ctx, gate, run);
 }
--- /dev/null
+++ b/source/core/gate-tell.c
@@ -0,0 +1,153 @@
+/*
+ * gate-tell.c - what the log tells of a request.
+ *
+ * A search of hundreds of shards takes more steps than may be written.  What is
+ * always told is why its parts lack, counted; then, as far as the bound on
+ * lines goes, all of its steps, or those of the parts that lack.
+ */
+#include "core/gate-private.h"
+
+/* Parts without an answer, by why. */
+struct lacks {
+	size_t waiting;	   /* no replica had room */
+	size_t no_replica; /* none could be asked */
+	size_t no_extra;   /* one was slow, and no extra attempt was left */
+	size_t one_asked;  /* one was slow, and it was too soon or no other */
+	size_t more_asked; /* each that was asked was slow */
+};
+
+static void add_lack(struct lacks *lacks, const struct rr_gate_part *part)
+{
+	if (part->waiting)
+		lacks->waiting++;
+	else if (!part->n_tried)
+		lacks->no_replica++;
+	else if (part->n_tried > 1)
+		lacks->more_asked++;
+	else if (!g_strcmp0(part->refused_for, RR_NO_EXTRA_LEFT))
+		lacks->no_extra++;
+	else
+		lacks->one_asked++;
+}
+
+static struct lacks count_lacks(const struct rr_gate_run *run)
+{
+	struct lacks lacks = { 0 };
+
+	for (size_t i = 0; i < run->n_parts; i++) {
+		if (run->parts[i].status != RR_PART_IN)
+			add_lack(&lacks, &run->parts[i]);
+	}
+	return lacks;
+}
+
+static bool is_late(const struct rr_gate *gate, const struct rr_gate_run *run)
+{
+	return run->route->objective_ms && gate->now_us > run->cut_us;
+}
+
+/* Whether nothing about a request went as it should not. */
+static bool is_ordinary(const struct rr_gate *gate,
+			const struct rr_gate_run *run,
+			const struct rr_gate_answer *answer)
+{
+	return answer->status < 400 && !answer->missing && !run->left &&
+	       !is_late(gate, run);
+}
+
+static int64_t since_start_us(const struct rr_gate_run *run, int64_t at_us)
+{
+	return at_us ? at_us - run->started_us : -1;
+}
+
+static void write_end(struct rr_context *ctx, const struct rr_gate *gate,
+		      const struct rr_gate_run *run,
+		      const struct rr_gate_answer *answer,
+		      size_t steps_left_out)
+{
+	struct lacks lacks = count_lacks(run);
+
+	rr_log(ctx, RR_LOG_INFO, "answered",
+	       RR_FIELD_STRING("request", run->request_id),
+	       RR_FIELD_STRING("instance", gate->instance),
+	       RR_FIELD_I64("after_us", gate->now_us - run->started_us),
+	       RR_FIELD_STRING("route", run->route->name),
+	       RR_FIELD_U64("version", rr_route_table_version(run->table)),
+	       RR_FIELD_I64("version_age_us", run->routes_age_us),
+	       RR_FIELD_U64("status", answer->status),
+	       RR_FIELD_STRING("reason", answer->reason),
+	       RR_FIELD_U64("parts", run->n_parts),
+	       RR_FIELD_U64("missing", answer->missing),
+	       RR_FIELD_U64("may_have_run", run->n_run),
+	       RR_FIELD_BOOL("handed", run->handed),
+	       RR_FIELD_I64("asked_us", since_start_us(run, run->asked_us)),
+	       RR_FIELD_I64("last_part_us", since_start_us(run, run->part_us)),
+	       RR_FIELD_U64("lacks_waiting", lacks.waiting),
+	       RR_FIELD_U64("lacks_no_replica", lacks.no_replica),
+	       RR_FIELD_U64("lacks_no_extra", lacks.no_extra),
+	       RR_FIELD_U64("lacks_one_asked", lacks.one_asked),
+	       RR_FIELD_U64("lacks_more_asked", lacks.more_asked),
+	       RR_FIELD_BOOL("late", is_late(gate, run)),
+	       RR_FIELD_I64("objective_us", run->cut_us - run->started_us),
+	       RR_FIELD_I64("end_us", run->end_us - run->started_us),
+	       RR_FIELD_U64("retry_after_ms", answer->retry_after_ms),
+	       RR_FIELD_U64("steps_left_out", steps_left_out));
+}
+
+/* Names of the services whose parts lack. */
+static GPtrArray *list_lacking(const struct rr_gate_run *run)
+{
+	GPtrArray *names = g_ptr_array_new();
+
+	for (size_t i = 0; i < run->n_parts; i++) {
+		const struct rr_gate_part *part = &run->parts[i];
+
+		if (part->status != RR_PART_IN)
+			g_ptr_array_add(names, part->service->name);
+	}
+	return names;
+}
+
+/* Whether a step is of a part that lacks, or of the whole request. */
+static bool is_of_lacking(void *data, const struct rr_trail_step *step)
+{
+	return !step->service ||
+	       g_ptr_array_find(data, step->service, NULL);
+}
+
+/* Write the steps of what lacks if there is room; how many were written. */
+static size_t tell_lacking(struct rr_context *ctx, struct rr_gate *gate,
+			   const struct rr_gate_run *run)
+{
+	GPtrArray *lacking = list_lacking(run);
+	size_t n = rr_count_steps(&run->trail, is_of_lacking, lacking);
+
+	if (rr_take_trail_lines(&gate->log_budget, gate->now_us, n + 1, false))
+		rr_write_some_steps(ctx, &run->trail, run->request_id,
+				    run->started_us, is_of_lacking, lacking);
+	else
+		n = 0;
+	g_ptr_array_unref(lacking);
+	return n;
+}
+
+void rr_tell_answer(struct rr_context *ctx, struct rr_gate *gate,
+		    struct rr_gate_run *run,
+		    const struct rr_gate_answer *answer)
+{
+	bool ordinary = is_ordinary(gate, run, answer);
+	size_t steps = run->trail.steps->len;
+
+	if (ordinary && !rr_is_sampled(run->request_id))
+		return;
+	if (rr_take_trail_lines(&gate->log_budget, gate->now_us, steps + 1,
+				ordinary)) {
+		rr_write_steps(ctx, &run->trail, run->request_id,
+			       run->started_us);
+		write_end(ctx, gate, run, answer, 0);
+		return;
+	}
+	if (!ordinary)
+		write_end(ctx, gate, run, answer,
+			  steps - tell_lacking(ctx, gate, run));
+}
--- a/source/core/trail.c
+++ b/source/core/trail.c
@@ -85,21 +85,53 @@
 	       RR_FIELD_DOUBLE("extras_left", step->extras_left));
 }
 
+static void write_step(struct rr_context *ctx, const struct rr_trail_step *step,
+		       const char *request, int64_t began_us)
+{
+	if (step->attempt)
+		write_attempt(ctx, step, request, step->at_us - began_us);
+	else
+		write_other(ctx, step, request, step->at_us - began_us);
+}
+
 void rr_write_steps(struct rr_context *ctx, const struct rr_trail *trail,
 		    const char *request, int64_t began_us)
+{
+	for (guint i = 0; i < trail->steps->len; i++)
+		write_step(
+			ctx,
+			&g_array_index(trail->steps, struct rr_trail_step, i),
+			request, began_us);
+}
+
+void rr_write_some_steps(struct rr_context *ctx, const struct rr_trail *trail,
+			 const char *request, int64_t began_us,
+			 bool (*wanted)(void *data,
+					const struct rr_trail_step *step),
+			 void *data)
 {
 	for (guint i = 0; i < trail->steps->len; i++) {
 		const struct rr_trail_step *step =
 			&g_array_index(trail->steps, struct rr_trail_step, i);
 
-		if (step->attempt)
-			write_attempt(ctx, step, request,
-				      step->at_us - began_us);
-		else
-			write_other(ctx, step, request, step->at_us - began_us);
+		if (wanted(data, step))
+			write_step(ctx, step, request, began_us);
 	}
 }
 
+size_t rr_count_steps(const struct rr_trail *trail,
+		      bool (*wanted)(void *data,
+				     const struct rr_trail_step *step),
+		      void *data)
+{
+	size_t n = 0;
+
+	for (guint i = 0; i < trail->steps->len; i++)
+		n += wanted(data, &g_array_index(trail->steps,
+						 struct rr_trail_step, i));
+	return n;
+}
+
 bool rr_is_sampled(const char *request_id)
 {
 	return g_str_hash(request_id) % SAMPLE == 0;
--- a/source/core/trail.h
+++ b/source/core/trail.h
@@ -61,6 +61,16 @@
 /* Write the steps of a request that began at `began_us`. */
 void rr_write_steps(struct rr_context *ctx, const struct rr_trail *trail,
 		    const char *request, int64_t began_us);
+/* Those steps only that are wanted; how many these are. */
+void rr_write_some_steps(struct rr_context *ctx, const struct rr_trail *trail,
+			 const char *request, int64_t began_us,
+			 bool (*wanted)(void *data,
+					const struct rr_trail_step *step),
+			 void *data);
+size_t rr_count_steps(const struct rr_trail *trail,
+		      bool (*wanted)(void *data,
+				     const struct rr_trail_step *step),
+		      void *data);
 /* Whether this id is among those told although they went well. */
 bool rr_is_sampled(const char *request_id);
 
--- a/source/tool/explain-print.c
+++ b/source/tool/explain-print.c
@@ -105,6 +105,36 @@
 	return "its replica had not answered by the end";
 }
 
+/* Why parts lack, as the line of the end counts them, if it does. */
+static void format_lacks(const struct rr_log_line *end, GString *out)
+{
+	static const struct {
+		const char *field;
+		const char *words;
+	} lacks[] = {
+		{ "lacks_waiting", "had no replica with room" },
+		{ "lacks_no_replica", "had no replica to ask" },
+		{ "lacks_no_extra", "had one slow replica and no extra attempt "
+				    "left" },
+		{ "lacks_one_asked", "had one slow replica and no other to ask "
+				     "or no time to" },
+		{ "lacks_more_asked", "had only slow replicas" },
+	};
+	bool any = false;
+
+	for (gsize i = 0; i < G_N_ELEMENTS(lacks); i++) {
+		if (rr_line_number(end, lacks[i].field) <= 0)
+			continue;
+		g_string_append_printf(out, "; %s %s",
+				       rr_line_text(end, lacks[i].field),
+				       lacks[i].words);
+		any = true;
+	}
+	if (!any)
+		g_string_append(out, ", why each did is not in these lines: "
+				     "see what had been learnt before");
+}
+
 static void format_missing(const struct rr_story *story,
 			   const struct rr_log_line *end, GString *out)
 {
@@ -117,13 +147,12 @@
 			g_string_append_printf(out, "; %s: %s", service,
 					       why_missing(story, service));
 	}
-	if (rr_line_number(end, "steps_left_out") > 0)
-		g_string_append_printf(
-			out,
-			"; %s of %s parts lacked, why each did is not in these "
-			"lines: see what had been learnt before",
-			rr_line_text(end, "missing"),
-			rr_line_text(end, "parts"));
+	if (rr_line_number(end, "steps_left_out") > 0) {
+		g_string_append_printf(out, "; %s of %s parts lacked",
+				       rr_line_text(end, "missing"),
+				       rr_line_text(end, "parts"));
+		format_lacks(end, out);
+	}
 	g_ptr_array_unref(services);
 }
 
--- a/source/tool/explain.c
+++ b/source/tool/explain.c
@@ -32,6 +32,8 @@
 		"endpoint-retired",
 		"endpoint-listed",
 		"endpoint-unlisted",
+		"endpoints-changed",
+		"held-up",
 		"zone-silent",
 		"zone-heard",
 		"cut-off",
--- a/tests/support/gate-scene.c
+++ b/tests/support/gate-scene.c
@@ -129,11 +129,24 @@
 	g_ptr_array_add(scene->forgotten, g_strdup(lifetime));
 }
 
+static void keep_line(void *data, enum rr_log_level level, const char *line)
+{
+	struct gate_scene *scene = data;
+
+	g_string_append(scene->log, line);
+	g_string_append_c(scene->log, '\n');
+}
+
 static struct gate_scene *new_scene_by(uint32_t seed,
 				       const struct rr_gate_policy *policy)
 {
 	struct gate_scene *scene = g_new0(struct gate_scene, 1);
-	struct rr_context_options context = { .seed = seed };
+	struct rr_context_options context = {
+		.seed = seed,
+		.log = { .write = keep_line,
+			 .data = scene,
+			 .max_level = RR_LOG_INFO },
+	};
 	struct rr_gate_options options = {
 		.zone = "a",
 		.actions = {
@@ -151,6 +164,7 @@
 		.extra_window_ms = 10000,
 		.began_us = 1000 * TEST_MS,
 		.strength = 1,
+		.log_lines_per_s = 50,
 		.policy = policy,
 	};
 
@@ -160,6 +174,7 @@
 	scene->probes = g_ptr_array_new_with_free_func(g_free);
 	scene->opened = g_ptr_array_new_with_free_func(g_free);
 	scene->forgotten = g_ptr_array_new_with_free_func(g_free);
+	scene->log = g_string_new(NULL);
 	scene->ctx = rr_new_context(&context);
 	scene->gate = rr_new_gate(scene->ctx, &options);
 	rr_gate_set_instances(scene->ctx, scene->gate, 10);
@@ -180,6 +195,7 @@
 	g_ptr_array_unref(scene->probes);
 	g_ptr_array_unref(scene->opened);
 	g_ptr_array_unref(scene->forgotten);
+	g_string_free(scene->log, TRUE);
 	g_free(scene);
 }
 
--- a/tests/support/gate-scene.h
+++ b/tests/support/gate-scene.h
@@ -48,6 +48,7 @@
 	GPtrArray *probes;   /* char *, lifetimes */
 	GPtrArray *opened;
 	GPtrArray *forgotten;
+	GString *log; /* lines, each with its line feed */
 };
 
 /* In zone "a", ten instances, extras 0.2 and 50. */
--- a/tests/test-explain.c
+++ b/tests/test-explain.c
@@ -64,6 +64,15 @@
 	"version_age_us=13349703 status=504 reason=time-over parts=30 "
 	"missing=9 may_have_run=42 late=true objective_us=69600 end_us=428000 "
 	"retry_after_ms=0 steps_left_out=81\n"
+	/* Of 180 shards twelve lacked; their steps were over the bound. */
+	"time=2026-09-12T06:37:18.905000Z level=info event=answered "
+	"request=wide1 instance=front-1 after_us=69000 route=r version=22 "
+	"version_age_us=13349703 status=200 reason=partial parts=180 "
+	"missing=12 may_have_run=201 handed=false asked_us=9000 "
+	"last_part_us=68000 lacks_waiting=2 lacks_no_replica=0 "
+	"lacks_no_extra=0 lacks_one_asked=3 lacks_more_asked=7 late=true "
+	"objective_us=69600 end_us=428000 retry_after_ms=0 "
+	"steps_left_out=611\n"
 	/* Handed to a strong instance, which had no room. */
 	"time=2026-09-12T06:37:18.910000Z level=info event=answered "
 	"request=there1 instance=front-3 after_us=4100 route=r version=22 "
@@ -97,6 +106,24 @@
 	test_drop_run(run);
 }
 
+/*
+ * Story: a search of 180 shards comes late.  Its steps would fill the log, so
+ * its last line counts why its parts lacked.
+ */
+static void test_a_wide_search(void **state)
+{
+	static const char *const words[] = {
+		"12 of 180 parts lacked",
+		"2 had no replica with room",
+		"3 had one slow replica and no other",
+		"7 had only slow replicas",
+		NULL,
+	};
+
+	(void)state;
+	assert_tells("wide1", words);
+}
+
 /* Refused: what was believed of its zone and replicas stands with it. */
 static void test_refused(void **state)
 {
@@ -191,6 +218,7 @@
 		cmocka_unit_test(test_refused_at_a_strong_instance),
 		cmocka_unit_test(test_cut_logs),
 		cmocka_unit_test(test_no_such_request),
+		cmocka_unit_test(test_a_wide_search),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/tests/test-gate-tell.c
@@ -0,0 +1,123 @@
+/*
+ * test-gate-tell.c - what the log tells of a request, within its bound.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "support/gate-scene.h"
+
+#define SHARDS 180
+
+/* Shards s0 to s179 with a replica each, and a route over all of them. */
+static struct gate_scene *wide_scene(void)
+{
+	struct gate_scene *scene = test_new_scene(3);
+	struct test_route route = test_search_route;
+	const char *names[SHARDS + 1] = { NULL };
+
+	for (int i = 0; i < SHARDS; i++) {
+		char *id = g_strdup_printf("s%d.a", i);
+
+		names[i] = g_strdup_printf("s%d", i);
+		test_list(scene, id, names[i], "a");
+		g_free(id);
+	}
+	route.services = names;
+	route.least_share = 0.9;
+	test_set_routes(scene, 5, &route, 1);
+	for (int i = 0; i < SHARDS; i++)
+		g_free((char *)names[i]);
+	test_pass(scene, TEST_MS);
+	g_string_truncate(scene->log, 0);
+	return scene;
+}
+
+/* All but the last few answer; then the objective is over. */
+static void search_without(struct gate_scene *scene, guint lacking)
+{
+	guint from = scene->sent->len;
+
+	test_take(scene, "/search/1", 900);
+	for (guint i = from; i < scene->sent->len; i++) {
+		struct test_sent *sent = test_sent_at(scene, i);
+		guint shard = (guint)atoi(sent->endpoint + 1);
+
+		if (shard < SHARDS - lacking)
+			test_reply(scene, sent, RR_GATE_ANSWERED, 200);
+	}
+	test_pass(scene, 300 * TEST_MS);
+}
+
+static guint count_of(const struct gate_scene *scene, const char *words)
+{
+	char **pieces = g_strsplit(scene->log->str, words, -1);
+	guint n = g_strv_length(pieces) - 1;
+
+	g_strfreev(pieces);
+	return n;
+}
+
+/*
+ * Story: a search of 180 shards leaves with two parts lacking.  Its 370 steps
+ * are over the bound on lines, and the log told none of them: why the two
+ * lacked was nowhere.  Their steps are told, and the last line counts why.
+ */
+static void test_what_lacks_is_told(void **state)
+{
+	struct gate_scene *scene = wide_scene();
+
+	(void)state;
+	search_without(scene, 2);
+	assert_int_equal(count_of(scene, "event=answered"), 1);
+	assert_int_equal(count_of(scene, "missing=2"), 1);
+	assert_int_equal(count_of(scene, "lacks_no_extra=2"), 1);
+	assert_int_equal(count_of(scene, "event=sent"), 2);
+	assert_int_equal(count_of(scene, "service=s178 "), 2);
+	assert_int_equal(count_of(scene, "steps_left_out=0"), 0);
+	test_drop_scene(scene);
+}
+
+/* Many such searches: the bound holds, the last lines are there. */
+static void test_the_bound_holds(void **state)
+{
+	struct gate_scene *scene = wide_scene();
+
+	(void)state;
+	for (int i = 0; i < 40; i++)
+		search_without(scene, 15);
+	assert_int_equal(count_of(scene, "event=answered"), 40);
+	/* Of 50 lines a second, in twelve seconds. */
+	assert_true(count_of(scene, "event=") < 2 * 50 + 12 * 50 + 40);
+	assert_true(count_of(scene, "event=sent") < 40 * 15);
+	test_drop_scene(scene);
+}
+
+/* A search that went well is told for a few of many, and then whole. */
+static void test_what_went_well_is_not_told(void **state)
+{
+	struct gate_scene *scene = wide_scene();
+
+	(void)state;
+	search_without(scene, 0);
+	assert_int_equal(count_of(scene, "event=sent"), 0);
+	assert_int_equal(count_of(scene, "event=answered"), 0);
+	test_drop_scene(scene);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_what_lacks_is_told),
+		cmocka_unit_test(test_the_bound_holds),
+		cmocka_unit_test(test_what_went_well_is_not_told),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
