--- a/tests/support/standin-store-write.c
+++ b/tests/support/standin-store-write.c
@@ -188,6 +188,21 @@
 	return true;
 }
 
+static void remove_keys(struct test_store *store, JsonObject *txn)
+{
+	JsonArray *deletes =
+		json_object_has_member(txn, "deletes") ?
+			json_object_get_array_member(txn, "deletes") :
+			NULL;
+
+	for (guint i = 0; deletes && i < json_array_get_length(deletes); i++) {
+		const char *key = json_array_get_string_element(deletes, i);
+
+		if (g_hash_table_contains(store->items, key))
+			write_item(store, key, NULL, 0);
+	}
+}
+
 static int commit(struct test_store *store, JsonObject *txn)
 {
 	JsonArray *writes = json_object_get_array_member(txn, "writes");
@@ -205,6 +220,7 @@
 			json_object_get_string_member(write, "value"),
 			(uint64_t)json_object_get_int_member(write, "lease"));
 	}
+	remove_keys(store, txn);
 	return 200;
 }
 
@@ -250,9 +266,12 @@
 static const char *first_key(JsonObject *txn)
 {
 	JsonArray *writes = json_object_get_array_member(txn, "writes");
+	JsonArray *deletes = json_object_get_array_member(txn, "deletes");
 
-	return json_object_get_string_member(
-		json_array_get_object_element(writes, 0), "key");
+	if (json_array_get_length(writes))
+		return json_object_get_string_member(
+			json_array_get_object_element(writes, 0), "key");
+	return json_array_get_string_element(deletes, 0);
 }
 
 void test_take_txn(struct test_store *store, struct test_connection *connection)
