gate, gateway: a zone's instances tell each other that they are cut off

Cause: callers of a cut zone are led elsewhere once all of its instances say that they are not ready.

Ruled out: the balancer's two questions (they bound what is left: two seconds); weaker evidence of a cut (false alarms).

Change: one that finds itself cut off answers those that wait here for news with a refusal that says so; they find out by two probes a zone.

The mutant that hears of no cut fails test-gate-zone.

--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -119,6 +119,33 @@
 	watch_zone(gate, zone, gate->policy.silence_verdict_us);
 }
 
+/*
+ * Guards against an instance that has too little work to notice a cut: callers
+ * are led to other zones once all of a zone's instances say that they are not
+ * ready, and one that does not know keeps them there.
+ */
+void rr_gate_doubt_zones(struct rr_context *ctx, struct rr_gate *gate,
+			 int64_t now_us)
+{
+	gate->now_us = now_us;
+	if (gate->isolated || !gate->policy.silence_of_zones)
+		return;
+#ifdef RR_MUTANT_GATE_HEARS_OF_NO_CUT
+	return;
+#endif
+	for (guint i = 0; i < gate->zones->len; i++) {
+		struct rr_gate_zone *zone = g_ptr_array_index(gate->zones, i);
+
+		if (!zone->near)
+			doubt_zone(ctx, gate, zone);
+	}
+}
+
+bool rr_gate_is_cut_off(const struct rr_gate *gate)
+{
+	return gate->isolated;
+}
+
 static bool is_any_silent(const struct rr_gate *gate)
 {
 	for (guint i = 0; i < gate->zones->len; i++) {
--- a/source/gateway/gateway-news.c
+++ b/source/gateway/gateway-news.c
@@ -9,9 +9,15 @@
 #include "ragwort/counters.h"
 #include "ragwort/log.h"
 
-static void refuse(struct rr_caller *caller, uint16_t status)
+static void refuse(const struct rr_gateway *gateway, struct rr_caller *caller,
+		   uint16_t status)
 {
-	struct rr_front_answer answer = { .status = status };
+	struct rr_http_header cut_off = { CUT_OFF_HEADER, "1" };
+	struct rr_front_answer answer = {
+		.status = status,
+		.headers = &cut_off,
+		.n_headers = rr_gate_is_cut_off(gateway->gate) ? 1 : 0,
+	};
 
 	rr_answer_caller(caller, &answer);
 }
@@ -25,7 +31,7 @@
 	GString *body;
 
 	if (!items) {
-		refuse(caller, rr_news_forgotten_status());
+		refuse(gateway, caller, rr_news_forgotten_status());
 		return;
 	}
 	body = rr_encode_news(call, items, revision);
@@ -49,13 +55,13 @@
 		if (rr_feed_has_read(gateway->feed))
 			tell(gateway, caller, call);
 		else
-			refuse(caller, 503);
+			refuse(gateway, caller, 503);
 		return true;
 	}
 	if (!rr_feed_passes_on(gateway->feed)) {
 		if (rr_feed_passes_on_soon(gateway->feed, rr_gateway_now_us()))
 			return false;
-		refuse(caller, 503);
+		refuse(gateway, caller, 503);
 		return true;
 	}
 	if (!is_late && rr_feed_revision(gateway->feed) <= call->after)
@@ -109,13 +115,13 @@
 		rr_count(gateway->ctx, RR_N_PEER_BAD, 1);
 		rr_log(gateway->ctx, RR_LOG_WARNING, "entry-call-refused",
 		       RR_FIELD_STRING("reason", fault));
-		refuse(caller, 400);
+		refuse(gateway, caller, 400);
 		return;
 	}
 	if (take_entries(gateway, call))
 		rr_answer_caller(caller, &taken);
 	else
-		refuse(caller, 503);
+		refuse(gateway, caller, 503);
 	rr_free_entry_call(call);
 }
 
@@ -135,6 +141,17 @@
 	}
 }
 
+void rr_tell_askers_of_cut(struct rr_gateway *gateway)
+{
+	while (gateway->askers->len) {
+		struct asker asker =
+			g_array_index(gateway->askers, struct asker, 0);
+
+		g_array_remove_index_fast(gateway->askers, 0);
+		refuse(gateway, asker.caller, 503);
+	}
+}
+
 int64_t rr_askers_wake_us(const struct rr_gateway *gateway)
 {
 	int64_t wake_us = INT64_MAX;
--- a/source/gateway/gateway-private.h
+++ b/source/gateway/gateway-private.h
@@ -20,13 +20,15 @@
  */
 #define LEFT_HEADER "Ragwort-Left-Us"
 #define NOT_RUN_HEADER "Ragwort-Not-Run"
+/* Between instances: the one that refuses is cut off from other zones. */
+#define CUT_OFF_HEADER "Ragwort-Cut-Off"
 
 /* Ticks whatever is due. */
 struct tick_source {
 	GSource source; /* first: GLib allocates the whole */
 	struct rr_gateway *gateway;
 	int64_t due_us;
-	int64_t woke_us; /* when the loop last stopped waiting; 0: not yet */
+	int64_t woke_us; /* when the turn under way began; 0: none has */
 };
 
 /* Another instance that waits for the store's news. */
@@ -70,6 +72,7 @@
 	int64_t flush_us;	     /* 0: no line waits */
 	int64_t stop_check_us;
 	bool was_ready;
+	bool was_cut_off;
 	guint signal_sources[3];
 };
 
@@ -104,6 +107,8 @@
 			const struct rr_http_message *message);
 /* Answer those who have waited long enough, or for whom there is news. */
 void rr_answer_askers(struct rr_gateway *gateway, int64_t now_us);
+/* All who wait are told at once that this instance has been cut off. */
+void rr_tell_askers_of_cut(struct rr_gateway *gateway);
 int64_t rr_askers_wake_us(const struct rr_gateway *gateway);
 void rr_take_peer_gone(void *data, struct rr_caller *caller);
 
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -44,6 +44,16 @@
 	return rr_takes_callers(&gateway->lifecycle, serves);
 }
 
+/* The others of the zone may have too little work to notice a cut. */
+static void look_at_cut(struct rr_gateway *gateway)
+{
+	bool cut_off = rr_gate_is_cut_off(gateway->gate);
+
+	if (cut_off && !gateway->was_cut_off)
+		rr_tell_askers_of_cut(gateway);
+	gateway->was_cut_off = cut_off;
+}
+
 static void look_at_readiness(struct rr_gateway *gateway)
 {
 	const char *reason = "";
@@ -100,6 +110,7 @@
 	rr_feed_tick(gateway->ctx, gateway->feed, now);
 	rr_answer_askers(gateway, now);
 	rr_gate_tick(gateway->ctx, gateway->gate, now);
+	look_at_cut(gateway);
 	rr_tick_front_port(gateway->callers, now);
 	rr_tick_front_port(gateway->ready, now);
 	if (gateway->peers)
@@ -117,6 +128,8 @@
 	int64_t due_us = rr_gate_wake_us(gateway->gate);
 
 	look_at_readiness(gateway);
+	if (rr_gate_is_cut_off(gateway->gate) != gateway->was_cut_off)
+		return 0;
 	due_us = MIN(due_us, rr_feed_wake_us(gateway->feed));
 	due_us = MIN(due_us, rr_askers_wake_us(gateway));
 	due_us = MIN(due_us, rr_front_port_wake_us(gateway->callers));
@@ -154,6 +167,8 @@
 
 	if (ticker->woke_us)
 		note_delay(ticker->gateway, now_us, now_us - ticker->woke_us);
+	/* What is due already is not checked after the wait. */
+	ticker->woke_us = now_us;
 	ticker->due_us = MAX(next_tick_us(ticker->gateway), now_us);
 	*timeout_ms = -1;
 	if (ticker->due_us == INT64_MAX)
--- a/tests/test-gate-zone.c
+++ b/tests/test-gate-zone.c
@@ -376,6 +376,60 @@
 	test_drop_scene(scene);
 }
 
+/*
+ * Story: a zone of sixty instances is cut off.  The strong ones, which gather
+ * all searches, notice within half a second; a weak one asks so few replicas
+ * that it takes five, and callers are led elsewhere only once all say that
+ * they are not ready.  Told by another, it finds out by probes.
+ */
+static void test_told_of_a_cut(void **state)
+{
+	struct gate_scene *scene = test_new_scene(7);
+	struct test_route route = test_search_route;
+	const char *reason;
+
+	(void)state;
+	route.least_share = 0.9;
+	test_list(scene, "s1.a", "s1", "a");
+	test_list(scene, "s2.a", "s2", "a");
+	test_list(scene, "s3.b", "s3", "b");
+	test_list(scene, "s4.c", "s4", "c");
+	test_set_routes(scene, 5, &route, 1);
+	rr_gate_doubt_zones(scene->ctx, scene->gate, scene->now_us);
+	assert_true(scene->probes->len >= 2);
+	assert_true(rr_gate_serves(scene->gate, &reason));
+	test_pass(scene, 200 * TEST_MS);
+	assert_false(rr_gate_serves(scene->gate, &reason));
+	assert_string_equal(reason, "cut-off");
+	assert_true(rr_gate_is_cut_off(scene->gate));
+	rr_gate_probed(scene->ctx, scene->gate, scene->now_us, "s3.b", true);
+	assert_true(rr_gate_serves(scene->gate, &reason));
+	test_drop_scene(scene);
+}
+
+/* Told wrongly, its probes are answered, and it goes on. */
+static void test_told_of_a_cut_wrongly(void **state)
+{
+	struct gate_scene *scene = test_new_scene(7);
+	struct test_route route = test_search_route;
+	const char *reason;
+
+	(void)state;
+	route.least_share = 0.9;
+	test_list(scene, "s1.a", "s1", "a");
+	test_list(scene, "s3.b", "s3", "b");
+	test_list(scene, "s4.c", "s4", "c");
+	test_set_routes(scene, 5, &route, 1);
+	rr_gate_doubt_zones(scene->ctx, scene->gate, scene->now_us);
+	test_pass(scene, 5 * TEST_MS);
+	rr_gate_probed(scene->ctx, scene->gate, scene->now_us, "s3.b", true);
+	rr_gate_probed(scene->ctx, scene->gate, scene->now_us, "s4.c", true);
+	test_pass(scene, 500 * TEST_MS);
+	assert_false(rr_gate_is_cut_off(scene->gate));
+	assert_true(rr_gate_serves(scene->gate, &reason));
+	test_drop_scene(scene);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -389,6 +443,8 @@
 		cmocka_unit_test(test_a_pause_is_no_cut),
 		cmocka_unit_test(test_silence_shows_without_extra_attempts),
 		cmocka_unit_test(test_own_delay_is_not_silence),
+		cmocka_unit_test(test_told_of_a_cut),
+		cmocka_unit_test(test_told_of_a_cut_wrongly),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
