--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -290,26 +290,6 @@
 			  RR_TIMER_GATE_HEDGE, id);
 }
 
-/*
- * Another replica, asked later, has answered.  Of two the other is asked next
- * in any case, and one that paused is asked again soon; of more it matters
- * which of the others is quick.
- */
-static void note_overtaken(struct rr_gate *gate, const struct rr_gate_run *run,
-			   const struct rr_gate_attempt *attempt)
-{
-	struct rr_endpoint *endpoint = attempt->endpoint;
-	int64_t age_us = gate->now_us - attempt->sent_us;
-	int64_t typical_us = rr_typical_us(gate, run->record, run->route);
-
-	if (endpoint->service->endpoints->len > 2)
-		rr_track_lost_race(&endpoint->track, gate->now_us, age_us,
-				   typical_us);
-	else
-		rr_track_overdue(&endpoint->track, gate->now_us, age_us,
-				 typical_us);
-}
-
 /*
  * The part has its answer: attempts still under way for it are ended.
  * Guards against replicas that work off, after a pause or a slow spell, what
@@ -326,7 +306,9 @@
 		next = l->next;
 		if (attempt->part != index || !attempt->idempotent)
 			continue;
-		note_overtaken(gate, run, attempt);
+		rr_track_overdue(&attempt->endpoint->track, gate->now_us,
+				 gate->now_us - attempt->sent_us,
+				 rr_typical_us(gate, run->record, run->route));
 		withdraw(ctx, gate, attempt, "lost-to-another");
 	}
 }
--- a/source/core/track.c
+++ b/source/core/track.c
@@ -14,12 +14,6 @@
 #define MOST_SLOWNESS 16.0
 /* An open attempt counts from this much more than usual on. */
 #define OVERDUE_FACTOR 2.0
-/*
- * An attempt that was overtaken would have taken about as long again, and says
- * more than an answer that is a little slow: one later attempt won.
- */
-#define LOST_RACE_FACTOR 2.0
-#define LOST_RACE_WEIGHT 0.3
 /* What was seen is worth half after this: twice a replica's usual pause. */
 #define FADE_HALF_US (2 * G_USEC_PER_SEC)
 /*
@@ -34,21 +28,15 @@
 	*track = (struct rr_track){ .slowness = 1 };
 }
 
-static void mix_weighed(struct rr_track *track, int64_t now_us, double sample,
-			double weight)
+static void mix_slowness(struct rr_track *track, int64_t now_us, double sample)
 {
 	double old = rr_track_slowness(track, now_us);
 
 	sample = CLAMP(sample, LEAST_SLOWNESS, MOST_SLOWNESS);
-	track->slowness = old + weight * (sample - old);
+	track->slowness = old + SLOWNESS_WEIGHT * (sample - old);
 	track->sampled_us = now_us;
 }
 
-static void mix_slowness(struct rr_track *track, int64_t now_us, double sample)
-{
-	mix_weighed(track, now_us, sample, SLOWNESS_WEIGHT);
-}
-
 static void mix_losses(struct rr_track *track, int64_t now_us, double sample)
 {
 	double old = rr_track_losses(track, now_us);
@@ -80,23 +68,6 @@
 		mix_slowness(track, now_us, sample);
 }
 
-/*
- * Guards against a slow replica that is never seen to be: each of its attempts
- * is withdrawn as soon as another replica, asked later, has answered, and how
- * long it would have taken shows nowhere.
- */
-void rr_track_lost_race(struct rr_track *track, int64_t now_us, int64_t age_us,
-			int64_t typical_us)
-{
-	double sample;
-
-	if (typical_us <= 0)
-		return;
-	sample = LOST_RACE_FACTOR * (double)age_us / (double)typical_us;
-	if (sample > rr_track_slowness(track, now_us))
-		mix_weighed(track, now_us, sample, LOST_RACE_WEIGHT);
-}
-
 void rr_track_unreached(struct rr_track *track, int64_t now_us)
 {
 	int64_t wait_us = FIRST_SUSPICION_US;
--- a/source/core/track.h
+++ b/source/core/track.h
@@ -43,9 +43,6 @@
 		      int64_t typical_us);
 void rr_track_loss(struct rr_track *track, int64_t now_us, enum rr_loss loss);
 /* A probe did not reach it either. */
-/* An attempt was overtaken by another replica that was asked later. */
-void rr_track_lost_race(struct rr_track *track, int64_t now_us, int64_t age_us,
-			int64_t typical_us);
 void rr_track_unreached(struct rr_track *track, int64_t now_us);
 /* Its first open attempt begins, or its last one ends. */
 void rr_track_open(struct rr_track *track, int64_t now_us);
