--- a/bench/start.c
+++ b/bench/start.c
@@ -8,6 +8,7 @@
 #include <time.h>
 
 #include "platform/platform.h"
+#include "support/standin-store.h"
 
 #define ZONES 5
 #define REPLICAS_OF_SERVICE 3
@@ -55,14 +56,20 @@
 {
 	char *key = g_strdup_printf("%sr-%u", rr_store_prefix(RR_FEED_REPLICA),
 				    number);
-	char *value = g_strdup_printf(
-		"{\"service\":\"s%u\",\"address\":\"10.0.0.2:7\",\"zone\":"
-		"\"z%u\",\"version\":\"1\",\"slots\":3,\"state\":\"ready\","
-		"\"coldRemainingMs\":0,\"sequence\":1}",
-		number / REPLICAS_OF_SERVICE, number % ZONES);
+	char *id = g_strdup_printf("r-%u", number);
+	char *service = g_strdup_printf("s%u", number / REPLICAS_OF_SERVICE);
+	struct test_entry entry = {
+		.id = id,
+		.service = service,
+		.address = "10.0.0.2:7",
+		.slots = 3,
+	};
+	char *value = test_make_entry(&entry);
 
 	append_item(out, key, value, revision);
 	g_free(value);
+	g_free(service);
+	g_free(id);
 	g_free(key);
 }
 
