--- a/source/core/feed-order.c
+++ b/source/core/feed-order.c
@@ -13,7 +13,7 @@
 
 /*
  * Watchers of other zones that are asked before the store.  Guards against a
- * store that turns a zone's two watchers away: all others of the zone would
+ * store that turns a zone's first instances away: all others of the zone would
  * watch it themselves, and each change would be paid for by each.
  */
 #define FAR_BEFORE_STORE 2
--- a/source/core/feed-rank.c
+++ b/source/core/feed-rank.c
@@ -45,8 +45,8 @@
 
 /*
  * As few as tell all of a zone in three levels: each change wakes and pays for
- * every watch.  Where the one freezes, those that ask it turn to the watchers
- * of other zones within half the bound on news.
+ * every watch.  Where the one freezes, those that ask it turn to the next of
+ * the zone, which watches then, within half the bound on news.
  */
 guint rr_zone_watchers(guint n_instances)
 {
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -30,6 +30,7 @@
  */
 #define PEER_WAIT_PART 4
 #define PEER_TIMEOUT_PART 8
+/* Nobody was heard for such a part of it: the store is next. */
 #define SILENCE_PART 2
 /* Those who ask this instance wait for so long while it asks anew. */
 #define SOON_PART 16
@@ -48,6 +49,7 @@
 /* First and longest wait after a failure; drawn between half and all. */
 #define FIRST_BACKOFF_US (200 * 1000)
 #define MOST_BACKOFF_US (1500 * 1000)
+
 static void free_known(gpointer data)
 {
 	struct rr_feed_known *known = data;
@@ -258,7 +260,6 @@
 {
 	int64_t many =
 		MAX(1, rr_count_watchers(feed->sources) / MERGE_WATCHERS);
-
 	int64_t bound_us = (int64_t)feed->news_bound_ms * 1000;
 
 	/* What another instance tells is merged already. */
