feed: who was alone counts the others later

Until the entries came each took all of the slack and of the replicas' connections for its own.

Change: the count is told two seconds after the second look.

test-feed failed before (instances 1 too early).

--- a/source/core/feed-count.c
+++ b/source/core/feed-count.c
@@ -10,9 +10,9 @@
  */
 #define SHRINK_US (20 * G_USEC_PER_SEC)
 /*
- * Instances that start together have all entered by then.  Where so many
- * entries stand already, it is a restart among others, and they count at
- * once.
+ * Instances that start together have all entered by then, counted from when
+ * the last of them look for others.  Where so many entries stand already, it
+ * is a restart among others, and they count at once.
  */
 #define FIRST_COUNT_US (2 * G_USEC_PER_SEC)
 #define STANDING_ENTRIES 3
--- a/source/core/feed-range.c
+++ b/source/core/feed-range.c
@@ -59,6 +59,8 @@
 	feed->was_alone = true;
 	feed->alone_until_us = feed->now_us + (int64_t)(weakness * weakness *
 							drawn * ALONE_US);
+	/* The others are entered after it has looked again. */
+	feed->count_from_us = rr_first_count_us(feed->alone_until_us);
 	rr_start_feed_range(feed);
 	feed->reading.due_us = feed->alone_until_us;
 }
