--- a/include/ragwort/feed.h
+++ b/include/ragwort/feed.h
@@ -147,8 +147,8 @@
 bool rr_feed_is_reached(const struct rr_feed *feed);
 
 /*
- * Whether this instance watches the store itself and is answered: only then
- * does it pass changes on.
+ * Whether this instance hears the store, by itself or from one that goes
+ * before it in its zone: only then does it pass changes on.
  */
 bool rr_feed_passes_on(const struct rr_feed *feed);
 /*
--- a/source/core/feed-entry.c
+++ b/source/core/feed-entry.c
@@ -1,10 +1,10 @@
 /*
  * feed-entry.c - the entries of instances in the store.
  *
- * Those that watch the store enter themselves, each under a lease of its own;
- * the others ask one of these to enter them under its lease, and ask again
- * every few seconds.  What an instance that died has entered stands until its
- * lease ends; by then the others have asked another one.
+ * The first of a zone enter themselves, each under a lease of its own; the
+ * others ask one of these to enter them under its lease, and ask again every
+ * few seconds.  What an instance that died has entered stands until its lease
+ * ends; by then the others have asked another one.
  */
 #include "core/feed-private.h"
 
@@ -21,7 +21,7 @@
  * force within three seconds, and a watch that fell silent shows only here.
  */
 #define KEEP_US (1500 * 1000)
-/* How often others are asked to keep the entry: a third of the lease. */
+/* How often another is asked to keep the entry: a third of the lease. */
 #define ASK_US (4 * G_USEC_PER_SEC)
 /* Entries of others wait so long, so that those that start together share. */
 #define GATHER_US (400 * 1000)
@@ -29,7 +29,8 @@
 #define MOST_KEYS 32
 /*
  * Nobody has entered this instance for so long, though it asked: it enters
- * itself.  Longer than a lease, behind which others are asked.
+ * itself.  Longer than a lease: when those that entered it are gone, others
+ * are in their place by then.
  */
 #define UNENTERED_US (15 * G_USEC_PER_SEC)
 
--- a/source/gateway/gateway-news.c
+++ b/source/gateway/gateway-news.c
@@ -45,8 +45,8 @@
 
 /*
  * Whether an answer can be given now.  One that cannot be, since this
- * instance does not hear the store, is refused at once: whoever asks then
- * turns to another.
+ * instance does not hear the store, is refused, so that whoever asks turns to
+ * another; at once, unless it is about to hear the store again.
  */
 static bool answer_now(struct rr_gateway *gateway, struct rr_caller *caller,
 		       const struct rr_news_call *call, bool is_late)
