--- a/source/core/feed-range.c
+++ b/source/core/feed-range.c
@@ -87,7 +87,6 @@
 	       RR_FIELD_U64("revision", feed->revision),
 	       RR_FIELD_U64("items", g_hash_table_size(feed->known)));
 	feed->has_read = true;
-	feed->alone_until_us = 0;
 	if (!feed->was_alone && !feed->asked && knows_nobody(feed))
 		wait_for_others(ctx, feed);
 	else
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -181,10 +181,15 @@
 	return WATCH_MS;
 }
 
+static int64_t news_bound_us(const struct rr_feed *feed)
+{
+	return (int64_t)feed->news_bound_ms * 1000;
+}
+
 /* Nobody was heard for so long: the store is next. */
 static int64_t silence_us(const struct rr_feed *feed)
 {
-	return (int64_t)feed->news_bound_ms * 1000 / SILENCE_PART;
+	return news_bound_us(feed) / SILENCE_PART;
 }
 
 /* Whom to ask next; NULL: nobody now, until *due_us. */
@@ -260,7 +265,7 @@
 {
 	int64_t many =
 		MAX(1, rr_count_watchers(feed->sources) / MERGE_WATCHERS);
-	int64_t bound_us = (int64_t)feed->news_bound_ms * 1000;
+	int64_t bound_us = news_bound_us(feed);
 
 	/* What another instance tells is merged already. */
 	if (n >= MANY_CHANGES || feed->asked)
@@ -372,7 +377,7 @@
 		return;
 	/* One that has just begun is not worth breaking off. */
 	if (feed->now_us - feed->reading.since_us <
-	    (int64_t)feed->news_bound_ms * 1000 / PEER_WAIT_PART)
+	    news_bound_us(feed) / PEER_WAIT_PART)
 		return;
 	better = rr_pick_source(feed->sources, feed->now_us, false, &due_us);
 	if (better && strcmp(better, feed->asked ? feed->asked : ""))
@@ -464,7 +469,7 @@
  */
 int64_t rr_feed_soon_until_us(const struct rr_feed *feed)
 {
-	int64_t soon_us = (int64_t)feed->news_bound_ms * 1000 / SOON_PART;
+	int64_t soon_us = news_bound_us(feed) / SOON_PART;
 
 	if (!feed->passed_on_us || rr_feed_passes_on(feed))
 		return INT64_MAX;
--- a/source/core/gate-peer.c
+++ b/source/core/gate-peer.c
@@ -23,16 +23,11 @@
 	g_free(peer);
 }
 
-static void free_strength(gpointer data)
-{
-	g_free(data);
-}
-
 /* Zone -> the greatest strength of an instance there, as double. */
 static GHashTable *find_strongest(const struct rr_gate *gate)
 {
-	GHashTable *strongest = g_hash_table_new_full(g_str_hash, g_str_equal,
-						      NULL, free_strength);
+	GHashTable *strongest =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	GHashTableIter iter;
 	gpointer value;
 
