gate, feed: evacuated zones get nothing, and come back gradually

Ruled out: a value that must be readable (only operators write there, the key asks for it); breaking off what a replica is at work on (users would lose answers that they are about to get; nothing forbids it to end).

After a take-back a zone's share grows over coldStartS, by a draw an attempt. The only replica outside evacuated zones counts as the last one left.

Left: what a first reading of an old copy of the store lacks is learnt by the first watch, one round trip later.

--- a/include/ragwort/counter-list.h
+++ b/include/ragwort/counter-list.h
@@ -58,6 +58,7 @@
 RR_GAUGE(RR_G_MEMBERS, "members", "instances believed live")
 RR_GAUGE(RR_G_PEER_RENEWALS, "peer_renewals", "connections to peers that are being made anew under changed keys")
 RR_GAUGE(RR_G_READY, "ready", "1 when new requests are accepted")
+RR_GAUGE(RR_G_ZONES_EVACUATED, "zones_evacuated", "availability zones whose replicas are to get nothing")
 RR_GAUGE(RR_G_CPU_MS, "process_cpu_milliseconds", "processor time this process has used, user and system")
 RR_GAUGE(RR_G_RESIDENT, "process_resident_bytes", "memory of this process that is in RAM")
 /* clang-format on */
--- a/include/ragwort/feed.h
+++ b/include/ragwort/feed.h
@@ -57,12 +57,14 @@
 	RR_FEED_ROUTES,
 	RR_FEED_REPLICA,
 	RR_FEED_INSTANCE,
+	/* By its key alone; its value says nothing more. */
+	RR_FEED_EVACUATION,
 };
 
 struct rr_feed_item {
 	enum rr_feed_item_kind kind;
 	char *key;
-	char *id; /* of a replica or instance */
+	char *id; /* of a replica or instance; an evacuation's zone */
 	uint64_t revision;
 	bool removed;
 	char *value;	   /* in text, to be passed on; NULL: removed */
@@ -105,6 +107,12 @@
 	/* An instance's entry, this one's too; NULL: it has gone. */
 	void (*instance)(void *data, const char *id,
 			 const struct rr_instance *instance);
+	/*
+	 * The operators evacuate a zone, or take it back; `revision` is the
+	 * store's at that change, or a later one.
+	 */
+	void (*evacuation)(void *data, const char *zone, uint64_t revision,
+			   bool in_force);
 	void *data;
 };
 
--- a/include/ragwort/gate-policy-list.h
+++ b/include/ragwort/gate-policy-list.h
@@ -62,6 +62,9 @@
 /* Replicas whose entry has gone. */
 RR_POLICY_TIME(list_unlisted_grace_us, 1800000, "a last resort for so long: entries lapse while the store is down and are back within two seconds of its return; the shortest time in which a removed replica must be left alone is three")
 
+/* Zones that were evacuated. */
+RR_POLICY_TIME(return_cold_us, 3000000, "a zone that is taken back gets a growing share of its work for so long, where its services do not tell how long replicas are cold; longer loads the other zones longer")
+
 /* Replicas and zones that have fallen silent. */
 RR_POLICY_TIME(silence_replica_us, 400000, "silence, added up over attempts that follow each other, that is no pause any more")
 RR_POLICY_SWITCH(silence_of_open_attempts, true, "silence is judged while attempts are open, and not only when they are given up")
--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -197,6 +197,18 @@
  */
 void rr_gate_unlist(struct rr_context *ctx, struct rr_gate *gate,
 		    int64_t now_us, const char *id);
+/*
+ * The operators evacuate a zone: once this returns nothing new is sent to its
+ * replicas, and what waits for one of them goes elsewhere or is refused.
+ * Requests that a replica already has run to their end.  Or they take it back:
+ * its share of the work grows over the time for which replicas may be cold.
+ * `revision` is the store's; what is older than the latest known counts for
+ * nothing.  The zone need not be known yet.
+ */
+void rr_gate_evacuate(struct rr_context *ctx, struct rr_gate *gate,
+		      int64_t now_us, const char *zone, uint64_t revision,
+		      bool in_force);
+
 /* An instance as its entry tells of it; strings are copied. */
 struct rr_gate_instance {
 	const char *id;
--- a/include/ragwort/route.h
+++ b/include/ragwort/route.h
@@ -44,6 +44,9 @@
 	char *name;
 	uint32_t
 		max_connections; /* of a replica, from all callers; 0: unknown */
+	uint32_t cold_ms;	 /* a replica is cold that long; 0: not told */
+	/* Requests a second that a cold replica bears; 0: no bound is told. */
+	double cold_per_s;
 };
 
 /* What a caller may send and how long it may take; 0: no bound. */
--- a/source/core/feed-items.c
+++ b/source/core/feed-items.c
@@ -55,12 +55,15 @@
 
 /* Whom a key named is not known to be there any more. */
 static void forget_named(struct rr_feed *feed,
-			 const struct rr_feed_known *known)
+			 const struct rr_feed_known *known, uint64_t revision)
 {
 	if (known->kind == RR_FEED_REPLICA)
 		feed->actions.unlisted(feed->actions.data, known->id);
 	else if (known->kind == RR_FEED_INSTANCE)
 		forget_instance(feed, known->id);
+	else if (known->kind == RR_FEED_EVACUATION)
+		feed->actions.evacuation(feed->actions.data, known->id,
+					 revision, false);
 }
 
 static void set_names_one(struct rr_feed *feed, struct rr_feed_known *known,
@@ -79,11 +82,24 @@
 	if (!known)
 		return;
 	rr_keep_news(feed->news, &news);
-	forget_named(feed, known);
+	forget_named(feed, known, revision);
 	set_names_one(feed, known, false);
 	g_hash_table_remove(feed->known, key);
 }
 
+static void tell_fault(struct rr_context *ctx, struct rr_feed_known *known,
+		       const struct rr_feed_item *item)
+{
+	rr_count(ctx, RR_N_ENTRIES_UNREADABLE, 1);
+	/* Written again and again, it is told once. */
+	if (known->fault != item->fault)
+		rr_log(ctx, RR_LOG_ERROR, "item-unreadable",
+		       RR_FIELD_STRING("key", item->key),
+		       RR_FIELD_STRING("reason", item->fault),
+		       RR_FIELD_U64("revision", item->revision));
+	known->fault = item->fault;
+}
+
 /*
  * A value that is none of its kind names nobody.  Guards against entries that
  * others write: what its key named before is not known to be there any more.
@@ -93,22 +109,33 @@
 			struct rr_feed_known *known,
 			const struct rr_feed_item *item)
 {
-	rr_count(ctx, RR_N_ENTRIES_UNREADABLE, 1);
 	if (known->names_one)
-		forget_named(feed, known);
+		forget_named(feed, known, item->revision);
 	set_names_one(feed, known, false);
-	/* Written again and again, it is told once. */
-	if (known->fault != item->fault)
-		rr_log(ctx, RR_LOG_ERROR, "item-unreadable",
-		       RR_FIELD_STRING("key", item->key),
-		       RR_FIELD_STRING("reason", item->fault),
-		       RR_FIELD_U64("revision", item->revision));
-	known->fault = item->fault;
+	tell_fault(ctx, known, item);
+}
+
+/*
+ * Only operators write these keys: one whose value cannot be read still asks
+ * for the evacuation.
+ */
+static void learn_evacuation(struct rr_context *ctx, struct rr_feed *feed,
+			     struct rr_feed_known *known,
+			     const struct rr_feed_item *item)
+{
+	if (item->fault)
+		tell_fault(ctx, known, item);
+	feed->actions.evacuation(feed->actions.data, item->id, item->revision,
+				 true);
 }
 
 static void learn(struct rr_context *ctx, struct rr_feed *feed,
 		  struct rr_feed_known *known, const struct rr_feed_item *item)
 {
+	if (item->kind == RR_FEED_EVACUATION) {
+		learn_evacuation(ctx, feed, known, item);
+		return;
+	}
 #ifndef RR_MUTANT_FEED_KEEPS_UNREADABLE
 	if (item->fault) {
 		learn_fault(ctx, feed, known, item);
@@ -130,6 +157,7 @@
 		feed->actions.instance(feed->actions.data, item->id,
 				       item->instance);
 		break;
+	case RR_FEED_EVACUATION:
 	case RR_FEED_OTHER:
 		break;
 	}
--- a/source/core/gate-admit.c
+++ b/source/core/gate-admit.c
@@ -33,20 +33,24 @@
 			       const struct rr_gate_run *run)
 {
 	size_t reachable = 0;
+	size_t evacuated = 0;
 	size_t overrun = 0;
 
 	for (size_t i = 0; i < run->n_parts; i++) {
 		const struct rr_gate_service *service = run->parts[i].service;
 
-		if (!rr_service_reachable(gate, service))
+		if (!rr_service_reachable(gate, service)) {
+			evacuated += rr_is_service_evacuated(service);
 			continue;
+		}
 		reachable++;
 		if (gate->policy.admit_by_wait &&
 		    is_overrun(gate, run, service))
 			overrun++;
 	}
 	if (reachable < run->least)
-		return RR_NO_REPLICA;
+		return reachable + evacuated < run->least ? RR_NO_REPLICA :
+							    RR_EVACUATED;
 	return reachable - overrun < run->least ? RR_NO_ROOM : RR_ADMITTED;
 }
 
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -199,6 +199,15 @@
 	note_part(gate, run, part, RR_TRAIL_NOT_SENT, reason);
 }
 
+static const char *name_choice(const struct rr_gate_part *part,
+			       enum rr_choice choice)
+{
+	if (choice == RR_CHOICE_FULL)
+		return "no-room";
+	return rr_is_service_evacuated(part->service) ? RR_ALL_EVACUATED :
+							"no-replica";
+}
+
 bool rr_try_part(struct rr_context *ctx, struct rr_gate *gate,
 		 struct rr_gate_run *run, size_t index, const char *why)
 {
@@ -219,9 +228,7 @@
 	if (choice == RR_CHOICE_FULL && !part->n_live)
 		wait_for_room(gate, run, index);
 	if (choice != RR_CHOSEN) {
-		note_refusal(gate, run, part,
-			     choice == RR_CHOICE_FULL ? "no-room" :
-							"no-replica");
+		note_refusal(gate, run, part, name_choice(part, choice));
 		return false;
 	}
 	if (extra)
@@ -243,20 +250,39 @@
 	rr_advance_run(ctx, gate, run);
 }
 
+/* False if nothing waits there. */
+static bool try_first_waiter(struct rr_context *ctx, struct rr_gate *gate,
+			     struct rr_gate_service *service)
+{
+	struct rr_gate_run *run;
+	struct rr_waiter waiter;
+
+	if (!rr_pop_waiter(&service->waiting, gate->now_us, service->typical_us,
+			   &waiter))
+		return false;
+	run = rr_find_run(gate, waiter.run);
+	if (run)
+		end_wait(ctx, gate, run, waiter.part);
+	return true;
+}
+
 void rr_pump_service(struct rr_context *ctx, struct rr_gate *gate,
 		     struct rr_gate_service *service)
 {
-	struct rr_waiter waiter;
 	guint n = service->waiting.waiters->len;
 
 	while (n-- && rr_service_has_room(gate, service) &&
-	       rr_pop_waiter(&service->waiting, gate->now_us,
-			     service->typical_us, &waiter)) {
-		struct rr_gate_run *run = rr_find_run(gate, waiter.run);
+	       try_first_waiter(ctx, gate, service))
+		;
+}
 
-		if (run)
-			end_wait(ctx, gate, run, waiter.part);
-	}
+void rr_flush_service(struct rr_context *ctx, struct rr_gate *gate,
+		      struct rr_gate_service *service)
+{
+	guint n = service->waiting.waiters->len;
+
+	while (n-- && try_first_waiter(ctx, gate, service))
+		;
 }
 
 void rr_fire_hedge(struct rr_context *ctx, struct rr_gate *gate, uint64_t id)
@@ -549,3 +575,21 @@
 	rr_free_attempt(attempt);
 	rr_pump_service(ctx, gate, service);
 }
+
+bool rr_redirect_unsent(struct rr_context *ctx, struct rr_gate *gate,
+			struct rr_gate_attempt *attempt, const char *reason)
+{
+	const struct rr_gate_reply unsent = { .attempt = attempt->id,
+					      .outcome = RR_GATE_UNSENT };
+	struct rr_gate_run *run = attempt->run;
+
+	if (!run || !gate->actions.recall(gate->actions.data, attempt->id))
+		return false;
+	note_attempt(gate, run, attempt, RR_TRAIL_WITHDRAWN, reason, 0);
+	end_attempt(gate, attempt);
+	uncount(run, &run->parts[attempt->part], attempt, &unsent,
+		gate->now_us);
+	take_reply(ctx, gate, run, attempt->part, &unsent);
+	rr_free_attempt(attempt);
+	return true;
+}
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -11,8 +11,9 @@
 
 enum tier {
 	TIER_GOOD,
-	TIER_AWAY,     /* an instance of another zone */
-	TIER_UNLISTED, /* its entry has just gone */
+	TIER_AWAY,	/* an instance of another zone */
+	TIER_HELD_BACK, /* its zone returns from an evacuation */
+	TIER_UNLISTED,	/* its entry has just gone */
 	N_TIERS,
 };
 
@@ -56,7 +57,8 @@
 		const struct rr_endpoint *other =
 			g_ptr_array_index(endpoints, i);
 
-		if (other != endpoint && !other->draining)
+		if (other != endpoint && !other->draining &&
+		    !other->zone->evacuation->in_force)
 			return false;
 	}
 	return true;
@@ -68,7 +70,8 @@
 #ifdef RR_MUTANT_GATE_DRAIN_IGNORED
 	return true;
 #endif
-	if (endpoint->draining || endpoint->zone->silent)
+	if (endpoint->draining || endpoint->zone->silent ||
+	    endpoint->zone->evacuation->in_force)
 		return false;
 	if (!gate->policy.choose_avoids_suspects ||
 	    !rr_is_suspected(&endpoint->track, gate->now_us))
@@ -94,10 +97,13 @@
 	return false;
 }
 
-static enum tier tier_of(const struct rr_endpoint *endpoint)
+static enum tier tier_of(struct rr_context *ctx, const struct rr_gate *gate,
+			 const struct rr_endpoint *endpoint)
 {
 	if (!endpoint->listed)
 		return TIER_UNLISTED;
+	if (rr_is_held_back(ctx, gate, endpoint))
+		return TIER_HELD_BACK;
 	return endpoint->away ? TIER_AWAY : TIER_GOOD;
 }
 
@@ -121,7 +127,7 @@
 	if (policy->choose_by_slowness)
 		wait_us *= rr_track_slowness(&endpoint->track, gate->now_us);
 	wait_us *= 1 + policy->choose_busy_weight * endpoint->live.length;
-	if (endpoint->cold_until_us > gate->now_us)
+	if (rr_is_cold(gate, endpoint))
 		wait_us *= policy->choose_cold_factor;
 	wait_us += losses * (policy->choose_loss_price * wait_us +
 			     policy->choose_loss_part * reckoning->left_us);
@@ -253,7 +259,7 @@
 			full = true;
 			continue;
 		}
-		tier = tier_of(endpoint);
+		tier = tier_of(ctx, gate, endpoint);
 		if (tier > best)
 			continue;
 		if (tier < best)
--- /dev/null
+++ b/source/core/gate-evacuate.c
@@ -0,0 +1,176 @@
+/*
+ * gate-evacuate.c - replicas of zones that the operators have evacuated, and of
+ * zones that they have just taken back.
+ *
+ * The rule for attempts: what a replica has begins and ends there, what has not
+ * left goes elsewhere.
+ */
+#include "core/gate-private.h"
+
+struct rr_evacuation *rr_evacuation_of(struct rr_gate *gate, const char *zone)
+{
+	struct rr_evacuation *evacuation =
+		g_hash_table_lookup(gate->evacuations, zone);
+
+	if (evacuation)
+		return evacuation;
+	evacuation = g_new0(struct rr_evacuation, 1);
+	g_hash_table_insert(gate->evacuations, g_strdup(zone), evacuation);
+	return evacuation;
+}
+
+bool rr_is_service_evacuated(const struct rr_gate_service *service)
+{
+	bool any = false;
+
+	for (guint i = 0; i < service->endpoints->len; i++) {
+		const struct rr_endpoint *endpoint =
+			g_ptr_array_index(service->endpoints, i);
+
+		if (endpoint->draining)
+			continue;
+		if (!endpoint->zone->evacuation->in_force)
+			return false;
+		any = true;
+	}
+	return any;
+}
+
+/* For how long a replica of a service is cold, as far as that is told. */
+static int64_t cold_us(const struct rr_gate *gate,
+		       const struct rr_gate_service *service)
+{
+	const struct rr_route_service *told =
+		gate->table ? rr_find_route_service(gate->table, service->name) :
+			      NULL;
+
+	return told && told->cold_ms ? (int64_t)told->cold_ms * 1000 :
+				       gate->policy.return_cold_us;
+}
+
+bool rr_is_held_back(struct rr_context *ctx, const struct rr_gate *gate,
+		     const struct rr_endpoint *endpoint)
+{
+	const struct rr_evacuation *evacuation = endpoint->zone->evacuation;
+
+	if (!evacuation->returning)
+		return false;
+	return rr_random_unit(ctx) >=
+	       rr_evacuation_share(evacuation, gate->now_us,
+				   cold_us(gate, endpoint->service));
+}
+
+bool rr_is_cold(const struct rr_gate *gate, const struct rr_endpoint *endpoint)
+{
+	if (endpoint->cold_until_us > gate->now_us)
+		return true;
+	return endpoint->zone->evacuation->returning &&
+	       rr_evacuation_left_cold(endpoint->zone->evacuation, gate->now_us,
+				       cold_us(gate, endpoint->service));
+}
+
+/*
+ * Ids of the attempts under way in a zone: an attempt's end may end others, so
+ * that none may be held on to.
+ */
+static GArray *list_attempts(const struct rr_gate *gate, const char *zone)
+{
+	GArray *ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gate->attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rr_gate_attempt *attempt = value;
+
+		if (!g_strcmp0(attempt->endpoint->zone->name, zone))
+			g_array_append_val(ids, attempt->id);
+	}
+	return ids;
+}
+
+/*
+ * Guards against attempts that wait for a connection, and would be sent after
+ * the zone was to get nothing more.  Returns how many are left to end there.
+ */
+static guint redirect_unsent(struct rr_context *ctx, struct rr_gate *gate,
+			     const char *zone)
+{
+	GArray *ids = list_attempts(gate, zone);
+	guint left = 0;
+
+	for (guint i = 0; i < ids->len; i++) {
+		struct rr_gate_attempt *attempt = g_hash_table_lookup(
+			gate->attempts, &g_array_index(ids, uint64_t, i));
+
+		if (attempt &&
+		    !rr_redirect_unsent(ctx, gate, attempt, RR_ALL_EVACUATED))
+			left++;
+	}
+	g_array_unref(ids);
+	return left;
+}
+
+/* Replicas of a zone, in the list or of late. */
+static guint count_endpoints(const struct rr_gate *gate, const char *zone)
+{
+	GHashTableIter iter;
+	gpointer value;
+	guint n = 0;
+
+	g_hash_table_iter_init(&iter, gate->endpoints);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rr_endpoint *endpoint = value;
+
+		n += !g_strcmp0(endpoint->zone->name, zone);
+	}
+	return n;
+}
+
+/* Parts that wait are tried anew: elsewhere, or where there is room again. */
+static void flush_services(struct rr_context *ctx, struct rr_gate *gate)
+{
+	GList *services = g_hash_table_get_values(gate->services);
+
+	for (GList *l = services; l; l = l->next)
+		rr_flush_service(ctx, gate, l->data);
+	g_list_free(services);
+}
+
+static uint64_t count_evacuated(const struct rr_gate *gate)
+{
+	GHashTableIter iter;
+	gpointer value;
+	uint64_t n = 0;
+
+	g_hash_table_iter_init(&iter, gate->evacuations);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		n += ((const struct rr_evacuation *)value)->in_force;
+	return n;
+}
+
+void rr_gate_evacuate(struct rr_context *ctx, struct rr_gate *gate,
+		      int64_t now_us, const char *zone, uint64_t revision,
+		      bool in_force)
+{
+	guint left = 0;
+
+	gate->now_us = now_us;
+	if (!rr_take_evacuation(rr_evacuation_of(gate, zone), now_us, revision,
+				in_force))
+		return;
+#ifdef RR_MUTANT_GATE_SENDS_AFTER_EVACUATION
+	return;
+#endif
+	if (in_force)
+		left = redirect_unsent(ctx, gate, zone);
+	flush_services(ctx, gate);
+	rr_judge_isolation(ctx, gate);
+	rr_set_gauge(ctx, RR_G_ZONES_EVACUATED, count_evacuated(gate));
+	rr_log(ctx, RR_LOG_WARNING,
+	       in_force ? "zone-evacuated" : "zone-taken-back",
+	       RR_FIELD_STRING("zone", zone),
+	       RR_FIELD_U64("revision", revision),
+	       RR_FIELD_U64("endpoints", count_endpoints(gate, zone)),
+	       RR_FIELD_U64("in_flight", left));
+}
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -8,6 +8,7 @@
 
 #include "core/allowance.h"
 #include "core/budget.h"
+#include "core/evacuation.h"
 #include "core/limit.h"
 #include "core/timer.h"
 #include "core/track.h"
@@ -30,7 +31,8 @@
 struct rr_gate_zone {
 	uint64_t number; /* names it in timers */
 	char *name;
-	bool near; /* this instance's own */
+	bool near;			  /* this instance's own */
+	struct rr_evacuation *evacuation; /* the gate's */
 	struct rr_track track;
 	uint32_t n_live;     /* attempts under way there */
 	uint32_t unanswered; /* given up since the last sign of life */
@@ -182,8 +184,9 @@
 	uint32_t list_untold;
 	struct rr_timers *timers;
 	uint64_t next_id;
-	GHashTable *services; /* name -> struct rr_gate_service */
-	GPtrArray *zones;     /* struct rr_gate_zone */
+	GHashTable *services;	 /* name -> struct rr_gate_service */
+	GPtrArray *zones;	 /* struct rr_gate_zone */
+	GHashTable *evacuations; /* zone's name -> struct rr_evacuation */
 	bool isolated; /* cut off from the other zones, see gate-zone.c */
 	GHashTable *endpoints; /* id -> struct rr_endpoint, listed or of late */
 	GHashTable *lifetimes; /* name -> struct rr_endpoint, the same ones */
@@ -261,6 +264,22 @@
 /* Look anew at whether this instance is cut off. */
 void rr_judge_isolation(struct rr_context *ctx, struct rr_gate *gate);
 
+/* gate-evacuate.c */
+/* Why a part was not sent: only evacuated zones have replicas of it. */
+#define RR_ALL_EVACUATED "evacuated"
+/* What is known of a zone's evacuation, whether it has replicas or not. */
+struct rr_evacuation *rr_evacuation_of(struct rr_gate *gate, const char *zone);
+/* Whether every replica of a service that could take work is evacuated. */
+bool rr_is_service_evacuated(const struct rr_gate_service *service);
+/*
+ * Whether a replica is left out of this choice, as its zone was taken back a
+ * moment ago and gets only a part of its work.
+ */
+bool rr_is_held_back(struct rr_context *ctx, const struct rr_gate *gate,
+		     const struct rr_endpoint *endpoint);
+/* Whether it may be cold: by its entry, or as its zone was evacuated. */
+bool rr_is_cold(const struct rr_gate *gate, const struct rr_endpoint *endpoint);
+
 /* gate-peer.c */
 /*
  * The status that tells another instance that its search has not run and
@@ -327,11 +346,21 @@
 /* Try parts that wait for room at a service. */
 void rr_pump_service(struct rr_context *ctx, struct rr_gate *gate,
 		     struct rr_gate_service *service);
+/* Try all that wait there once more; what can go nowhere is given up. */
+void rr_flush_service(struct rr_context *ctx, struct rr_gate *gate,
+		      struct rr_gate_service *service);
+/*
+ * Take an attempt back if none of its bytes has left, and send its part
+ * elsewhere; false if it is on its way.
+ */
+bool rr_redirect_unsent(struct rr_context *ctx, struct rr_gate *gate,
+			struct rr_gate_attempt *attempt, const char *reason);
 
 /* gate-admit.c */
 enum rr_admission {
 	RR_ADMITTED,
 	RR_NO_REPLICA, /* too few of its services have one that answers */
+	RR_EVACUATED,  /* they would, but for zones that are evacuated */
 	RR_NO_ROOM,    /* they answer, but more comes than they can do */
 };
 
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -316,6 +316,18 @@
 	rr_init_top_records(&run->top, route->top_k);
 }
 
+static const char *name_admission(enum rr_admission admission)
+{
+	switch (admission) {
+	case RR_NO_ROOM:
+		return "overrun";
+	case RR_EVACUATED:
+		return RR_ALL_EVACUATED;
+	default:
+		return "no-replica";
+	}
+}
+
 /* Send each part for the first time, or give it up. */
 static void start_parts(struct rr_context *ctx, struct rr_gate *gate,
 			struct rr_gate_run *run)
@@ -325,8 +337,7 @@
 
 	if (admission != RR_ADMITTED && !run->n_run) {
 		rr_count(ctx, RR_N_REFUSED_EARLY, 1);
-		refuse_run(ctx, gate, run, no_room ? "overrun" : "no-replica",
-			   no_room);
+		refuse_run(ctx, gate, run, name_admission(admission), no_room);
 		return;
 	}
 	rr_earn_extras(gate, run);
--- a/source/core/gate-tell.c
+++ b/source/core/gate-tell.c
@@ -10,6 +10,7 @@
 /* Parts without an answer, by why. */
 struct lacks {
 	size_t waiting;	   /* no replica had room */
+	size_t evacuated;  /* it has replicas in evacuated zones only */
 	size_t no_replica; /* none could be asked */
 	size_t no_extra;   /* one was slow, and no extra attempt was left */
 	size_t one_asked;  /* one was slow, and it was too soon or no other */
@@ -20,6 +21,9 @@
 {
 	if (part->waiting)
 		lacks->waiting++;
+	else if (!part->n_tried &&
+		 !g_strcmp0(part->refused_for, RR_ALL_EVACUATED))
+		lacks->evacuated++;
 	else if (!part->n_tried)
 		lacks->no_replica++;
 	else if (part->n_tried > 1)
@@ -82,6 +86,7 @@
 	       RR_FIELD_BOOL("handed", run->handed),
 	       RR_FIELD_I64("last_part_us", since_start_us(run, run->part_us)),
 	       RR_FIELD_U64("lacks_waiting", lacks.waiting),
+	       RR_FIELD_U64("lacks_evacuated", lacks.evacuated),
 	       RR_FIELD_U64("lacks_no_replica", lacks.no_replica),
 	       RR_FIELD_U64("lacks_no_extra", lacks.no_extra),
 	       RR_FIELD_U64("lacks_one_asked", lacks.one_asked),
--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -24,6 +24,7 @@
 	zone->name = g_strdup(name);
 	zone->near = !g_strcmp0(name, gate->zone) ||
 		     !strcmp(name, RR_STRONG_SERVICE);
+	zone->evacuation = rr_evacuation_of(gate, name);
 	rr_init_track(&zone->track);
 	g_ptr_array_add(gate->zones, zone);
 	return zone;
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -46,6 +46,8 @@
 	gate->list_budget.per_s = LIST_LINES_PER_S;
 	gate->timers = rr_new_timers();
 	gate->zones = g_ptr_array_new_with_free_func(rr_free_gate_zone);
+	gate->evacuations =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       rr_free_gate_service);
 	gate->endpoints = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -74,6 +76,7 @@
 	g_hash_table_unref(gate->born);
 	g_hash_table_unref(gate->services);
 	g_ptr_array_unref(gate->zones);
+	g_hash_table_unref(gate->evacuations);
 	g_hash_table_unref(gate->records);
 	g_hash_table_unref(gate->peers);
 	rr_drop_route_table(gate->table);
--- a/source/gateway/gateway-store.c
+++ b/source/gateway/gateway-store.c
@@ -125,6 +125,15 @@
 	rr_gate_set_instances(gateway->ctx, gateway->gate, instances);
 }
 
+static void take_evacuation(void *data, const char *zone, uint64_t revision,
+			    bool in_force)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_gate_evacuate(gateway->ctx, gateway->gate, rr_gateway_now_us(), zone,
+			 revision, in_force);
+}
+
 struct rr_feed_actions rr_gateway_feed_actions(struct rr_gateway *gateway)
 {
 	return (struct rr_feed_actions){
@@ -135,6 +144,7 @@
 		.unlisted = take_unlisted,
 		.instances = take_instances,
 		.instance = take_instance,
+		.evacuation = take_evacuation,
 		.data = gateway,
 	};
 }
--- a/source/tool/explain-print.c
+++ b/source/tool/explain-print.c
@@ -94,6 +94,8 @@
 		return "no replica of it had room";
 	if (rr_line_is(last, "not-sent") && !strcmp(reason, "no-replica"))
 		return "all its replicas were asked already or seem gone";
+	if (rr_line_is(last, "not-sent") && !strcmp(reason, "evacuated"))
+		return "its replicas are in evacuated zones only";
 	if (rr_line_is(last, "not-sent") && !strcmp(reason, "no-extra-left"))
 		return "the budget of extra attempts was spent";
 	if (rr_line_is(last, "reply") && !strcmp(reason, "refused"))
@@ -113,6 +115,7 @@
 		const char *words;
 	} lacks[] = {
 		{ "lacks_waiting", "had no replica with room" },
+		{ "lacks_evacuated", "had replicas in evacuated zones only" },
 		{ "lacks_no_replica", "had no replica to ask" },
 		{ "lacks_no_extra", "had one slow replica and no extra attempt "
 				    "left" },
@@ -161,6 +164,9 @@
 	if (!strcmp(reason, "no-replica"))
 		return "too few of the services it needs had a replica that "
 		       "answered";
+	if (!strcmp(reason, "evacuated"))
+		return "too few of the services it needs have a replica "
+		       "outside the zones that the operators evacuated";
 	if (!strcmp(reason, "overrun"))
 		return "more work came than the replicas can do in time";
 	if (!strcmp(reason, "refused-there"))
--- a/source/tool/explain.c
+++ b/source/tool/explain.c
@@ -36,6 +36,8 @@
 		"held-up",
 		"zone-silent",
 		"zone-heard",
+		"zone-evacuated",
+		"zone-taken-back",
 		"cut-off",
 		"not-cut-off",
 		"store-lost",
--- a/tests/support/feed-scene.c
+++ b/tests/support/feed-scene.c
@@ -105,6 +105,16 @@
 			       id);
 }
 
+static void note_evacuation(void *data, const char *zone, uint64_t revision,
+			    bool in_force)
+{
+	struct feed_scene *scene = data;
+
+	g_string_append_printf(scene->news, "%s %s %u ",
+			       in_force ? "evacuate" : "take-back", zone,
+			       (unsigned)revision);
+}
+
 static struct feed_scene *make_scene(const char *const *seeds, double strength)
 {
 	struct feed_scene *scene = g_new0(struct feed_scene, 1);
@@ -117,6 +127,7 @@
 			.unlisted = note_unlisted,
 			.instances = note_instances,
 			.instance = note_instance,
+			.evacuation = note_evacuation,
 			.data = scene,
 		},
 		.self = { .id = (char *)"inst0",
@@ -246,6 +257,9 @@
 		item->id = g_strdup(what);
 		if (!item->removed && !item->fault)
 			item->instance = make_instance(what);
+	} else if (g_str_has_prefix(what, "evacuate/")) {
+		item->kind = RR_FEED_EVACUATION;
+		item->id = g_strdup(what + strlen("evacuate/"));
 	} else if (!g_str_has_prefix(what, "other")) {
 		item->kind = RR_FEED_REPLICA;
 		item->id = g_strdup(what);
--- a/tests/test-explain.c
+++ b/tests/test-explain.c
@@ -79,6 +79,14 @@
 	"version_age_us=13349703 status=503 reason=refused-there parts=1 "
 	"missing=1 may_have_run=0 late=false objective_us=69600 end_us=428000 "
 	"retry_after_ms=90 steps_left_out=0\n"
+	/* All replicas that it needs are in zones that are evacuated. */
+	"time=2026-09-12T06:37:18.910500Z level=warning event=zone-evacuated "
+	"zone=athi revision=412 endpoints=93 in_flight=0\n"
+	"time=2026-09-12T06:37:18.911000Z level=info event=answered "
+	"request=empty1 instance=front-3 after_us=90 route=r version=22 "
+	"version_age_us=13349703 status=503 reason=evacuated parts=3 "
+	"missing=3 may_have_run=0 late=false objective_us=69600 end_us=428000 "
+	"retry_after_ms=90 steps_left_out=0\n"
 	/* Only its steps: the end was cut off. */
 	"time=2026-09-12T06:37:19.000000Z level=info event=sent request=cut1 "
 	"after_us=0 attempt=9 service=s1 endpoint=i-1 reason=first\n"
@@ -106,6 +114,20 @@
 	test_drop_run(run);
 }
 
+/* Guards against a refusal for evacuated zones that names no cause. */
+static void test_all_its_replicas_were_evacuated(void **state)
+{
+	static const char *const words[] = {
+		"outside the zones that the operators evacuated",
+		"zone-evacuated",
+		"athi",
+		NULL,
+	};
+
+	(void)state;
+	assert_tells("empty1", words);
+}
+
 /*
  * Story: a search of 180 shards comes late.  Its steps would fill the log, so
  * its last line counts why its parts lacked.
@@ -219,6 +241,7 @@
 		cmocka_unit_test(test_cut_logs),
 		cmocka_unit_test(test_no_such_request),
 		cmocka_unit_test(test_a_wide_search),
+		cmocka_unit_test(test_all_its_replicas_were_evacuated),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test-feed.c
+++ b/tests/test-feed.c
@@ -11,6 +11,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "ragwort/counters.h"
 #include "support/feed-scene.h"
 
 static void test_first_reading(void **state)
@@ -234,6 +235,59 @@
 	feed_drop_scene(scene);
 }
 
+/* Guards against an evacuation that is lost with the store or told twice. */
+static void test_evacuations(void **state)
+{
+	struct feed_scene *scene = feed_settled_scene();
+	GArray *news;
+	uint64_t revision;
+
+	(void)state;
+	feed_answer_ok(scene, RR_FEED_WATCH, "evacuate/z1@21", 21);
+	feed_assert_news(scene, "evacuate z1 21 ");
+	/* For those who ask this instance. */
+	news = rr_feed_changes(scene->feed, 20, &revision);
+	assert_int_equal(news->len, 1);
+	g_array_unref(news);
+	feed_pass(scene, 2000 * MS);
+	feed_answer(scene, feed_find_call(scene, RR_FEED_WATCH), RR_FEED_FAILED,
+		    NULL, 0, false);
+	feed_pass(scene, 5000 * MS);
+	feed_assert_news(scene, "");
+	feed_answer_ok(scene, RR_FEED_WATCH, "-evacuate/z1@30", 30);
+	feed_assert_news(scene, "take-back z1 30 ");
+	feed_drop_scene(scene);
+}
+
+/* Guards against an operator's request that is dropped for its value. */
+static void test_an_evacuation_whose_value_cannot_be_read(void **state)
+{
+	struct feed_scene *scene = feed_settled_scene();
+
+	(void)state;
+	feed_answer_ok(scene, RR_FEED_WATCH, "?evacuate/z1@21", 21);
+	feed_assert_news(scene, "evacuate z1 21 ");
+	assert_int_equal(rr_counter_value(scene->ctx, RR_N_ENTRIES_UNREADABLE),
+			 1);
+	feed_drop_scene(scene);
+}
+
+/* Guards against an evacuation that ended where no change is told of it. */
+static void test_an_evacuation_that_is_not_in_the_range(void **state)
+{
+	struct feed_scene *scene = feed_settled_scene();
+
+	(void)state;
+	feed_answer_ok(scene, RR_FEED_WATCH, "evacuate/z1@21", 21);
+	feed_pass(scene, 2000 * MS);
+	feed_answer(scene, feed_find_call(scene, RR_FEED_WATCH),
+		    RR_FEED_FORGOTTEN, NULL, 0, false);
+	feed_answer_ok(scene, RR_FEED_RANGE, "routes3@10 r1@11 r2@12 inst1@13",
+		       40);
+	assert_non_null(strstr(scene->news->str, "take-back z1 40 "));
+	feed_drop_scene(scene);
+}
+
 /* Nothing new for minutes: a long watch each time, nothing else is read. */
 static void test_quiet_minutes(void **state)
 {
@@ -449,6 +503,9 @@
 		cmocka_unit_test(test_bursts_are_merged),
 		cmocka_unit_test(test_many_instances_merge_more),
 		cmocka_unit_test(test_backlog_is_read_without_pauses),
+		cmocka_unit_test(test_evacuations),
+		cmocka_unit_test(test_an_evacuation_whose_value_cannot_be_read),
+		cmocka_unit_test(test_an_evacuation_that_is_not_in_the_range),
 		cmocka_unit_test(test_quiet_minutes),
 		cmocka_unit_test(test_forgotten_history),
 		cmocka_unit_test(test_range_breaks_off),
--- a/tests/test-process-gateway.c
+++ b/tests/test-process-gateway.c
@@ -26,7 +26,8 @@
 	struct test_store store;
 	struct test_server replicas[SHARDS];
 	int runs;
-	bool hold; /* replicas keep their requests */
+	bool hold;  /* replicas keep their requests */
+	bool apart; /* each shard's replica is in a zone of its own */
 	char *caller_address;
 	char *ready_address;
 	char *start_file;
@@ -82,18 +83,21 @@
 {
 	char *id = g_strdup_printf("i-%d", i);
 	char *service = g_strdup_printf("s%d", i);
+	char *zone = g_strdup_printf("z%d", i);
 	char *address =
 		g_strdup_printf("127.0.0.1:%u", world->replicas[i].port);
 	struct test_entry entry = {
 		.id = id,
 		.service = service,
 		.address = address,
+		.zone = world->apart ? zone : NULL,
 		.slots = 2,
 		.draining = draining,
 		.born_ms = born_ms,
 	};
 
 	test_store_list(&world->store, &entry);
+	g_free(zone);
 	g_free(address);
 	g_free(service);
 	g_free(id);
@@ -268,6 +272,73 @@
 	raw_drop(caller);
 }
 
+/* Three zones with a shard each, known to the gateway. */
+static void place_apart(struct world *world)
+{
+	world->apart = true;
+	for (int i = 0; i < SHARDS; i++)
+		list_replica(world, i, 0, false);
+	wait_until_followed(world);
+}
+
+/* One search that lacks a shard, and only that. */
+static void expect_one_lacks(struct world *world)
+{
+	struct raw_peer *caller;
+
+	world->runs = 0;
+	caller = ask(world, "GET /all/x");
+	raw_expect(caller, "Missing-Parts: 1\r\n");
+	assert_int_equal(world->runs, 2);
+	raw_drop(caller);
+}
+
+/* Guards against an evacuation that is forgotten with the store or a start. */
+static void test_an_evacuated_zone_gets_nothing(void **state)
+{
+	struct world *world = *state;
+	struct raw_peer *caller;
+
+	place_apart(world);
+	test_store_put(&world->store, "op/evacuate/z2", "{}");
+	wait_until_followed(world);
+	expect_one_lacks(world);
+	test_store_set_state(&world->store, TEST_STORE_RESET);
+	expect_one_lacks(world);
+	test_store_set_state(&world->store, TEST_STORE_UP);
+	test_signal_process(world->gateway, SIGKILL);
+	test_wait_process(world->gateway);
+	test_drop_process(world->gateway);
+	test_remove_file(world->start_file);
+	start_gateway(world);
+	expect_one_lacks(world);
+	test_store_remove(&world->store, "op/evacuate/z2");
+	wait_until_followed(world);
+	world->runs = 0;
+	caller = ask(world, "GET /all/x");
+	raw_expect(caller, "cccccccccccccccc");
+	assert_int_equal(world->runs, SHARDS);
+	raw_drop(caller);
+}
+
+/* Guards against callers who wait though nothing may be sent anywhere. */
+static void test_all_zones_evacuated(void **state)
+{
+	struct world *world = *state;
+	struct raw_peer *caller;
+
+	place_apart(world);
+	test_store_put(&world->store, "op/evacuate/z0", "{}");
+	test_store_put(&world->store, "op/evacuate/z1", "no object");
+	test_store_put(&world->store, "op/evacuate/z2", "{}");
+	wait_until_followed(world);
+	caller = ask(world, "GET /all/x");
+	raw_expect(caller, "HTTP/1.1 503 ");
+	raw_expect(caller, "Retry-After: ");
+	raw_drop(caller);
+	assert_int_equal(world->runs, 0);
+}
+
 static bool is_ready(struct world *world)
 {
 	struct raw_peer *asker = raw_connect(world->ready_address);
@@ -328,6 +399,10 @@
 		cmocka_unit_test_setup_teardown(
 			test_reborn_replica_beside_odd_entries, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_an_evacuated_zone_gets_nothing, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_all_zones_evacuated,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_stop_cuts_nobody_off,
 						set_up, tear_down),
 	};
