gate: cold replicas get what their service says they bear, from all together

Cause: nothing bounded what a cold replica gets in a second from all instances; coldPerS is 0 on the deployments at hand, and binds elsewhere.

Change: cold-share.c: by rendezvous hashing over the known instances a few own a cold replica's requests, shares differ by one, any 1.1 s holds one share; one that is in no list, or began less than a second ago, sends none. Replicas of a zone that was taken back count as cold for coldStartS. What they may not get goes elsewhere or is refused at once ('cold'). New settings cold_overage, cold_slack, evacuation_bound_ms, filled where the platform has them.

Unchanged where no bound is told.

--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -161,6 +161,12 @@
 	double extra_ratio;
 	double extra_slack;
 	uint32_t extra_window_ms;
+	/*
+	 * Requests that a cold replica may get from all instances together in
+	 * any second: what its service bears, times this, and so many more.
+	 */
+	double cold_overage;
+	double cold_slack;
 	int64_t began_us; /* when this process began */
 	double strength;  /* this instance's share of a processor */
 	const struct rr_gate_policy *policy; /* copied; NULL: the default */
--- a/include/ragwort/settings.h
+++ b/include/ragwort/settings.h
@@ -98,6 +98,11 @@
 	uint32_t news_bound_ms;
 	double extra_share; /* of requests, that a service gets on top */
 	double extra_slack; /* and so many more in a window */
+	/* Of what a cold replica bears in a second, and so many more. */
+	double cold_overage;
+	double cold_slack;
+	/* Longest time until an evacuation is known; 0: as any change. */
+	uint32_t evacuation_bound_ms;
 	uint32_t extra_window_ms;
 	uint32_t stop_timeout_ms;
 	uint32_t max_connections; /* of callers at once */
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -126,6 +126,7 @@
 	attempt->run_link.data = attempt;
 	g_hash_table_insert(gate->attempts, &attempt->id, attempt);
 	rr_note_begun(gate, endpoint);
+	rr_note_cold_sent(gate, endpoint);
 	g_queue_push_tail_link(&endpoint->live, &attempt->endpoint_link);
 	g_queue_push_tail_link(&run->live, &attempt->run_link);
 	part->tried[part->n_tried++] = endpoint->number;
@@ -204,6 +205,8 @@
 {
 	if (choice == RR_CHOICE_FULL)
 		return "no-room";
+	if (choice == RR_CHOICE_COLD)
+		return "cold";
 	return rr_is_service_evacuated(part->service) ? RR_ALL_EVACUATED :
 							"no-replica";
 }
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -247,6 +247,7 @@
 	GPtrArray *candidates = g_ptr_array_new();
 	enum tier best = N_TIERS;
 	bool full = false;
+	bool cold = false;
 
 	for (guint i = 0; i < service->endpoints->len; i++) {
 		struct rr_endpoint *endpoint =
@@ -259,6 +260,10 @@
 			full = true;
 			continue;
 		}
+		if (!rr_cold_takes_more(gate, endpoint)) {
+			cold = true;
+			continue;
+		}
 		tier = tier_of(ctx, gate, endpoint);
 		if (tier > best)
 			continue;
@@ -272,5 +277,7 @@
 	g_ptr_array_unref(candidates);
 	if (*chosen)
 		return RR_CHOSEN;
-	return full ? RR_CHOICE_FULL : RR_CHOICE_NONE;
+	if (full)
+		return RR_CHOICE_FULL;
+	return cold ? RR_CHOICE_COLD : RR_CHOICE_NONE;
 }
--- a/source/core/gate-evacuate.c
+++ b/source/core/gate-evacuate.c
@@ -36,18 +36,6 @@
 	return any;
 }
 
-/* For how long a replica of a service is cold, as far as that is told. */
-static int64_t cold_us(const struct rr_gate *gate,
-		       const struct rr_gate_service *service)
-{
-	const struct rr_route_service *told =
-		gate->table ? rr_find_route_service(gate->table, service->name) :
-			      NULL;
-
-	return told && told->cold_ms ? (int64_t)told->cold_ms * 1000 :
-				       gate->policy.return_cold_us;
-}
-
 bool rr_is_held_back(struct rr_context *ctx, const struct rr_gate *gate,
 		     const struct rr_endpoint *endpoint)
 {
@@ -57,16 +45,7 @@
 		return false;
 	return rr_random_unit(ctx) >=
 	       rr_evacuation_share(evacuation, gate->now_us,
-				   cold_us(gate, endpoint->service));
-}
-
-bool rr_is_cold(const struct rr_gate *gate, const struct rr_endpoint *endpoint)
-{
-	if (endpoint->cold_until_us > gate->now_us)
-		return true;
-	return endpoint->zone->evacuation->returning &&
-	       rr_evacuation_left_cold(endpoint->zone->evacuation, gate->now_us,
-				       cold_us(gate, endpoint->service));
+				   rr_cold_us(gate, endpoint->service));
 }
 
 /*
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -22,6 +22,7 @@
 	g_free(endpoint->id);
 	g_free(endpoint->lifetime);
 	g_free(endpoint->address);
+	g_free(endpoint->cold);
 	g_free(endpoint);
 }
 
--- a/source/core/gate-peer.c
+++ b/source/core/gate-peer.c
@@ -68,10 +68,11 @@
 
 	g_hash_table_iter_init(&iter, gate->peers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct rr_gate_peer *peer = value;
+		struct rr_gate_peer *peer = value;
 
-		if (!is_weak(gate, strongest, peer->zone, peer->strength))
-			n++;
+		peer->holds =
+			!is_weak(gate, strongest, peer->zone, peer->strength);
+		n += peer->holds;
 	}
 	gate->n_holders = n;
 }
@@ -143,6 +144,7 @@
 	if (!gate->peers_changed)
 		return;
 	gate->peers_changed = false;
+	gate->peers_version++;
 	strongest = find_strongest(gate);
 	count_holders(gate, strongest);
 	judge_weakness(ctx, gate, strongest);
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -8,6 +8,7 @@
 
 #include "core/allowance.h"
 #include "core/budget.h"
+#include "core/cold-share.h"
 #include "core/evacuation.h"
 #include "core/limit.h"
 #include "core/timer.h"
@@ -46,6 +47,14 @@
 	int64_t heard_us;
 };
 
+/* What this instance sends a replica while that is cold. */
+struct rr_cold_sending {
+	uint64_t peers_version; /* of the share */
+	double bound;
+	uint32_t share;
+	struct rr_cold_window window;
+};
+
 /* One lifetime of a replica. */
 struct rr_endpoint {
 	int refs;
@@ -66,6 +75,7 @@
 	struct rr_track track;
 	struct rr_limit limit; /* of open attempts, in usual times */
 	GQueue live;	       /* struct rr_gate_attempt, the oldest first */
+	struct rr_cold_sending *cold; /* NULL: it was not sent to while cold */
 };
 
 /* What replicas and routes of one service share. */
@@ -155,6 +165,7 @@
 	char *zone;
 	double strength;
 	bool listed; /* among those that searches are handed to */
+	bool holds;  /* connections to replicas of searches */
 	char *address;
 	int64_t born_ms;
 };
@@ -168,13 +179,16 @@
 	double extra_ratio;
 	double extra_slack;
 	int64_t extra_window_us;
+	double cold_overage;
+	double cold_slack;
 	int64_t began_us;
 	uint32_t instances;
 	double strength;
-	GHashTable *peers;  /* id -> struct rr_gate_peer */
-	bool peers_changed; /* what follows from them is to be found anew */
-	uint32_t n_holders; /* instances that hold connections; 0: all */
-	bool weak;	    /* this one hands searches over */
+	GHashTable *peers;	/* id -> struct rr_gate_peer */
+	bool peers_changed;	/* what follows from them is to be found anew */
+	uint64_t peers_version; /* grows when it was */
+	uint32_t n_holders;	/* instances that hold connections; 0: all */
+	bool weak;		/* this one hands searches over */
 	struct rr_gate_service *strong; /* those it hands them to */
 	struct rr_route_table *table;
 	int64_t table_since_us;
@@ -277,8 +291,18 @@
  */
 bool rr_is_held_back(struct rr_context *ctx, const struct rr_gate *gate,
 		     const struct rr_endpoint *endpoint);
+/* gate-cold.c */
+/* For how long a replica of a service is cold after a start. */
+int64_t rr_cold_us(const struct rr_gate *gate,
+		   const struct rr_gate_service *service);
 /* Whether it may be cold: by its entry, or as its zone was evacuated. */
 bool rr_is_cold(const struct rr_gate *gate, const struct rr_endpoint *endpoint);
+/* Whether this instance may send a replica one more, should it be cold. */
+bool rr_cold_takes_more(const struct rr_gate *gate,
+			struct rr_endpoint *endpoint);
+/* An attempt is sent to it. */
+void rr_note_cold_sent(const struct rr_gate *gate,
+		       struct rr_endpoint *endpoint);
 
 /* gate-peer.c */
 /*
@@ -301,6 +325,7 @@
 enum rr_choice {
 	RR_CHOSEN,
 	RR_CHOICE_FULL, /* there is one, but it has no room now */
+	RR_CHOICE_COLD, /* all that there are have had what cold ones may */
 	RR_CHOICE_NONE, /* all seem gone, or were tried */
 };
 
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -37,6 +37,8 @@
 	gate->extra_ratio = options->extra_ratio;
 	gate->extra_slack = options->extra_slack;
 	gate->extra_window_us = (int64_t)options->extra_window_ms * 1000;
+	gate->cold_overage = options->cold_overage;
+	gate->cold_slack = options->cold_slack;
 	gate->began_us = options->began_us;
 	gate->instances = gate->policy.share_assumed_instances;
 	gate->strength = options->strength;
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -250,6 +250,14 @@
 
 /* Making it. */
 
+/* All changes come by the same calls: the shortest bound is that of all. */
+static uint32_t news_bound_ms(const struct rr_gateway_settings *settings)
+{
+	if (!settings->evacuation_bound_ms)
+		return settings->news_bound_ms;
+	return MIN(settings->news_bound_ms, settings->evacuation_bound_ms);
+}
+
 static void make_cores(struct rr_gateway *gateway)
 {
 	struct rr_gate_options gate = {
@@ -259,6 +267,8 @@
 		.extra_ratio = gateway->settings->extra_share,
 		.extra_slack = gateway->settings->extra_slack,
 		.extra_window_ms = gateway->settings->extra_window_ms,
+		.cold_overage = gateway->settings->cold_overage,
+		.cold_slack = gateway->settings->cold_slack,
 		.began_us = rr_gateway_now_us(),
 		.strength = gateway->settings->strength,
 		.log_lines_per_s = gateway->settings->log_request_lines_per_s,
@@ -273,7 +283,7 @@
 			.born_ms = gateway->born_ms,
 		},
 		.seeds = (const char *const *)gateway->settings->seed_peers,
-		.news_bound_ms = gateway->settings->news_bound_ms,
+		.news_bound_ms = news_bound_ms(gateway->settings),
 	};
 
 	gateway->gate = rr_new_gate(gateway->ctx, &gate);
--- a/source/settings/settings-table.c
+++ b/source/settings/settings-table.c
@@ -313,6 +313,21 @@
 	  .unit_ms = 1000, .or_default = true,
 	  .offset = IN_GATEWAY(extra_window_ms), .unit = "s",
 	  .help = "Length of that window." },
+	{ "cold_overage", RR_IN_GATEWAY, RR_SET_NUMBER, 0, MOST_SHARE,
+	  .or_default = true, .offset = IN_GATEWAY(cold_overage),
+	  .unit = "times",
+	  .help = "What a cold replica may get in any second from all "
+		  "instances together, as a multiple of what its service is "
+		  "said to bear." },
+	{ "cold_slack", RR_IN_GATEWAY, RR_SET_NUMBER, 0, MOST_COUNT,
+	  .or_default = true, .offset = IN_GATEWAY(cold_slack),
+	  .unit = "requests",
+	  .help = "So many more in any second, from all instances together." },
+	{ "evacuation_bound_ms", RR_IN_GATEWAY, RR_SET_TIME, 100, LONGEST_MS,
+	  .unit_ms = 1, .or_default = true,
+	  .offset = IN_GATEWAY(evacuation_bound_ms), .unit = "ms",
+	  .help = "Longest time until an evacuation in the store has to be "
+		  "known here, if that is less than `news_bound_ms`." },
 	{ "stop_timeout_s", RR_IN_GATEWAY, RR_SET_TIME, 0, LONGEST_S,
 	  .unit_ms = 1000, .or_default = true,
 	  .offset = IN_GATEWAY(stop_timeout_ms), .unit = "s",
--- a/tests/support/gate-scene.c
+++ b/tests/support/gate-scene.c
@@ -148,6 +148,7 @@
 			 .max_level = RR_LOG_INFO },
 	};
 	struct rr_gate_options options = {
+		.instance = "self",
 		.zone = "a",
 		.actions = {
 			.send = note_send,
@@ -162,6 +163,8 @@
 		.extra_ratio = 0.2,
 		.extra_slack = 50,
 		.extra_window_ms = 10000,
+		.cold_overage = 1.5,
+		.cold_slack = 5,
 		.began_us = 1000 * TEST_MS,
 		.strength = 1,
 		.log_lines_per_s = 50,
@@ -199,12 +202,14 @@
 	g_free(scene);
 }
 
-static void add_service(struct rr_route_table *table, const char *name)
+static void add_service(struct rr_route_table *table, const char *name,
+			double cold_per_s)
 {
 	struct rr_route_service *service = g_new0(struct rr_route_service, 1);
 
 	service->name = g_strdup(name);
 	service->max_connections = 26;
+	service->cold_per_s = cold_per_s;
 	rr_add_route_service(table, service);
 }
 
@@ -232,7 +237,7 @@
 	for (size_t i = 0; i < n; i++) {
 		route->parts[i].service = g_strdup(spec->services[i]);
 		route->parts[i].weight = spec->weights ? spec->weights[i] : 1;
-		add_service(table, spec->services[i]);
+		add_service(table, spec->services[i], spec->cold_per_s);
 	}
 	return route;
 }
--- a/tests/support/gate-scene.h
+++ b/tests/support/gate-scene.h
@@ -68,6 +68,7 @@
 	double least_share;
 	const double *weights; /* NULL: all the same */
 	uint32_t priority;
+	double cold_per_s; /* that a cold replica of its services bears */
 };
 
 /* Of the service "s": may run once, may be repeated. */
--- a/tests/test-gateway-settings.c
+++ b/tests/test-gateway-settings.c
@@ -37,6 +37,17 @@
 	{ "bounds.graceS", "6" },
 };
 
+/* Fields that not every platform has: their lines are left out then. */
+static const struct section {
+	const char *field;
+	const char *key;
+	const char *text;
+} sections[] = {
+	{ "bounds.coldOverage", "cold_overage", "1.5" },
+	{ "bounds.coldSlack", "cold_slack", "5" },
+	{ "bounds.evacuateMs", "evacuation_bound_ms", "2000" },
+};
+
 static char *replace(char *text, const char *from, const char *to)
 {
 	char **pieces = g_strsplit(text, from, -1);
@@ -47,6 +58,20 @@
 	return joined;
 }
 
+/* One section: its line with the usual or another text, or no line. */
+static char *fill_section(char *out, const struct section *section,
+			  const char *text)
+{
+	char *from = g_strdup_printf("{{#%s}}%s: {{.}}{{/%s}}", section->field,
+				     section->key, section->field);
+	char *line = g_strdup_printf("%s: %s", section->key, text);
+
+	out = replace(out, from, text ? line : "");
+	g_free(line);
+	g_free(from);
+	return out;
+}
+
 static char *fill_template(const char *field, const char *text)
 {
 	char *path = rr_source_path(TEMPLATE);
@@ -63,6 +88,12 @@
 		out = replace(out, place, changed ? text : usual[i].text);
 		g_free(place);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(sections); i++) {
+		bool changed = field && !strcmp(sections[i].field, field);
+
+		out = fill_section(out, &sections[i],
+				   changed ? text : sections[i].text);
+	}
 	if (strstr(out, "{{"))
 		fail_msg("a field of the template is not known here: %s", out);
 	return out;
@@ -96,9 +127,27 @@
 	assert_int_equal(settings->extra_window_ms, 10000);
 	assert_int_equal(settings->stop_timeout_ms, 6000);
 	assert_true(settings->extra_slack == 58);
+	assert_true(settings->cold_overage == 1.5);
+	assert_true(settings->cold_slack == 5);
+	assert_int_equal(settings->evacuation_bound_ms, 2000);
 	rr_drop_gateway_settings(settings);
 }
 
+/* Guards against a platform that tells nothing of cold replicas. */
+static void test_sections_left_out(void **state)
+{
+	guint left_out;
+	struct rr_gateway_settings *settings;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(sections); i++) {
+		settings = parse(sections[i].field, NULL, &left_out);
+		assert_int_equal(left_out, 0);
+		assert_true(settings->cold_overage >= 1);
+		rr_drop_gateway_settings(settings);
+	}
+}
+
 /*
  * Story: a deployment's window is 7.5 s, its slack 58.5.  Read with a unit
  * added in the text, the window becomes 7.5 ms or the file is refused, and no
@@ -141,6 +190,8 @@
 		"limits.cpuShare",	   "bounds.configApplyMs",
 		"bounds.retryBudgetRatio", "bounds.retryBudgetSlack",
 		"bounds.budgetWindowS",	   "bounds.graceS",
+		"bounds.coldOverage",	   "bounds.coldSlack",
+		"bounds.evacuateMs",
 	};
 	static const char *const texts[] = { "",   "true", "false",
 					     "-1", "null", "1e400" };
@@ -179,6 +230,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_the_usual),
+		cmocka_unit_test(test_sections_left_out),
 		cmocka_unit_test(test_fractions),
 		cmocka_unit_test(test_what_is_no_figure),
 		cmocka_unit_test(test_no_address_for_others),
