gate: nothing is opened, and no share assumed, until the instances are counted

Cause: share_assumed_instances was 16 until the list was known. 59 connections over 16 are three each, so each of 74 instances took itself for one that gathers and opened one to each of 270 replicas: the list of instances and that of replicas come in one reading, and the second was acted on before the first was judged.

Change: the assumed figure is gone. Until the count is told a share is one connection and no extra attempt's slack; what is listed is opened by the first tick after it, when it is known who hands searches over.

--- a/include/ragwort/gate-policy-list.h
+++ b/include/ragwort/gate-policy-list.h
@@ -52,7 +52,6 @@
 RR_POLICY_SWITCH(hedge_ends_losers, true, "attempts are ended whose part has its answer: replicas would work them off before what is waited for")
 
 /* How a service's allowances are shared among instances. */
-RR_POLICY_COUNT(share_assumed_instances, 16, "instances", "until they are counted: more than a small site has, so that nothing is overdrawn")
 RR_POLICY_FIGURE(share_slack_part, 0.8, "of the slack", "used of it; the rest is a margin for counts that differ")
 RR_POLICY_FIGURE(share_weak_part, 0.2, "of the extra attempts", "for instances that hand searches over: single requests are few")
 RR_POLICY_FIGURE(share_cold_part, 0.7, "of the requests", "used of what a cold replica may get from all; the rest is a margin for instances that know of others; raising it warms replicas sooner and risks the bound")
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -180,7 +180,8 @@
 		rr_gate_connection_share(gate, endpoint->service->name);
 	uint32_t holders = rr_count_holders(gate);
 	struct rr_limit_bounds bounds = {
-		.share = (endpoint->slots + holders - 1) / holders,
+		.share =
+			holders ? (endpoint->slots + holders - 1) / holders : 1,
 		.highest = MIN(connections, endpoint->slots),
 	};
 
--- a/source/core/gate-cold.c
+++ b/source/core/gate-cold.c
@@ -12,8 +12,9 @@
 		   const struct rr_gate_service *service)
 {
 	const struct rr_route_service *told =
-		gate->table ? rr_find_route_service(gate->table, service->name) :
-			      NULL;
+		gate->table ?
+			rr_find_route_service(gate->table, service->name) :
+			NULL;
 
 	return told && told->cold_ms ? (int64_t)told->cold_ms * 1000 :
 				       gate->policy.return_cold_us;
@@ -55,8 +56,9 @@
 			   const struct rr_endpoint *endpoint, double bound)
 {
 	const struct rr_gate_peer *self =
-		gate->instance ? g_hash_table_lookup(gate->peers, gate->instance) :
-				 NULL;
+		gate->instance ?
+			g_hash_table_lookup(gate->peers, gate->instance) :
+			NULL;
 	GHashTableIter iter;
 	gpointer value;
 	uint32_t instances = 0;
@@ -110,7 +112,8 @@
 bool rr_cold_takes_more(const struct rr_gate *gate,
 			struct rr_endpoint *endpoint)
 {
-	double bound = rr_is_cold(gate, endpoint) ? bound_of(gate, endpoint) : 0;
+	double bound =
+		rr_is_cold(gate, endpoint) ? bound_of(gate, endpoint) : 0;
 	uint32_t share;
 
 	if (bound <= 0)
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -60,7 +60,7 @@
 {
 	double slack = gate->extra_slack * gate->policy.share_slack_part;
 	uint32_t holders = rr_count_holders(gate);
-	double part = 1.0 / gate->instances;
+	double part = gate->instances ? 1.0 / gate->instances : 0;
 
 	/* Where some hand searches over, the others have the extra attempts. */
 	if (service->searched && holders < gate->instances)
@@ -142,6 +142,8 @@
 
 	if (!service || !service->max_connections)
 		return 1;
+	if (!rr_count_holders(gate))
+		return 1;
 	share = service->max_connections * part / rr_count_holders(gate);
 	return MAX(1, (uint32_t)share);
 }
@@ -215,7 +217,8 @@
 
 /*
  * Whether a connection is made before it is needed: not by those that hand
- * searches over, nor where there is not one for everybody.
+ * searches over, nor where there is not one for everybody, nor while it is not
+ * known how many they are.
  */
 static bool may_open(const struct rr_gate *gate,
 		     const struct rr_endpoint *endpoint)
@@ -227,7 +230,7 @@
 
 	if (endpoint->service == gate->strong)
 		return true;
-	if (gate->weak || !gate->policy.share_opens_early)
+	if (gate->weak || !gate->instances || !gate->policy.share_opens_early)
 		return false;
 	return !service || service->max_connections >= rr_count_holders(gate);
 }
@@ -297,12 +300,33 @@
 	}
 	/* Seen by its own sign of life: it is worth a try. */
 	rr_note_alive(ctx, gate, endpoint);
-	if (is_new && !endpoint->draining && may_open(gate, endpoint))
-		gate->actions.open(gate->actions.data, endpoint->lifetime,
-				   endpoint->address);
+	if (is_new)
+		g_queue_push_tail(&gate->to_open, rr_keep_endpoint(endpoint));
 	rr_pump_service(ctx, gate, endpoint->service);
 }
 
+/*
+ * Guards against a start of all: the list of replicas comes together with that
+ * of instances, and who does not wait for the latter opens connections to
+ * replicas that another instance is to ask.  They reset those over their cap,
+ * which are the others' as well.
+ */
+void rr_open_listed(struct rr_gate *gate)
+{
+	struct rr_endpoint *endpoint;
+
+	if (!gate->instances)
+		return;
+	while ((endpoint = g_queue_pop_head(&gate->to_open))) {
+		if (endpoint->listed && !endpoint->draining &&
+		    may_open(gate, endpoint))
+			gate->actions.open(gate->actions.data,
+					   endpoint->lifetime,
+					   endpoint->address);
+		rr_drop_endpoint(endpoint);
+	}
+}
+
 void rr_gate_list(struct rr_context *ctx, struct rr_gate *gate, int64_t now_us,
 		  const struct rr_listing *listing)
 {
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -182,7 +182,9 @@
 	double cold_overage;
 	double cold_slack;
 	int64_t began_us;
-	uint32_t instances;
+	uint32_t instances; /* 0: not counted yet */
+	/* struct rr_endpoint, referenced: newly listed, looked at by a tick. */
+	GQueue to_open;
 	double strength;
 	GHashTable *peers;	/* id -> struct rr_gate_peer */
 	bool peers_changed;	/* what follows from them is to be found anew */
@@ -224,6 +226,8 @@
 void rr_mark_searched(struct rr_gate *gate);
 /* Connections to a replica of a service that are kept at rest. */
 uint32_t rr_kept_connections(const struct rr_gate *gate, const char *name);
+/* Make connections to replicas that were listed since the last tick. */
+void rr_open_listed(struct rr_gate *gate);
 /* It takes no new work any more. */
 void rr_retire_endpoint(struct rr_context *ctx, struct rr_gate *gate,
 			struct rr_endpoint *endpoint, const char *reason);
@@ -318,7 +322,7 @@
 void rr_settle_peers(struct rr_context *ctx, struct rr_gate *gate);
 /* Whether a request is handed over; it has its one part then. */
 bool rr_hand_over(struct rr_gate *gate, struct rr_gate_run *run);
-/* Instances among which replicas' connections are shared. */
+/* Instances among which replicas' connections are shared; 0: not known. */
 uint32_t rr_count_holders(const struct rr_gate *gate);
 
 /* gate-choose.c */
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -40,12 +40,12 @@
 	gate->cold_overage = options->cold_overage;
 	gate->cold_slack = options->cold_slack;
 	gate->began_us = options->began_us;
-	gate->instances = gate->policy.share_assumed_instances;
 	gate->strength = options->strength;
 	gate->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					    rr_free_gate_peer);
 	gate->log_budget.per_s = options->log_lines_per_s;
 	gate->list_budget.per_s = LIST_LINES_PER_S;
+	g_queue_init(&gate->to_open);
 	gate->timers = rr_new_timers();
 	gate->zones = g_ptr_array_new_with_free_func(rr_free_gate_zone);
 	gate->evacuations =
@@ -71,6 +71,7 @@
 {
 	if (!gate)
 		return;
+	g_queue_clear_full(&gate->to_open, free_endpoint);
 	g_hash_table_unref(gate->attempts);
 	g_hash_table_unref(gate->runs);
 	g_hash_table_unref(gate->lifetimes);
@@ -136,6 +137,7 @@
 
 	gate->now_us = now_us;
 	rr_settle_peers(ctx, gate);
+	rr_open_listed(gate);
 	rr_tell_untold(ctx, gate);
 	while (rr_take_timer(gate->timers, now_us, &timer)) {
 		switch (timer.kind) {
@@ -162,7 +164,9 @@
 
 int64_t rr_gate_wake_us(const struct rr_gate *gate)
 {
-	return gate->peers_changed ? 0 : rr_next_timer_us(gate->timers);
+	if (gate->peers_changed || (gate->instances && gate->to_open.length))
+		return 0;
+	return rr_next_timer_us(gate->timers);
 }
 
 size_t rr_gate_open_requests(const struct rr_gate *gate)
--- a/tests/support/gate-scene.c
+++ b/tests/support/gate-scene.c
@@ -180,13 +180,26 @@
 	scene->log = g_string_new(NULL);
 	scene->ctx = rr_new_context(&context);
 	scene->gate = rr_new_gate(scene->ctx, &options);
+	return scene;
+}
+
+struct gate_scene *test_new_uncounted_scene(uint32_t seed)
+{
+	return new_scene_by(seed, NULL);
+}
+
+static struct gate_scene *new_counted_scene(uint32_t seed,
+					    const struct rr_gate_policy *policy)
+{
+	struct gate_scene *scene = new_scene_by(seed, policy);
+
 	rr_gate_set_instances(scene->ctx, scene->gate, 10);
 	return scene;
 }
 
 struct gate_scene *test_new_scene(uint32_t seed)
 {
-	return new_scene_by(seed, NULL);
+	return new_counted_scene(seed, NULL);
 }
 
 void test_drop_scene(struct gate_scene *scene)
@@ -399,7 +412,7 @@
 struct gate_scene *test_start_scene_by(const struct test_route *route,
 				       const struct rr_gate_policy *policy)
 {
-	struct gate_scene *scene = new_scene_by(7, policy);
+	struct gate_scene *scene = new_counted_scene(7, policy);
 
 	for (size_t i = 0; route->services[i]; i++) {
 		char *near = g_strconcat(route->services[i], ".a", NULL);
--- a/tests/support/gate-scene.h
+++ b/tests/support/gate-scene.h
@@ -53,6 +53,8 @@
 
 /* In zone "a", ten instances, extras 0.2 and 50. */
 struct gate_scene *test_new_scene(uint32_t seed);
+/* The same, and how many instances there are is not told. */
+struct gate_scene *test_new_uncounted_scene(uint32_t seed);
 void test_drop_scene(struct gate_scene *scene);
 
 /* A route of one service, or of several. */
--- a/tests/test-gate-cold.c
+++ b/tests/test-gate-cold.c
@@ -25,7 +25,8 @@
 	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, &told);
 }
 
-static void list_cold(struct gate_scene *scene, const char *id, const char *zone)
+static void list_cold(struct gate_scene *scene, const char *id,
+		      const char *zone)
 {
 	struct test_lifetime lifetime = {
 		.id = id, .service = "s", .zone = zone, .cold_ms = 3000
--- a/tests/test-gate-peer.c
+++ b/tests/test-gate-peer.c
@@ -65,6 +65,77 @@
 	test_drop_scene(scene);
 }
 
+/* An instance that knows nothing yet, with 90 replicas in its first reading. */
+static struct gate_scene *starting_scene(void)
+{
+	struct gate_scene *scene = test_new_uncounted_scene(7);
+
+	test_set_routes(scene, 1, &test_search_route, 1);
+	for (int i = 0; i < 90; i++) {
+		char *id = g_strdup_printf("r%d.a", i);
+
+		test_list(scene, id, test_shards[i % 4], "a");
+		g_free(id);
+	}
+	return scene;
+}
+
+/* This one and 73 others of a large site, of which five are that strong. */
+static void tell_fleet(struct gate_scene *scene, double strongest)
+{
+	tell(scene, "self", "a", 1, 5000);
+	for (int i = 0; i < 73; i++) {
+		char *id = g_strdup_printf("i%d", i);
+
+		tell(scene, id, "a", i < 5 ? strongest : strongest / 4, 5000);
+		g_free(id);
+	}
+	rr_gate_set_instances(scene->ctx, scene->gate, 74);
+}
+
+/*
+ * Guards against a start of all in which each opens connections to replicas
+ * that take one for each of a few: 26 here.
+ */
+static void test_nothing_is_opened_before_the_count(void **state)
+{
+	struct gate_scene *scene = starting_scene();
+
+	(void)state;
+	test_pass(scene, 50 * TEST_MS);
+	assert_int_equal(scene->opened->len, 0);
+	tell_fleet(scene, 4);
+	test_pass(scene, 50 * TEST_MS);
+	/* Only those to the strong ones. */
+	assert_int_equal(scene->opened->len, 5);
+	test_drop_scene(scene);
+}
+
+/* Guards against a holder of connections that has none once it is counted. */
+static void test_a_holder_opens_after_the_count(void **state)
+{
+	struct gate_scene *scene = starting_scene();
+
+	(void)state;
+	tell_fleet(scene, 1);
+	test_pass(scene, 50 * TEST_MS);
+	assert_int_equal(scene->opened->len, 90);
+	test_drop_scene(scene);
+}
+
+/* Guards against a small site that needs a first connection for each request. */
+static void test_a_few_open_after_the_count(void **state)
+{
+	struct gate_scene *scene = starting_scene();
+
+	(void)state;
+	rr_gate_set_instances(scene->ctx, scene->gate, 7);
+	test_pass(scene, 50 * TEST_MS);
+	assert_int_equal(scene->opened->len, 90);
+	assert_int_equal(rr_gate_connection_share(scene->gate, "s1"), 3);
+	test_drop_scene(scene);
+}
+
 /* Refused or not reached: nothing has run, and it is served here at once. */
 static void test_refused_search_is_served_here(void **state)
 {
@@ -347,6 +418,9 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_weak_instances_hand_over),
+		cmocka_unit_test(test_nothing_is_opened_before_the_count),
+		cmocka_unit_test(test_a_holder_opens_after_the_count),
+		cmocka_unit_test(test_a_few_open_after_the_count),
 		cmocka_unit_test(test_refused_search_is_served_here),
 		cmocka_unit_test(test_another_zones_instance_steps_in),
 		cmocka_unit_test(test_lost_search_is_not_served_again),
--- a/tests/test-gate-tell.c
+++ b/tests/test-gate-tell.c
@@ -58,8 +58,10 @@
 static guint count_of(const struct gate_scene *scene, const char *words)
 {
 	char **pieces = g_strsplit(scene->log->str, words, -1);
-	guint n = g_strv_length(pieces) - 1;
+	guint n = g_strv_length(pieces);
 
+	/* An empty log has no pieces. */
+	n -= n > 0;
 	g_strfreev(pieces);
 	return n;
 }
