gateway: a replica's load is read and told in the log; it decides nothing

Cause: replicas of some services tell how many requests run and wait there, and how long work takes on their machine now; nobody read it.

A report that cannot be read is counted and changes nothing.

--- a/include/ragwort/gate-names.h
+++ b/include/ragwort/gate-names.h
@@ -5,6 +5,8 @@
 #ifndef RAGWORT_GATE_NAMES_H
 #define RAGWORT_GATE_NAMES_H
 
+struct rr_gate_load;
+
 struct rr_gate_names {
 	const char *request_id;	     /* of one attempt of a caller */
 	const char *deadline;	     /* milliseconds that are left */
@@ -13,6 +15,7 @@
 	const char *not_run;	/* proof of a replica that it did not run */
 	const char *part_seals; /* signatures of a gathered answer */
 	const char *missing_parts;
+	const char *load;	/* of a replica, in its answers */
 	const char *ready_path; /* of the question whether callers may come */
 };
 
--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -92,6 +92,15 @@
 	RR_GATE_SILENT,
 };
 
+/* What a replica said of its load in an answer. */
+struct rr_gate_load {
+	bool told; /* else nothing of it counts */
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t slots;
+	uint32_t pace_percent; /* time that work takes there; 100: as usual */
+};
+
 struct rr_gate_reply {
 	uint64_t attempt;
 	enum rr_gate_outcome outcome;
@@ -104,6 +113,7 @@
 	bool other_instance;
 	/* Nobody listens there, or nothing came back at all. */
 	bool unreachable;
+	struct rr_gate_load load;
 	const void *message; /* the carrier's own, handed on in an answer */
 };
 
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -40,6 +40,7 @@
 		.status = status,
 		.in_flight = endpoint->live.length,
 		.slowness = rr_track_slowness(&endpoint->track, gate->now_us),
+		.pace_percent = endpoint->pace_percent,
 		.extras_left = rr_extras_left(&endpoint->service->extras,
 					      gate->now_us),
 	};
@@ -565,6 +566,8 @@
 	}
 	run = attempt->run;
 	service = attempt->endpoint->service;
+	if (reply->load.told)
+		attempt->endpoint->pace_percent = reply->load.pace_percent;
 	if (run)
 		note_attempt(gate, run, attempt, RR_TRAIL_REPLY,
 			     outcome_name(reply), reply->status);
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -72,6 +72,7 @@
 	int64_t cold_until_us;
 	bool away; /* another zone's strong instance: where none here is good */
 	uint32_t slots;
+	uint32_t pace_percent; /* of its machine, last told; 0: never */
 	struct rr_track track;
 	struct rr_limit limit; /* of open attempts, in usual times */
 	GQueue live;	       /* struct rr_gate_attempt, the oldest first */
--- a/source/core/trail.c
+++ b/source/core/trail.c
@@ -70,6 +70,7 @@
 	       RR_FIELD_U64("status", step->status),
 	       RR_FIELD_U64("in_flight", step->in_flight),
 	       RR_FIELD_DOUBLE("slowness", step->slowness),
+	       RR_FIELD_U64("pace_percent", step->pace_percent),
 	       RR_FIELD_DOUBLE("extras_left", step->extras_left));
 }
 
--- a/source/core/trail.h
+++ b/source/core/trail.h
@@ -34,7 +34,8 @@
 	uint32_t status;
 	uint32_t in_flight;
 	double slowness;
-	double extras_left; /* of the service, when it was decided */
+	uint32_t pace_percent; /* that the replica last told; 0: it did not */
+	double extras_left;    /* of the service, when it was decided */
 };
 
 struct rr_trail {
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -297,6 +297,8 @@
 		.request_id = gateway->names->request_id,
 		.seal = gateway->names->seal,
 		.not_run = gateway->names->not_run,
+		.load = gateway->names->load,
+		.read_load = rr_decode_load,
 		.replied = take_reply,
 		.probed = take_probe,
 		.data = gateway,
--- a/source/net/replica-conn.c
+++ b/source/net/replica-conn.c
@@ -145,6 +145,17 @@
 	return name ? rr_http_value(message, name) : NULL;
 }
 
+/* A report that cannot be read counts for nothing, and for nobody's fault. */
+static void fill_load(const struct rr_replica_port *port,
+		      const struct rr_http_message *message,
+		      struct rr_gate_load *load)
+{
+	const char *text = value_of(message, port->load);
+
+	if (text && !port->read_load(text, load))
+		rr_count(port->ctx, RR_N_BAD_LOADS, 1);
+}
+
 static void fill_reply(const struct rr_conn *conn,
 		       const struct rr_http_message *message,
 		       struct rr_gate_reply *reply)
@@ -156,6 +167,7 @@
 	reply->body = message->body;
 	reply->length = message->body_length;
 	reply->message = message;
+	fill_load(port, message, &reply->load);
 	reply->outcome = RR_GATE_ANSWERED;
 	if (message->status == 421) {
 		reply->outcome = RR_GATE_REFUSED;
--- a/source/net/replica-conn.h
+++ b/source/net/replica-conn.h
@@ -55,6 +55,8 @@
 	char *request_id; /* headers' names; NULL: not looked at */
 	char *seal;
 	char *not_run;
+	char *load;
+	bool (*read_load)(const char *text, struct rr_gate_load *load);
 	void (*replied)(void *data, const struct rr_gate_reply *reply);
 	void (*probed)(void *data, const char *lifetime, bool reached);
 	void *data;
--- a/source/net/replica-port.c
+++ b/source/net/replica-port.c
@@ -50,6 +50,8 @@
 	port->request_id = g_strdup(options->request_id);
 	port->seal = g_strdup(options->seal);
 	port->not_run = g_strdup(options->not_run);
+	port->load = g_strdup(options->load);
+	port->read_load = options->read_load;
 	port->replied = options->replied;
 	port->probed = options->probed;
 	port->data = options->data;
@@ -90,6 +92,7 @@
 	g_free(port->request_id);
 	g_free(port->seal);
 	g_free(port->not_run);
+	g_free(port->load);
 	rr_drop_context(port->ctx);
 	g_free(port);
 }
--- a/source/net/replica-port.h
+++ b/source/net/replica-port.h
@@ -27,6 +27,9 @@
 	const char *request_id;
 	const char *seal;
 	const char *not_run;
+	/* The header of a replica's load, and what reads it; NULL: none. */
+	const char *load;
+	bool (*read_load)(const char *text, struct rr_gate_load *load);
 	/* message in the reply is a struct rr_http_message. */
 	void (*replied)(void *data, const struct rr_gate_reply *reply);
 	/* The outcome of rr_probe_replica(); NULL where none is made. */
--- a/tests/support/replica-scene.c
+++ b/tests/support/replica-scene.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+#include "platform/platform.h"
+
 static void take_reply(void *data, const struct rr_gate_reply *reply)
 {
 	struct replica_scene *scene = data;
@@ -14,6 +16,7 @@
 	scene->status = reply->status;
 	scene->unreachable = reply->unreachable;
 	scene->other_instance = reply->other_instance;
+	scene->load = reply->load;
 	g_free(scene->seal);
 	scene->seal = g_strdup(reply->seal);
 	g_string_truncate(scene->body, 0);
@@ -37,6 +40,8 @@
 		.request_id = "Id",
 		.seal = "Seal",
 		.not_run = "Not-Run",
+		.load = "Load",
+		.read_load = rr_decode_load,
 		.replied = take_reply,
 		.probed = take_probe,
 		.data = scene,
--- a/tests/support/replica-scene.h
+++ b/tests/support/replica-scene.h
@@ -27,13 +27,14 @@
 	uint16_t status;
 	bool unreachable;
 	bool other_instance;
+	struct rr_gate_load load;
 	char *seal;
 	GString *body;
 	int probes;
 	bool reached;
 };
 
-/* A listener, and a port that knows headers Id, Seal and Not-Run. */
+/* A listener, and a port that knows headers Id, Seal, Not-Run and Load. */
 struct replica_scene *replica_start(void);
 void replica_stop(struct replica_scene *scene);
 
--- a/tests/test-replica-port.c
+++ b/tests/test-replica-port.c
@@ -11,6 +11,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "ragwort/counters.h"
 #include "support/replica-scene.h"
 
 static void test_whole_answer(void **state)
@@ -31,6 +32,28 @@
 	replica_stop(scene);
 }
 
+/* Guards against an answer that is lost for what stands in a report. */
+static void test_load_beside_an_answer(void **state)
+{
+	struct replica_scene *scene = replica_start();
+	struct raw_peer *peer = replica_ask_and_accept(scene);
+
+	(void)state;
+	raw_send(peer, REPLICA_OK "Load: 2,5,2,800\r\n\r\nab");
+	raw_turn_until(&scene->replies, 1);
+	assert_true(scene->load.told);
+	assert_int_equal(scene->load.pace_percent, 800);
+	replica_ask(scene);
+	raw_expect(peer, REPLICA_GET);
+	raw_send(peer, REPLICA_OK "Load: busy\r\n\r\ncd");
+	raw_turn_until(&scene->replies, 2);
+	assert_false(scene->load.told);
+	assert_int_equal(scene->outcome, RR_GATE_ANSWERED);
+	assert_int_equal(rr_counter_value(scene->ctx, RR_N_BAD_LOADS), 1);
+	raw_drop(peer);
+	replica_stop(scene);
+}
+
 /* Broken off in the middle of the length, of chunks, or before any byte. */
 static void test_cut_short(void **state)
 {
@@ -279,6 +302,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_whole_answer),
+		cmocka_unit_test(test_load_beside_an_answer),
 		cmocka_unit_test(test_cut_short),
 		cmocka_unit_test(test_answer_without_length),
 		cmocka_unit_test(test_foreign_answer_is_passed_over),
