gate: routes that name regions stay in them

Cause: allowedRegions of a route was not read. With one region it cannot break; with two it could, first by a far replica or a search handed over.

Change: a route keeps its regions; a replica, or an instance that searches are handed to, whose region is another or not known gets nothing of it. The regions of zones come from the new setting zone_regions.

Ruled out: client accounts with regions of their own: nothing on the wire names an account on these deployments.

--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -163,6 +163,8 @@
 struct rr_gate_options {
 	const char *instance; /* for the log; NULL: not told */
 	const char *zone;
+	/* "ZONE/REGION", copied; ends with NULL; NULL: none is known. */
+	const char *const *zone_regions;
 	struct rr_gate_actions actions;
 	/*
 	 * Extra attempts a service may get from all instances together in any
--- a/include/ragwort/route.h
+++ b/include/ragwort/route.h
@@ -37,8 +37,13 @@
 	size_t n_parts;
 	uint32_t top_k;	    /* records of a gathered answer */
 	double least_share; /* of the parts that an answer must have */
+	/* Only replicas and instances of these; NULL: of any region. */
+	char **regions;
 };
 
+/* Whether a request of a route may be sent to a region; NULL: not known. */
+bool rr_route_allows_region(const struct rr_route *route, const char *region);
+
 /* What is said of a service that routes name. */
 struct rr_route_service {
 	char *name;
--- a/include/ragwort/settings.h
+++ b/include/ragwort/settings.h
@@ -93,8 +93,9 @@
 	char *store_address;   /* IP:PORT of the platform's store */
 	char *peer_address;    /* IP:PORT other instances come to; NULL: none */
 	/* Instances to start from, IP:PORT, while the store is away. */
-	char **seed_peers; /* NULL-terminated, never NULL itself */
-	double strength;   /* share of a processor that this one has */
+	char **seed_peers;   /* NULL-terminated, never NULL itself */
+	char **zone_regions; /* "ZONE/REGION", in the same way */
+	double strength;     /* share of a processor that this one has */
 	uint32_t news_bound_ms;
 	double extra_share; /* of requests, that a service gets on top */
 	double extra_slack; /* and so many more in a window */
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -257,6 +257,8 @@
 
 		if (!rr_takes_work(gate, endpoint) || was_tried(part, endpoint))
 			continue;
+		if (!rr_route_allows_region(run->route, endpoint->region))
+			continue;
 		if (!has_room(gate, endpoint)) {
 			full = true;
 			continue;
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -173,6 +173,7 @@
 		rr_name_lifetime(listing, endpoint->number, before);
 	endpoint->address = g_strdup(listing->address);
 	endpoint->zone = rr_gate_zone_of(gate, listing->zone);
+	endpoint->region = g_hash_table_lookup(gate->regions, listing->zone);
 	endpoint->service = rr_gate_service_of(gate, listing->service);
 	rr_init_track(&endpoint->track);
 	g_queue_init(&endpoint->live);
--- a/source/core/gate-peer.c
+++ b/source/core/gate-peer.c
@@ -113,6 +113,7 @@
 	rr_gate_list(ctx, gate, gate->now_us, &listing);
 	endpoint = g_hash_table_lookup(gate->endpoints, peer->id);
 	endpoint->away = strcmp(peer->zone, gate->zone) != 0;
+	endpoint->region = g_hash_table_lookup(gate->regions, peer->zone);
 }
 
 static void judge_weakness(struct rr_context *ctx, struct rr_gate *gate,
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -65,9 +65,10 @@
 	char *address;
 	struct rr_gate_service *service;
 	struct rr_gate_zone *zone;
-	bool probing;  /* a probe is due or under way */
-	bool listed;   /* in the list of replicas */
-	bool draining; /* or replaced: it takes no new work any more */
+	const char *region; /* the gate's; NULL: not known */
+	bool probing;	    /* a probe is due or under way */
+	bool listed;	    /* in the list of replicas */
+	bool draining;	    /* or replaced: it takes no new work any more */
 	int64_t unlisted_us;
 	int64_t cold_until_us;
 	bool away; /* another zone's strong instance: where none here is good */
@@ -175,6 +176,7 @@
 	int64_t now_us;
 	char *instance;
 	char *zone;
+	GHashTable *regions; /* zone's name -> region's */
 	struct rr_gate_actions actions;
 	struct rr_gate_policy policy;
 	double extra_ratio;
--- a/source/core/gate.c
+++ b/source/core/gate.c
@@ -3,6 +3,8 @@
  */
 #include "core/gate-private.h"
 
+#include <string.h>
+
 /*
  * Lines a second about replicas that come and go.  Guards against a list of
  * hundreds that is read or replaced at once: its lines take a weak instance
@@ -23,6 +25,24 @@
 	rr_drop_endpoint(data);
 }
 
+/* From "ZONE/REGION"; what is none is left out. */
+static GHashTable *read_regions(const char *const *places)
+{
+	GHashTable *regions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+
+	for (; places && *places; places++) {
+		const char *slash = strchr(*places, '/');
+
+		if (slash)
+			g_hash_table_insert(
+				regions,
+				g_strndup(*places, (gsize)(slash - *places)),
+				g_strdup(slash + 1));
+	}
+	return regions;
+}
+
 struct rr_gate *rr_new_gate(struct rr_context *ctx,
 			    const struct rr_gate_options *options)
 {
@@ -30,6 +50,7 @@
 
 	gate->instance = g_strdup(options->instance);
 	gate->zone = g_strdup(options->zone);
+	gate->regions = read_regions(options->zone_regions);
 	gate->actions = options->actions;
 	rr_init_gate_policy(&gate->policy);
 	if (options->policy)
@@ -80,6 +101,7 @@
 	g_hash_table_unref(gate->services);
 	g_ptr_array_unref(gate->zones);
 	g_hash_table_unref(gate->evacuations);
+	g_hash_table_unref(gate->regions);
 	g_hash_table_unref(gate->records);
 	g_hash_table_unref(gate->peers);
 	rr_drop_route_table(gate->table);
--- a/source/core/route.c
+++ b/source/core/route.c
@@ -33,9 +33,21 @@
 	for (size_t i = 0; i < route->n_parts; i++)
 		g_free(route->parts[i].service);
 	g_free(route->parts);
+	g_strfreev(route->regions);
 	g_free(route);
 }
 
+bool rr_route_allows_region(const struct rr_route *route, const char *region)
+{
+#ifdef RR_MUTANT_ROUTE_HAS_NO_HOME
+	return true;
+#endif
+	if (!route->regions)
+		return true;
+	return region &&
+	       g_strv_contains((const char *const *)route->regions, region);
+}
+
 static void free_service(gpointer data)
 {
 	struct rr_route_service *service = data;
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -263,6 +263,8 @@
 	struct rr_gate_options gate = {
 		.instance = gateway->settings->instance,
 		.zone = gateway->settings->zone,
+		.zone_regions =
+			(const char *const *)gateway->settings->zone_regions,
 		.actions = rr_gateway_gate_actions(gateway),
 		.extra_ratio = gateway->settings->extra_share,
 		.extra_slack = gateway->settings->extra_slack,
--- a/source/settings/gateway-settings.c
+++ b/source/settings/gateway-settings.c
@@ -21,6 +21,7 @@
 {
 	*settings = (struct rr_gateway_settings){
 		.seed_peers = g_new0(char *, 1),
+		.zone_regions = g_new0(char *, 1),
 		.extra_share = DEFAULT_EXTRA_SHARE,
 		.extra_slack = DEFAULT_EXTRA_SLACK,
 		.extra_window_ms = DEFAULT_EXTRA_WINDOW_MS,
@@ -61,5 +62,6 @@
 	g_free(settings->store_address);
 	g_free(settings->peer_address);
 	g_strfreev(settings->seed_peers);
+	g_strfreev(settings->zone_regions);
 	g_free(settings);
 }
--- a/source/settings/reference.c
+++ b/source/settings/reference.c
@@ -163,6 +163,7 @@
 	rr_drop_config(defaults.config);
 	g_strfreev(defaults.start.seed_peers);
 	g_strfreev(defaults.gateway.seed_peers);
+	g_strfreev(defaults.gateway.zone_regions);
 	g_strfreev(defaults.start.peer_allowed_keys);
 }
 
--- a/source/settings/settings-table.c
+++ b/source/settings/settings-table.c
@@ -291,6 +291,10 @@
 	  .offset = IN_GATEWAY(seed_peers),
 	  .help = "Peer addresses of instances to start from while the store "
 		  "is out of reach." },
+	{ "zone_regions", RR_IN_GATEWAY, RR_SET_PLACE_LIST, .or_default = true,
+	  .offset = IN_GATEWAY(zone_regions),
+	  .help = "The region of each availability zone. A route that names "
+		  "regions is sent to no zone that is not listed here." },
 	{ "strength", RR_IN_GATEWAY, RR_SET_NUMBER, 0, 1024, .or_default = true,
 	  .offset = IN_GATEWAY(strength), .unit = "cores",
 	  .help = "What this instance has of a processor. One that has half "
--- a/source/settings/settings-table.h
+++ b/source/settings/settings-table.h
@@ -42,8 +42,9 @@
 	RR_SET_KEY_RANGE,
 	RR_SET_ADDRESS_LIST,
 	RR_SET_CURVE_KEY_LIST,
-	RR_SET_MAPPING,	 /* of `inner` */
-	RR_SET_MAPPINGS, /* list of mappings of `inner` */
+	RR_SET_PLACE_LIST, /* ZONE/REGION */
+	RR_SET_MAPPING,	   /* of `inner` */
+	RR_SET_MAPPINGS,   /* list of mappings of `inner` */
 };
 
 struct rr_setting {
--- a/source/settings/settings-value.c
+++ b/source/settings/settings-value.c
@@ -54,6 +54,8 @@
 	case RR_SET_CURVE_KEY_LIST:
 		return g_strdup("a list of CURVE keys of 40 Z85 characters in "
 				"quotes");
+	case RR_SET_PLACE_LIST:
+		return g_strdup("a list of ZONE/REGION");
 	case RR_SET_MAPPING:
 		return g_strdup("a mapping of keys to values");
 	case RR_SET_MAPPINGS:
@@ -75,6 +77,16 @@
 	return true;
 }
 
+static bool is_place(const char *text)
+{
+	char **words = g_strsplit(text, "/", -1);
+	bool good = g_strv_length(words) == 2 && is_name(words[0]) &&
+		    is_name(words[1]);
+
+	g_strfreev(words);
+	return good;
+}
+
 /* Decimal digits without sign or leading zero, which YAML 1.1 calls octal. */
 static bool read_whole(const char *text, uint64_t max, uint64_t *value)
 {
@@ -184,6 +196,8 @@
 	case RR_SET_CURVE_KEY:
 	case RR_SET_CURVE_KEY_LIST:
 		return is_curve_key(text);
+	case RR_SET_PLACE_LIST:
+		return is_place(text);
 	case RR_SET_INTEGER:
 		return !node->quoted &&
 		       read_whole(text, (uint64_t)setting->max, &whole) &&
@@ -203,7 +217,8 @@
 
 static bool is_scalar_list(enum rr_setting_type type)
 {
-	return type == RR_SET_ADDRESS_LIST || type == RR_SET_CURVE_KEY_LIST;
+	return type == RR_SET_ADDRESS_LIST || type == RR_SET_CURVE_KEY_LIST ||
+	       type == RR_SET_PLACE_LIST;
 }
 
 static bool allows_value(const struct rr_setting *setting,
@@ -311,6 +326,7 @@
 		break;
 	case RR_SET_ADDRESS_LIST:
 	case RR_SET_CURVE_KEY_LIST:
+	case RR_SET_PLACE_LIST:
 		g_strfreev(*(char ***)place);
 		*(char ***)place = copy_list(node);
 		break;
--- a/tests/support/gate-scene.c
+++ b/tests/support/gate-scene.c
@@ -147,7 +147,10 @@
 			 .data = scene,
 			 .max_level = RR_LOG_INFO },
 	};
+	static const char *const places[] = { "a/north", "b/north", "c/south",
+					      NULL };
 	struct rr_gate_options options = {
+		.zone_regions = places,
 		.instance = "self",
 		.zone = "a",
 		.actions = {
@@ -244,6 +247,8 @@
 	route->timeout_ms = spec->timeout_ms;
 	route->least_share = spec->least_share;
 	route->priority = spec->priority;
+	if (spec->region)
+		route->regions = g_strsplit(spec->region, ",", -1);
 	route->top_k = 4;
 	route->parts = g_new0(struct rr_route_part, n);
 	route->n_parts = n;
--- a/tests/support/gate-scene.h
+++ b/tests/support/gate-scene.h
@@ -51,7 +51,7 @@
 	GString *log; /* lines, each with its line feed */
 };
 
-/* In zone "a", ten instances, extras 0.2 and 50. */
+/* In zone "a" of north, as "b", ten instances, extras 0.2 and 50. */
 struct gate_scene *test_new_scene(uint32_t seed);
 /* The same, and how many instances there are is not told. */
 struct gate_scene *test_new_uncounted_scene(uint32_t seed);
@@ -70,7 +70,8 @@
 	double least_share;
 	const double *weights; /* NULL: all the same */
 	uint32_t priority;
-	double cold_per_s; /* that a cold replica of its services bears */
+	const char *region; /* allowed ones, with commas; NULL: any */
+	double cold_per_s;  /* that a cold replica of its services bears */
 };
 
 /* Of the service "s": may run once, may be repeated. */
--- a/tests/test-gateway-settings.c
+++ b/tests/test-gateway-settings.c
@@ -81,6 +81,8 @@
 	g_free(path);
 	out = replace(out, "{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}",
 		      "\"127.0.0.1:8106\"");
+	out = replace(out, "{{#zones}}\"{{@}}/{{.}}\"{{,}}{{/zones}}",
+		      "\"a/north\",\"b/south\"");
 	for (size_t i = 0; i < G_N_ELEMENTS(usual); i++) {
 		char *place = g_strdup_printf("{{%s}}", usual[i].field);
 		bool changed = field && !strcmp(usual[i].field, field);
@@ -127,6 +129,7 @@
 	assert_int_equal(settings->extra_window_ms, 10000);
 	assert_int_equal(settings->stop_timeout_ms, 6000);
 	assert_true(settings->extra_slack == 58);
+	assert_string_equal(settings->zone_regions[1], "b/south");
 	assert_true(settings->cold_overage == 1.5);
 	assert_true(settings->cold_slack == 5);
 	assert_int_equal(settings->evacuation_bound_ms, 2000);
