soak, fuzz: zones are evacuated, and what stands there is read

Cause: the soak played no evacuation, so that its green runs said nothing of one; no fuzz target read an evacuation's value or a replica's load.

The entries target reads both.

Cold replicas are not played by the soak: its stand-in tells none.

--- a/fuzz/entries.c
+++ b/fuzz/entries.c
@@ -1,7 +1,7 @@
 /*
  * entries.c - fuzz target: what anybody may write into the store under the
- * keys of replicas and instances, how it is passed on, and what instances ask
- * each other to write.
+ * keys of replicas, instances and evacuated zones, how it is passed on, what
+ * instances ask each other to write, and what replicas tell of their load.
  *
  * The first byte is the length of the key, the key and its value follow.
  */
@@ -43,6 +43,27 @@
 	rr_free_instance(instance);
 }
 
+/* A value may be any, a zone without a name is none. */
+static void judge_evacuation(const char *zone, const char *text, size_t length)
+{
+	const char *fault = rr_find_evacuation_fault(zone, text, length);
+
+	if (!*zone && !fault)
+		abort();
+}
+
+/* Either figures that can be reckoned with, or nothing. */
+static void decode_load(const char *text, size_t length)
+{
+	char *copy = g_strndup(text, length);
+	struct rr_gate_load load;
+	bool good = rr_decode_load(copy, &load);
+
+	if (good != load.told || (good && (!load.slots || !load.pace_percent)))
+		abort();
+	g_free(copy);
+}
+
 /* What is passed on is read as it was, whatever the key is. */
 static void pass_on(const char *key, const char *text, size_t length)
 {
@@ -104,6 +125,8 @@
 	length -= 1 + key_length;
 	decode_listing(key, text, length);
 	decode_instance(key, text, length);
+	judge_evacuation(key, text, length);
+	decode_load(text, length);
 	pass_on(key, text, length);
 	parse_entries(text, length);
 	g_free(key);
--- a/soak/soak-fault.c
+++ b/soak/soak-fault.c
@@ -16,6 +16,8 @@
 #define MOST_DOWN_MS 900
 /* A drained replica serves on for so long, and then goes. */
 #define DRAIN_MS 4500
+/* Longer than the bound on news, after which nothing may come any more. */
+#define EVACUATED_MS 6500
 /* How long watches hear nothing before the store's history goes. */
 #define HUSH_MS 1000
 /* Never more than this part of the instances at once. */
@@ -400,6 +402,51 @@
 	g_timeout_add(HUSH_MS, drop_history, soak);
 }
 
+/* Zones that the operators evacuate. */
+
+static char *evacuation_key(uint32_t zone)
+{
+	return g_strdup_printf("op/evacuate/z%u", zone);
+}
+
+static void take_back_zone(struct soak *soak, uint32_t zone)
+{
+	char *key = evacuation_key(zone);
+
+	if (soak->evacuated_us[zone])
+		test_store_remove(&soak->store, key);
+	soak->evacuated_us[zone] = 0;
+	g_free(key);
+}
+
+/* The first of those that are evacuated, as they began in turn or together. */
+static gboolean end_evacuation(gpointer data)
+{
+	struct soak *soak = data;
+
+	for (uint32_t zone = 0; zone < ZONES; zone++) {
+		if (soak->evacuated_us[zone] &&
+		    g_get_monotonic_time() - soak->evacuated_us[zone] >=
+			    EVACUATED_MS * MS)
+			take_back_zone(soak, zone);
+	}
+	return G_SOURCE_REMOVE;
+}
+
+static void evacuate_zone(struct soak *soak)
+{
+	uint32_t zone = soak_draw(soak, ZONES);
+	char *key = evacuation_key(zone);
+
+	if (!soak->evacuated_us[zone]) {
+		test_store_put(&soak->store, key,
+			       soak_chance(soak, 0.2) ? "odd" : "{}");
+		soak->evacuated_us[zone] = g_get_monotonic_time();
+		g_timeout_add(EVACUATED_MS + 1, end_evacuation, soak);
+	}
+	g_free(key);
+}
+
 /* The configuration. */
 
 static void append_route(GString *out, const char *name, const char *type,
@@ -491,7 +538,7 @@
 		crash_replica,	   swap_addresses,     drain_replica,
 		drain_replica,	   harm_store,	       slow_store,
 		forget_history,	   change_config,      change_config,
-		storm_config,	   write_odd_entry,
+		storm_config,	   write_odd_entry,    evacuate_zone,
 	};
 	static void (*const stops[])(struct soak * soak) = {
 		stop_instance,
@@ -503,6 +550,11 @@
 		change_config,
 		storm_config,
 	};
+	static void (*const evacuations[])(struct soak * soak) = {
+		evacuate_zone,
+		evacuate_zone,
+		change_config,
+	};
 
 	switch (phase) {
 	case SOAK_STORM:
@@ -514,12 +566,19 @@
 	case SOAK_DRAINS:
 		begin_one(soak, drains, G_N_ELEMENTS(drains));
 		return;
+	case SOAK_EVACUATIONS:
+		begin_one(soak, evacuations, G_N_ELEMENTS(evacuations));
+		return;
+	case SOAK_PHASES:
+		return;
 	}
 }
 
 void soak_heal_all(struct soak *soak)
 {
 	heal_store(soak);
+	for (uint32_t zone = 0; zone < ZONES; zone++)
+		take_back_zone(soak, zone);
 	for (guint i = 0; i < soak->replicas->len; i++)
 		heal_replica(g_ptr_array_index(soak->replicas, i));
 	for (guint i = 0; i < soak->instances->len; i++) {
--- a/soak/soak-replica.c
+++ b/soak/soak-replica.c
@@ -178,6 +178,23 @@
 			       (int)((now_us - replica->draining_us) / MS));
 }
 
+/* As for a drain: an evacuation is another change in the store. */
+static void check_evacuation(struct soak_replica *replica, const char *id)
+{
+	struct soak *soak = replica->soak;
+	int64_t since_us = soak->evacuated_us[replica->zone];
+	int64_t late_us = g_get_monotonic_time() - since_us;
+
+	if (!soak->options.timing || !since_us || late_us < DRAIN_BOUND_US)
+		return;
+	if (soak_is_calm_since(soak, NULL, since_us))
+		soak_violation(soak, "EVAC",
+			       "%s came to %s of zone %u after "
+			       "%d ms",
+			       id, replica->id, replica->zone,
+			       (int)(late_us / MS));
+}
+
 static void note_run(struct soak_replica *replica, struct soak_request *request)
 {
 	struct soak_run *run;
@@ -231,6 +248,7 @@
 		return;
 	}
 	check_drain(replica, id);
+	check_evacuation(replica, id);
 	if (soak_chance(replica->soak, replica->shed)) {
 		test_reply_to(connection, 503, "Not-Executed: 1\r\n", "",
 			      false);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -173,7 +173,8 @@
 		soak_heal_all(soak);
 		run_for(LULL_MS);
 		run_phase(soak,
-			  soak_chance(soak, 0.5) ? SOAK_STOPS : SOAK_DRAINS,
+			  SOAK_STOPS +
+				  soak_draw(soak, SOAK_PHASES - SOAK_STOPS),
 			  PLANNED_MS, PLANNED_GAP_MS);
 	}
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -125,6 +125,7 @@
 	uint64_t version;
 	bool other_shards; /* which set the newest version names */
 	bool other_single; /* which service it names for single requests */
+	int64_t evacuated_us[ZONES]; /* since when; 0: it is not */
 	int64_t harmed_us; /* last harm to the store or to any replica */
 	uint32_t faults;
 	uint32_t answered;
@@ -190,9 +191,11 @@
 
 /* soak-fault.c */
 enum soak_phase {
-	SOAK_STORM,  /* anything */
-	SOAK_STOPS,  /* planned: instances stop and start, routes change */
-	SOAK_DRAINS, /* planned: replicas leave, routes change */
+	SOAK_STORM,	  /* anything */
+	SOAK_STOPS,	  /* planned: instances stop and start, routes change */
+	SOAK_DRAINS,	  /* planned: replicas leave, routes change */
+	SOAK_EVACUATIONS, /* planned: zones are emptied, routes change */
+	SOAK_PHASES,
 };
 
 /* Begin one fault or planned change of a phase, drawn at random. */
