--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -12,8 +12,7 @@
 	g_free(attempt);
 }
 
-/* Out of all tables; the caller frees it. */
-static void end_attempt(struct rr_gate *gate, struct rr_gate_attempt *attempt)
+void rr_end_attempt(struct rr_gate *gate, struct rr_gate_attempt *attempt)
 {
 	g_hash_table_steal(gate->attempts, &attempt->id);
 	g_queue_unlink(&attempt->endpoint->live, &attempt->endpoint_link);
@@ -24,10 +23,10 @@
 	attempt->run->parts[attempt->part].n_live--;
 }
 
-static void note_attempt(const struct rr_gate *gate, struct rr_gate_run *run,
-			 const struct rr_gate_attempt *attempt,
-			 enum rr_trail_kind kind, const char *reason,
-			 uint32_t status)
+void rr_note_attempt(const struct rr_gate *gate, struct rr_gate_run *run,
+		     const struct rr_gate_attempt *attempt,
+		     enum rr_trail_kind kind, const char *reason,
+		     uint32_t status)
 {
 	const struct rr_endpoint *endpoint = attempt->endpoint;
 	struct rr_trail_step step = {
@@ -68,11 +67,11 @@
 		     struct rr_gate_attempt *attempt, const char *reason)
 {
 	if (attempt->run)
-		note_attempt(gate, attempt->run, attempt, RR_TRAIL_WITHDRAWN,
-			     reason, 0);
+		rr_note_attempt(gate, attempt->run, attempt, RR_TRAIL_WITHDRAWN,
+				reason, 0);
 	rr_count(ctx, RR_N_WITHDRAWN, 1);
 	gate->actions.withdraw(gate->actions.data, attempt->id);
-	end_attempt(gate, attempt);
+	rr_end_attempt(gate, attempt);
 	rr_note_given_up(ctx, gate, attempt->endpoint);
 	rr_free_attempt(attempt);
 }
@@ -137,7 +136,7 @@
 	part->last_sent_us = gate->now_us;
 	run->n_run++;
 	rr_count(ctx, RR_N_ATTEMPTS, 1);
-	note_attempt(gate, run, attempt, RR_TRAIL_SENT, why, 0);
+	rr_note_attempt(gate, run, attempt, RR_TRAIL_SENT, why, 0);
 	send.attempt = attempt->id;
 	send.request = run->id;
 	send.endpoint = endpoint->id;
@@ -325,8 +324,8 @@
  * Guards against replicas that work off, after a pause or a slow spell, what
  * nobody waits for any more, while what somebody waits for queues behind it.
  */
-static void withdraw_losers(struct rr_context *ctx, struct rr_gate *gate,
-			    struct rr_gate_run *run, size_t index)
+void rr_withdraw_losers(struct rr_context *ctx, struct rr_gate *gate,
+			struct rr_gate_run *run, size_t index)
 {
 	GList *next;
 
@@ -354,12 +353,12 @@
 		next = l->next;
 		if (!gate->actions.recall(gate->actions.data, attempt->id))
 			continue;
-		note_attempt(gate, run, attempt, RR_TRAIL_WITHDRAWN,
-			     "not-sent-yet", 0);
+		rr_note_attempt(gate, run, attempt, RR_TRAIL_WITHDRAWN,
+				"not-sent-yet", 0);
 		run->parts[attempt->part].n_run--;
 		run->parts[attempt->part].n_arrived--;
 		run->n_run--;
-		end_attempt(gate, attempt);
+		rr_end_attempt(gate, attempt);
 		rr_note_lost(ctx, gate, attempt->endpoint, RR_LOSS_SILENT);
 		rr_free_attempt(attempt);
 	}
@@ -383,219 +382,3 @@
 			withdraw(ctx, gate, attempt, "request-over");
 	}
 }
-
-/* An answer of a sound replica took so long. */
-static void take_time(struct rr_gate *gate,
-		      const struct rr_gate_attempt *attempt, int64_t took_us)
-{
-	struct rr_endpoint *endpoint = attempt->endpoint;
-	struct rr_limit_bounds bounds = rr_endpoint_bounds(gate, endpoint);
-	int64_t typical_us = rr_sketch_quantile(&attempt->record->times, 0.5);
-
-	rr_track_answer(&endpoint->track, gate->now_us, took_us, typical_us);
-	rr_add_time(&attempt->record->times, took_us);
-	if (!typical_us)
-		return;
-	attempt->endpoint->service->typical_us = typical_us;
-	rr_adapt_limit(&endpoint->limit, &bounds,
-		       (double)took_us / (double)typical_us, 1,
-		       attempt->in_flight);
-}
-
-static void take_shed(struct rr_gate *gate, struct rr_endpoint *endpoint)
-{
-	rr_track_shed(&endpoint->track, gate->now_us);
-	rr_shrink_limit(&endpoint->limit, gate->policy.limit_shed_shrink);
-}
-
-/* What a reply tells of the replica. */
-static void track_reply(struct rr_context *ctx, struct rr_gate *gate,
-			const struct rr_gate_attempt *attempt,
-			const struct rr_gate_reply *reply)
-{
-	struct rr_endpoint *endpoint = attempt->endpoint;
-	int64_t took_us = gate->now_us - attempt->sent_us;
-
-	switch (reply->outcome) {
-	case RR_GATE_ANSWERED:
-		if (reply->status >= 500 && endpoint->service != gate->strong) {
-			rr_note_alive(ctx, gate, endpoint);
-			rr_note_lost(ctx, gate, endpoint, RR_LOSS_BROKEN);
-			return;
-		}
-		rr_note_alive(ctx, gate, endpoint);
-		take_time(gate, attempt, took_us);
-		return;
-	case RR_GATE_REFUSED:
-		rr_note_alive(ctx, gate, endpoint);
-		if (reply->other_instance)
-			rr_retire_endpoint(ctx, gate, endpoint,
-					   "other-instance");
-		else
-			take_shed(gate, endpoint);
-		return;
-	case RR_GATE_UNSENT:
-	case RR_GATE_BROKEN:
-	case RR_GATE_SILENT:
-		rr_note_lost(ctx, gate, endpoint,
-			     reply->unreachable ||
-					     reply->outcome == RR_GATE_SILENT ?
-				     RR_LOSS_SILENT :
-				     RR_LOSS_BROKEN);
-		return;
-	}
-}
-
-/* Proof of "not run" takes an attempt off the counts it went into. */
-static void uncount(struct rr_gate_run *run, struct rr_gate_part *part,
-		    const struct rr_gate_attempt *attempt,
-		    const struct rr_gate_reply *reply, int64_t now_us)
-{
-	if (reply->outcome != RR_GATE_REFUSED &&
-	    reply->outcome != RR_GATE_UNSENT)
-		return;
-	part->n_run--;
-	run->n_run--;
-	if (reply->outcome != RR_GATE_UNSENT)
-		return;
-	part->n_arrived--;
-	if (attempt->extra)
-		rr_return_extra(&part->service->extras, now_us);
-}
-
-static const char *outcome_name(const struct rr_gate_reply *reply)
-{
-	static const char *const names[] = {
-		[RR_GATE_ANSWERED] = "answered", [RR_GATE_REFUSED] = "refused",
-		[RR_GATE_UNSENT] = "unsent",	 [RR_GATE_BROKEN] = "broken",
-		[RR_GATE_SILENT] = "silent",
-	};
-
-	return names[reply->outcome];
-}
-
-/*
- * What another instance says of a request that was handed to it: its answer
- * stands, also one that it failed; refused, it is served here, unless that is
- * of no use.
- */
-static void take_handed_reply(struct rr_context *ctx, struct rr_gate *gate,
-			      struct rr_gate_run *run,
-			      const struct rr_gate_reply *reply)
-{
-	switch (reply->outcome) {
-	case RR_GATE_ANSWERED:
-		rr_forward_reply(ctx, gate, run, reply);
-		return;
-	case RR_GATE_REFUSED:
-#ifndef RR_MUTANT_GATE_HANDS_ON_OVERRUN
-		if (reply->status == RR_NO_BETTER_ELSEWHERE) {
-			rr_answer_own(ctx, gate, run, 503, "refused-there");
-			return;
-		}
-#endif
-		G_GNUC_FALLTHROUGH;
-	case RR_GATE_UNSENT:
-		if (!rr_try_part(ctx, gate, run, 0, "repeat"))
-			rr_take_back(ctx, gate, run);
-		return;
-	case RR_GATE_BROKEN:
-	case RR_GATE_SILENT:
-#ifdef RR_MUTANT_GATE_SERVES_LOST_SEARCH
-		rr_take_back(ctx, gate, run);
-		return;
-#endif
-		/* It may have used up what each shard may be asked. */
-		rr_give_up_part(run, &run->parts[0]);
-		rr_advance_run(ctx, gate, run);
-		return;
-	}
-}
-
-static void take_reply(struct rr_context *ctx, struct rr_gate *gate,
-		       struct rr_gate_run *run, size_t index,
-		       const struct rr_gate_reply *reply)
-{
-	struct rr_gate_part *part = &run->parts[index];
-	bool good = reply->outcome == RR_GATE_ANSWERED &&
-		    reply->status >= 200 && reply->status < 300;
-
-	if (part->status != RR_PART_OPEN)
-		return;
-	if (run->handed) {
-		take_handed_reply(ctx, gate, run, reply);
-		return;
-	}
-	if (good && gate->policy.hedge_ends_losers)
-		withdraw_losers(ctx, gate, run, index);
-	if (good && run->route->mode == RR_ROUTE_GATHER) {
-		rr_take_part(ctx, gate, run, part, reply);
-		return;
-	}
-	if (good) {
-		rr_forward_reply(ctx, gate, run, reply);
-		return;
-	}
-	if (rr_try_part(ctx, gate, run, index, "repeat")) {
-		rr_count(ctx, RR_N_RETRIES, 1);
-		return;
-	}
-	if (part->n_live || part->waiting)
-		return;
-	if (run->route->mode == RR_ROUTE_FORWARD &&
-	    reply->outcome == RR_GATE_ANSWERED) {
-		rr_forward_reply(ctx, gate, run, reply);
-		return;
-	}
-	rr_give_up_part(run, part);
-	rr_advance_run(ctx, gate, run);
-}
-
-void rr_gate_reply(struct rr_context *ctx, struct rr_gate *gate, int64_t now_us,
-		   const struct rr_gate_reply *reply)
-{
-	struct rr_gate_attempt *attempt =
-		g_hash_table_lookup(gate->attempts, &reply->attempt);
-	struct rr_gate_service *service;
-	struct rr_gate_run *run;
-
-	gate->now_us = now_us;
-	if (!attempt) {
-		rr_count(ctx, RR_N_LATE_REPLIES, 1);
-		return;
-	}
-	run = attempt->run;
-	service = attempt->endpoint->service;
-	if (reply->load.told)
-		attempt->endpoint->pace_percent = reply->load.pace_percent;
-	if (run)
-		note_attempt(gate, run, attempt, RR_TRAIL_REPLY,
-			     outcome_name(reply), reply->status);
-	track_reply(ctx, gate, attempt, reply);
-	end_attempt(gate, attempt);
-	if (run) {
-		uncount(run, &run->parts[attempt->part], attempt, reply,
-			now_us);
-		take_reply(ctx, gate, run, attempt->part, reply);
-	}
-	rr_free_attempt(attempt);
-	rr_pump_service(ctx, gate, service);
-}
-
-bool rr_redirect_unsent(struct rr_context *ctx, struct rr_gate *gate,
-			struct rr_gate_attempt *attempt, const char *reason)
-{
-	const struct rr_gate_reply unsent = { .attempt = attempt->id,
-					      .outcome = RR_GATE_UNSENT };
-	struct rr_gate_run *run = attempt->run;
-
-	if (!run || !gate->actions.recall(gate->actions.data, attempt->id))
-		return false;
-	note_attempt(gate, run, attempt, RR_TRAIL_WITHDRAWN, reason, 0);
-	end_attempt(gate, attempt);
-	uncount(run, &run->parts[attempt->part], attempt, &unsent,
-		gate->now_us);
-	take_reply(ctx, gate, run, attempt->part, &unsent);
-	rr_free_attempt(attempt);
-	return true;
-}
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -368,6 +368,16 @@
 bool rr_try_part(struct rr_context *ctx, struct rr_gate *gate,
 		 struct rr_gate_run *run, size_t part, const char *why);
 void rr_fire_hedge(struct rr_context *ctx, struct rr_gate *gate, uint64_t id);
+/* Out of all tables; the caller frees it. */
+void rr_end_attempt(struct rr_gate *gate, struct rr_gate_attempt *attempt);
+/* Keep a step of an attempt for the log; `status` 0: there is none. */
+void rr_note_attempt(const struct rr_gate *gate, struct rr_gate_run *run,
+		     const struct rr_gate_attempt *attempt,
+		     enum rr_trail_kind kind, const char *reason,
+		     uint32_t status);
+/* End the other attempts of a part that has its answer. */
+void rr_withdraw_losers(struct rr_context *ctx, struct rr_gate *gate,
+			struct rr_gate_run *run, size_t index);
 /* Take back attempts that have not left: they were not run. */
 void rr_recall_unsent(struct rr_context *ctx, struct rr_gate *gate,
 		      struct rr_gate_run *run);
@@ -381,6 +391,8 @@
 /* Try all that wait there once more; what can go nowhere is given up. */
 void rr_flush_service(struct rr_context *ctx, struct rr_gate *gate,
 		      struct rr_gate_service *service);
+
+/* gate-reply.c */
 /*
  * Take an attempt back if none of its bytes has left, and send its part
  * elsewhere; false if it is on its way.
