--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -277,8 +277,8 @@
  * Another instance of this zone is cut off: this one finds out by probes
  * whether it is as well.
  */
-void rr_gate_doubt_zones(struct rr_context *ctx, struct rr_gate *gate,
-			 int64_t now_us);
+void rr_gate_suspect_zones(struct rr_context *ctx, struct rr_gate *gate,
+			   int64_t now_us);
 /*
  * This instance was late by so long: answers may have come that it had no time
  * to read.  To be told before they are handed in, and before the next tick.
--- a/source/core/gate-delay.c
+++ b/source/core/gate-delay.c
@@ -28,8 +28,8 @@
 		struct rr_gate_zone *zone = g_ptr_array_index(gate->zones, i);
 
 		excuse_track(&zone->track, delay_us, gate->now_us);
-		zone->doubted_us =
-			later_by(zone->doubted_us, delay_us, gate->now_us);
+		zone->suspected_us =
+			later_by(zone->suspected_us, delay_us, gate->now_us);
 		zone->heard_us =
 			later_by(zone->heard_us, delay_us, gate->now_us);
 	}
--- a/source/core/gate-policy.c
+++ b/source/core/gate-policy.c
@@ -123,14 +123,14 @@
 
 void rr_format_policy_reference(GString *out)
 {
-	g_string_append(out,
-			"# Policy of the gateway\n\n"
-			"Made from include/ragwort/gate-policy-list.h by "
-			"`make reference`. None of it is a setting:\n"
-			"what differs between deployments is observed. "
-			"`build/bench/gate` varies it.\n\n"
-			"| name | default | unit | what it answers, or where "
-			"its figure comes from |\n| --- | --- | --- | --- |\n");
+	g_string_append(
+		out,
+		"# Policy of the gateway\n\n"
+		"Made from include/ragwort/gate-policy-list.h by "
+		"`make reference`. None of it is a setting:\n"
+		"what differs between deployments is observed. "
+		"`build/bench/gate` varies it.\n\n"
+		"| name | default | unit | what it does |\n| --- | --- | --- | --- |\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(entries); i++) {
 		g_string_append_printf(out, "| `%s` | ", entries[i].name);
 		append_default(out, &entries[i]);
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -39,10 +39,10 @@
 	uint32_t unanswered; /* given up since the last sign of life */
 	bool silent;	     /* left alone until it is heard again */
 	/* It seems silent, or another zone is: probes find out. */
-	bool doubted;
-	int64_t doubted_us; /* since when */
-	bool probed;	    /* since then */
-	uint32_t watch;	    /* the latest timer set; earlier ones are void */
+	bool suspected;
+	int64_t suspected_us; /* since when */
+	bool probed;	      /* since then */
+	uint32_t watch;	      /* the latest timer set; earlier ones are void */
 	uint32_t failed_probes; /* since the last sign of life */
 	int64_t heard_us;
 };
--- a/source/core/gate-reply.c
+++ b/source/core/gate-reply.c
@@ -190,7 +190,7 @@
 		attempt->endpoint->pace_percent = reply->load.pace_percent;
 	if (run)
 		rr_note_attempt(gate, run, attempt, RR_TRAIL_REPLY,
-			     outcome_name(reply), reply->status);
+				outcome_name(reply), reply->status);
 	track_reply(ctx, gate, attempt, reply);
 	rr_end_attempt(gate, attempt);
 	if (run) {
--- a/source/core/gate-zone.c
+++ b/source/core/gate-zone.c
@@ -106,18 +106,18 @@
 }
 
 /* Find out by probes whether a zone is silent. */
-static void doubt_zone(struct rr_context *ctx, struct rr_gate *gate,
-		       struct rr_gate_zone *zone)
+static void suspect_zone(struct rr_context *ctx, struct rr_gate *gate,
+			 struct rr_gate_zone *zone)
 {
-	if (zone->silent || zone->doubted)
+	if (zone->silent || zone->suspected)
 		return;
-	zone->doubted = true;
-	zone->doubted_us = gate->now_us;
+	zone->suspected = true;
+	zone->suspected_us = gate->now_us;
 	zone->failed_probes = 0;
 	zone->probed = false;
-	for (uint32_t i = 0; i < gate->policy.silence_doubt_probes; i++)
+	for (uint32_t i = 0; i < gate->policy.suspect_zone_probes; i++)
 		probe_zone(ctx, gate, zone);
-	watch_zone(gate, zone, gate->policy.silence_verdict_us);
+	watch_zone(gate, zone, gate->policy.suspect_probe_timeout_us);
 }
 
 /*
@@ -125,8 +125,8 @@
  * are led to other zones once all of a zone's instances say that they are not
  * ready, and one that does not know keeps them there.
  */
-void rr_gate_doubt_zones(struct rr_context *ctx, struct rr_gate *gate,
-			 int64_t now_us)
+void rr_gate_suspect_zones(struct rr_context *ctx, struct rr_gate *gate,
+			   int64_t now_us)
 {
 	gate->now_us = now_us;
 	if (gate->isolated || !gate->policy.silence_of_zones)
@@ -138,7 +138,7 @@
 		struct rr_gate_zone *zone = g_ptr_array_index(gate->zones, i);
 
 		if (!zone->near)
-			doubt_zone(ctx, gate, zone);
+			suspect_zone(ctx, gate, zone);
 	}
 }
 
@@ -178,7 +178,7 @@
  * A cut takes several zones at a time, but once one of them is silent there
  * may be no more work that would show it of the others.
  */
-static void doubt_other_zones(struct rr_context *ctx, struct rr_gate *gate)
+static void suspect_other_zones(struct rr_context *ctx, struct rr_gate *gate)
 {
 	for (guint i = 0; i < gate->zones->len; i++) {
 		struct rr_gate_zone *zone = g_ptr_array_index(gate->zones, i);
@@ -188,8 +188,8 @@
 		if (seems_cut(gate, zone))
 			silence_zone(ctx, gate, zone);
 		else if (gate->now_us - zone->heard_us >=
-			 gate->policy.silence_doubt_us)
-			doubt_zone(ctx, gate, zone);
+			 gate->policy.suspect_zone_us)
+			suspect_zone(ctx, gate, zone);
 	}
 }
 
@@ -204,9 +204,9 @@
 	       RR_FIELD_U64("unanswered", zone->unanswered),
 	       RR_FIELD_I64("silent_us",
 			    rr_track_silent_us(&zone->track, gate->now_us)));
-	zone->doubted = false;
+	zone->suspected = false;
 	watch_zone(gate, zone, gate->policy.silence_probe_us);
-	doubt_other_zones(ctx, gate);
+	suspect_other_zones(ctx, gate);
 	rr_judge_isolation(ctx, gate);
 }
 
@@ -233,10 +233,10 @@
 			     struct rr_gate_zone *zone)
 {
 	if (zone->unanswered + zone->n_live >=
-		    gate->policy.silence_doubt_unanswered &&
+		    gate->policy.suspect_zone_unanswered &&
 	    rr_track_silent_us(&zone->track, gate->now_us) >=
-		    gate->policy.silence_doubt_us)
-		doubt_zone(ctx, gate, zone);
+		    gate->policy.suspect_zone_us)
+		suspect_zone(ctx, gate, zone);
 }
 
 static void judge_zone(struct rr_context *ctx, struct rr_gate *gate,
@@ -246,8 +246,8 @@
 	if (seems_cut(gate, zone) || are_all_suspected(gate, zone))
 		silence_zone(ctx, gate, zone);
 	else if (zone->unanswered >= gate->policy.silence_unanswered)
-		doubt_zone(ctx, gate,
-			   zone); /* refused at once: no time passes */
+		suspect_zone(ctx, gate,
+			     zone); /* refused at once: no time passes */
 	else
 		look_for_silence(ctx, gate, zone);
 }
@@ -318,7 +318,7 @@
 	zone->unanswered = 0;
 	zone->heard_us = gate->now_us;
 	zone->failed_probes = 0;
-	zone->doubted = false;
+	zone->suspected = false;
 	if (!zone->silent)
 		return;
 	zone->silent = false;
@@ -381,17 +381,18 @@
 }
 
 /*
- * A doubt ends with the zone's first sign of life.  Guards against a cut that
+ * Suspicion of a zone ends with its first sign of life.  Guards against a cut that
  * takes half a second to show by attempts alone, while each request of that
  * time is lost.  It holds where replicas pause, since their machines answer.
  */
-static void end_doubt(struct rr_context *ctx, struct rr_gate *gate,
-		      struct rr_gate_zone *zone)
+static void end_suspicion(struct rr_context *ctx, struct rr_gate *gate,
+			  struct rr_gate_zone *zone)
 {
-	if (gate->now_us - zone->doubted_us < gate->policy.silence_verdict_us ||
+	if (gate->now_us - zone->suspected_us <
+		    gate->policy.suspect_probe_timeout_us ||
 	    !zone->probed)
 		return;
-#ifndef RR_MUTANT_GATE_SLOW_VERDICT
+#ifndef RR_MUTANT_GATE_SLOW_PROBES
 	silence_zone(ctx, gate, zone);
 #endif
 }
@@ -403,12 +404,12 @@
 
 	if (!zone || zone->watch != watch)
 		return;
-	if (zone->doubted)
-		end_doubt(ctx, gate, zone);
-	if (!zone->silent && !zone->doubted)
+	if (zone->suspected)
+		end_suspicion(ctx, gate, zone);
+	if (!zone->silent && !zone->suspected)
 		return;
 	if (zone->silent)
-		doubt_other_zones(ctx, gate);
+		suspect_other_zones(ctx, gate);
 	probe_zone(ctx, gate, zone);
 	watch_zone(gate, zone, gate->policy.silence_probe_us);
 }
@@ -431,7 +432,7 @@
 	}
 	if (++endpoint->zone->failed_probes >=
 		    gate->policy.silence_failed_probes &&
-	    endpoint->zone->doubted)
+	    endpoint->zone->suspected)
 		silence_zone(ctx, gate, endpoint->zone);
 	if (endpoint->track.silences_in_row && !endpoint->draining) {
 		rr_track_unreached(&endpoint->track, now_us);
--- a/source/gateway/gateway-store.c
+++ b/source/gateway/gateway-store.c
@@ -67,8 +67,8 @@
 		rr_decode_feed_reply(open->kind, reply->status, reply->body,
 				     reply->length, &decoded);
 	if (reply->message && rr_http_value(reply->message, CUT_OFF_HEADER))
-		rr_gate_doubt_zones(gateway->ctx, gateway->gate,
-				    rr_gateway_now_us());
+		rr_gate_suspect_zones(gateway->ctx, gateway->gate,
+				      rr_gateway_now_us());
 	decoded.call = open->id;
 	g_hash_table_remove(gateway->calls, &reply->attempt);
 	rr_feed_reply(gateway->ctx, gateway->feed, rr_gateway_now_us(),
--- a/tests/test-gate-zone.c
+++ b/tests/test-gate-zone.c
@@ -395,7 +395,7 @@
 	test_list(scene, "s3.b", "s3", "b");
 	test_list(scene, "s4.c", "s4", "c");
 	test_set_routes(scene, 5, &route, 1);
-	rr_gate_doubt_zones(scene->ctx, scene->gate, scene->now_us);
+	rr_gate_suspect_zones(scene->ctx, scene->gate, scene->now_us);
 	assert_true(scene->probes->len >= 2);
 	assert_true(rr_gate_serves(scene->gate, &reason));
 	test_pass(scene, 200 * TEST_MS);
@@ -420,7 +420,7 @@
 	test_list(scene, "s3.b", "s3", "b");
 	test_list(scene, "s4.c", "s4", "c");
 	test_set_routes(scene, 5, &route, 1);
-	rr_gate_doubt_zones(scene->ctx, scene->gate, scene->now_us);
+	rr_gate_suspect_zones(scene->ctx, scene->gate, scene->now_us);
 	test_pass(scene, 5 * TEST_MS);
 	rr_gate_probed(scene->ctx, scene->gate, scene->now_us, "s3.b", true);
 	rr_gate_probed(scene->ctx, scene->gate, scene->now_us, "s4.c", true);
