--- a/source/core/gate-cold.c
+++ b/source/core/gate-cold.c
@@ -65,7 +65,7 @@
 	uint32_t before = 0;
 	uint64_t own;
 
-	/* Nobody counts an instance that is not in the list. */
+	/* The others do not count an instance that is not in the list. */
 	if (!self || !takes_part(self, endpoint->service))
 		return 0;
 	own = rr_rendezvous_weight(endpoint->lifetime, self->id);
--- a/source/net/replica-conn.c
+++ b/source/net/replica-conn.c
@@ -145,7 +145,7 @@
 	return name ? rr_http_value(message, name) : NULL;
 }
 
-/* A report that cannot be read counts for nothing, and for nobody's fault. */
+/* A report that cannot be read is no fault of the answer it came with. */
 static void fill_load(const struct rr_replica_port *port,
 		      const struct rr_http_message *message,
 		      struct rr_gate_load *load)
--- a/tests/test-gate-cold.c
+++ b/tests/test-gate-cold.c
@@ -111,7 +111,7 @@
 	test_drop_scene(scene);
 }
 
-/* Guards against an instance that nobody else counts. */
+/* Guards against an instance that the others do not count. */
 static void test_not_in_the_list_of_instances(void **state)
 {
 	struct test_route route = test_often_route;
--- a/tests/test-platform-entries.c
+++ b/tests/test-platform-entries.c
@@ -353,6 +353,35 @@
 	g_ptr_array_unref(reply.items);
 }
 
+/* Guards against an evacuation whose zone or value is read as another's. */
+static void test_evacuations(void **state)
+{
+	static const char body[] =
+		"{\"items\":["
+		"{\"key\":\"op/evacuate/athi\",\"value\":\"e30=\","
+		"\"revision\":3},"
+		"{\"key\":\"op/evacuate/\",\"value\":\"e30=\",\"revision\":4},"
+		"{\"key\":\"op/evacuate/ruaraka\",\"value\":\"W10=\","
+		"\"revision\":5}],\"storeRevision\":9}";
+	struct rr_feed_reply reply = { 0 };
+	const struct rr_feed_item *item;
+
+	(void)state;
+	rr_decode_feed_reply(RR_FEED_RANGE, 200, (const uint8_t *)body,
+			     strlen(body), &reply);
+	assert_int_equal(reply.items->len, 3);
+	item = g_ptr_array_index(reply.items, 0);
+	assert_int_equal(item->kind, RR_FEED_EVACUATION);
+	assert_string_equal(item->id, "athi");
+	assert_null(item->fault);
+	item = g_ptr_array_index(reply.items, 1);
+	assert_string_equal(item->fault, "its key names no zone");
+	item = g_ptr_array_index(reply.items, 2);
+	assert_string_equal(item->id, "ruaraka");
+	assert_string_equal(item->fault, "no object");
+	g_ptr_array_unref(reply.items);
+}
+
 static struct rr_entry_call *parse_entries(const char *body)
 {
 	const char *fault;
@@ -421,6 +450,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_evacuations),
 		cmocka_unit_test(test_an_entry_of_a_replica),
 		cmocka_unit_test(test_a_start_may_be_left_out),
 		cmocka_unit_test(test_fields_that_lack_or_are_of_another_type),
--- a/tests/test-platform-formats.c
+++ b/tests/test-platform-formats.c
@@ -15,101 +15,8 @@
 
 static const char config[] =
 	"{\"version\":7,\"routes\":["
-	"{\"name\":\"r1\",\"host\":\"Pupu.example\",\"prefix\":\"/b/\","
-	"\"routeType\":\"idempotent\",\"timeoutMs\":600,\"targetLatencyMs\":40,"
-	"\"priority\":2,\"shardServices\":[\"x\",\"y\",\"z\"],"
-	"\"maxAttempts\":2,\"topK\":5,\"minShardRatio\":0.75},"
-	"{\"name\":\"r2\",\"host\":\"pupu.example\",\"prefix\":\"/t/\","
-	"\"routeType\":\"non_idempotent\",\"timeoutMs\":4000,"
-	"\"service\":\"k\",\"maxAttempts\":3,"
-	"\"allowedRegions\":[\"north\",\"south\"]},"
-	"{\"name\":\"r3\",\"host\":\"pupu.example\",\"prefix\":\"/s/\","
-	"\"routeType\":\"idempotent\",\"trafficSplit\":["
-	"{\"service\":\"k\",\"weight\":0.75},{\"service\":\"x\",\"weight\":"
-	"0.25}]}],"
-	"\"services\":[{\"name\":\"x\",\"maxConnections\":26,"
-	"\"coldStartS\":2.5,\"coldPerS\":7.5},"
-	"{\"name\":\"y\",\"coldStartS\":-1,\"coldPerS\":\"many\"}],"
-	"\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,"
-	"\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\"news\":[1]}";
-
-static const struct rr_route *find(const struct rr_route_table *table,
-				   const char *path)
-{
-	return rr_find_route(table, "pupu.example", path, strlen(path));
-}
-
-static void test_routes(void **state)
-{
-	const char *fault;
-	struct rr_route_table *table =
-		rr_decode_routes(config, strlen(config), &fault);
-	const struct rr_route *route;
-
-	assert_non_null(table);
-	assert_int_equal(rr_route_table_version(table), 7);
-	route = find(table, "/b/1");
-	assert_string_equal(route->name, "r1");
-	assert_int_equal(route->mode, RR_ROUTE_GATHER);
-	assert_true(route->idempotent);
-	assert_int_equal(route->n_parts, 3);
-	assert_string_equal(route->parts[2].service, "z");
-	assert_int_equal(route->top_k, 5);
-	assert_true(route->least_share == 0.75);
-	assert_int_equal(route->objective_ms, 40);
-	assert_int_equal(route->timeout_ms, 600);
-	assert_int_equal(route->priority, 2);
-	route = find(table, "/t/1");
-	assert_int_equal(route->mode, RR_ROUTE_FORWARD);
-	assert_false(route->idempotent);
-	assert_int_equal(route->max_attempts, 3);
-	assert_string_equal(route->parts[0].service, "k");
-	assert_true(rr_route_allows_region(route, "south"));
-	assert_false(rr_route_allows_region(route, "west"));
-	assert_false(rr_route_allows_region(route, NULL));
-	route = find(table, "/s/1");
-	assert_true(rr_route_allows_region(route, NULL));
-	assert_int_equal(route->n_parts, 2);
-	assert_true(route->parts[0].weight == 0.75);
-	assert_int_equal(rr_find_route_service(table, "x")->max_connections,
-			 26);
-	assert_int_equal(rr_find_route_service(table, "x")->cold_ms, 2500);
-	assert_true(rr_find_route_service(table, "x")->cold_per_s == 7.5);
-	assert_int_equal(rr_find_route_service(table, "y")->cold_ms, 0);
-	assert_true(rr_find_route_service(table, "y")->cold_per_s == 0);
-	assert_int_equal(rr_table_caller_limits(table)->idle_timeout_ms, 15000);
-	rr_drop_route_table(table);
-}
-
-static void test_faulty_routes(void **state)
-{
-	static const char *const texts[] = {
-		"",
-		"[]",
-		"{\"routes\":[]}",
-		"{\"version\":1}",
-		"{\"version\":1,\"routes\":[{}]}",
-		"{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
-		"\"prefix\":\"/a/\"}]}",
-		"{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
-		"\"prefix\":\"/a/\",\"shardServices\":[\"x\",3]}]}",
-		"{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
-		"\"prefix\":\"a\",\"service\":\"x\"}]}",
-		"{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
-		"\"prefix\":\"/a/\",\"service\":\"x\","
-		"\"allowedRegions\":\"north\"}]}",
-		"{\"version\":1,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
-		"\"prefix\":\"/a/\",\"service\":\"x\","
-		"\"allowedRegions\":[\"north\",7]}]}",
-	};
-	const char *fault;
-
-	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
-		assert_null(
-			rr_decode_routes(texts[i], strlen(texts[i]), &fault));
-		assert_non_null(fault);
-	}
-}
+	"{\"name\":\"r1\",\"host\":\"h\",\"prefix\":\"/b/\","
+	"\"routeType\":\"idempotent\",\"service\":\"k\"}]}";
 
 static void assert_call(const struct rr_feed_call *call, const char *start,
 			const char *body)
@@ -246,33 +153,6 @@
 	g_free(coded);
 }
 
-/* Guards against an evacuation whose zone or value is read as another's. */
-static void test_evacuations(void **state)
-{
-	struct rr_feed_reply reply = decode(
-		RR_FEED_RANGE, 200,
-		"{\"items\":["
-		"{\"key\":\"op/evacuate/athi\",\"value\":\"e30=\","
-		"\"revision\":3},"
-		"{\"key\":\"op/evacuate/\",\"value\":\"e30=\",\"revision\":4},"
-		"{\"key\":\"op/evacuate/ruaraka\",\"value\":\"W10=\","
-		"\"revision\":5}],\"storeRevision\":9}");
-	const struct rr_feed_item *item;
-
-	(void)state;
-	assert_int_equal(reply.items->len, 3);
-	item = g_ptr_array_index(reply.items, 0);
-	assert_int_equal(item->kind, RR_FEED_EVACUATION);
-	assert_string_equal(item->id, "athi");
-	assert_null(item->fault);
-	item = g_ptr_array_index(reply.items, 1);
-	assert_string_equal(item->fault, "its key names no zone");
-	item = g_ptr_array_index(reply.items, 2);
-	assert_string_equal(item->id, "ruaraka");
-	assert_string_equal(item->fault, "no object");
-	drop(&reply);
-}
-
 static void test_watch_reply(void **state)
 {
 	struct rr_feed_reply reply =
@@ -608,49 +488,12 @@
 	assert_true(call.everything);
 }
 
-static void test_load_of_a_replica(void **state)
-{
-	struct rr_gate_load load;
-
-	(void)state;
-	assert_true(rr_decode_load("3,0,8", &load));
-	assert_int_equal(load.running, 3);
-	assert_int_equal(load.slots, 8);
-	assert_int_equal(load.pace_percent, 100);
-	assert_true(rr_decode_load(" 2, 11 ,2,830 ", &load));
-	assert_int_equal(load.waiting, 11);
-	assert_int_equal(load.pace_percent, 830);
-}
-
-/* Guards against a bad report that stands for a load. */
-static void test_what_is_no_load(void **state)
-{
-	static const char *const texts[] = {
-		"",	   "3",		  "3,0",    "3,0,0",
-		"3,0,8,0", "3,0,8,100,7", "-1,0,8", "3,0,8x",
-		"3,,8",	   "3,0,8,",	  "a,b,c",  "1,1,99999999999"
-	};
-
-	(void)state;
-	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
-		struct rr_gate_load load = { .told = true };
-
-		assert_false(rr_decode_load(texts[i], &load));
-		assert_false(load.told);
-	}
-}
-
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(test_routes),
-		cmocka_unit_test(test_faulty_routes),
 		cmocka_unit_test(test_calls),
 		cmocka_unit_test(test_entry),
 		cmocka_unit_test(test_range_reply),
-		cmocka_unit_test(test_evacuations),
-		cmocka_unit_test(test_load_of_a_replica),
-		cmocka_unit_test(test_what_is_no_load),
 		cmocka_unit_test(test_watch_reply),
 		cmocka_unit_test(test_other_replies),
 		cmocka_unit_test(test_failures),
--- /dev/null
+++ b/tests/test-platform-load.c
@@ -0,0 +1,53 @@
+/*
+ * test-platform-load.c - what replicas tell of their load.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "platform/platform.h"
+
+static void test_load_of_a_replica(void **state)
+{
+	struct rr_gate_load load;
+
+	(void)state;
+	assert_true(rr_decode_load("3,0,8", &load));
+	assert_int_equal(load.running, 3);
+	assert_int_equal(load.slots, 8);
+	assert_int_equal(load.pace_percent, 100);
+	assert_true(rr_decode_load(" 2, 11 ,2,830 ", &load));
+	assert_int_equal(load.waiting, 11);
+	assert_int_equal(load.pace_percent, 830);
+}
+
+/* Guards against a bad report that stands for a load. */
+static void test_what_is_no_load(void **state)
+{
+	static const char *const texts[] = {
+		"",	   "3",		  "3,0",    "3,0,0",
+		"3,0,8,0", "3,0,8,100,7", "-1,0,8", "3,0,8x",
+		"3,,8",	   "3,0,8,",	  "a,b,c",  "1,1,99999999999"
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct rr_gate_load load = { .told = true };
+
+		assert_false(rr_decode_load(texts[i], &load));
+		assert_false(load.told);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_load_of_a_replica),
+		cmocka_unit_test(test_what_is_no_load),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
