--- a/source/core/gate-evacuate.c
+++ b/source/core/gate-evacuate.c
@@ -40,12 +40,13 @@
 		     const struct rr_endpoint *endpoint)
 {
 	const struct rr_evacuation *evacuation = endpoint->zone->evacuation;
+	double share;
 
 	if (!evacuation->returning)
 		return false;
-	return rr_random_unit(ctx) >=
-	       rr_evacuation_share(evacuation, gate->now_us,
-				   rr_cold_us(gate, endpoint->service));
+	share = rr_evacuation_share(evacuation, gate->now_us,
+				    rr_cold_us(gate, endpoint->service));
+	return share < 1 && rr_random_unit(ctx) >= share;
 }
 
 /*
