--- a/source/core/gate-cold.c
+++ b/source/core/gate-cold.c
@@ -12,9 +12,7 @@
 		   const struct rr_gate_service *service)
 {
 	const struct rr_route_service *told =
-		gate->table ?
-			rr_find_route_service(gate->table, service->name) :
-			NULL;
+		rr_service_in_force(gate, service->name);
 
 	return told && told->cold_ms ? (int64_t)told->cold_ms * 1000 :
 				       gate->policy.return_cold_us;
@@ -34,9 +32,7 @@
 		       const struct rr_endpoint *endpoint)
 {
 	const struct rr_route_service *told =
-		gate->table ? rr_find_route_service(gate->table,
-						    endpoint->service->name) :
-			      NULL;
+		rr_service_in_force(gate, endpoint->service->name);
 
 	if (!told || told->cold_per_s <= 0)
 		return 0;
--- a/source/core/gate-list.c
+++ b/source/core/gate-list.c
@@ -132,12 +132,18 @@
 	rr_refresh_extras(gate);
 }
 
+const struct rr_route_service *rr_service_in_force(const struct rr_gate *gate,
+						   const char *name)
+{
+	return gate->table ? rr_find_route_service(gate->table, name) : NULL;
+}
+
 /* This instance's part of a replica's connections, times `part`. */
 static uint32_t share_of_connections(const struct rr_gate *gate,
 				     const char *name, double part)
 {
 	const struct rr_route_service *service =
-		gate->table ? rr_find_route_service(gate->table, name) : NULL;
+		rr_service_in_force(gate, name);
 	double share;
 
 	if (!service || !service->max_connections)
@@ -225,9 +231,7 @@
 		     const struct rr_endpoint *endpoint)
 {
 	const struct rr_route_service *service =
-		gate->table ? rr_find_route_service(gate->table,
-						    endpoint->service->name) :
-			      NULL;
+		rr_service_in_force(gate, endpoint->service->name);
 
 	if (endpoint->service == gate->strong)
 		return true;
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -227,6 +227,9 @@
 void rr_refresh_extras(struct rr_gate *gate);
 /* New routes: which services are shards of searches, and share anew. */
 void rr_mark_searched(struct rr_gate *gate);
+/* What the routes in force say of a service; NULL: nothing. */
+const struct rr_route_service *rr_service_in_force(const struct rr_gate *gate,
+						   const char *name);
 /* Connections to a replica of a service that are kept at rest. */
 uint32_t rr_kept_connections(const struct rr_gate *gate, const char *name);
 /* Make connections to replicas that were listed since the last tick. */
