gate: log what a request asks, and which requests broken attempts belonged to

The instances' lines could not tell one request that ends its replicas from replicas that end by themselves: each attempt of a caller has an id of its own, no line said what it asked, and which requests were at a replica that broke off was in sampled lines only.

A fingerprint of method, host, path, query, credentials and body now stands in 'answered' and 'turned-away', and 'attempt-broken' is written for each attempt whose replica closed the connection without an answer. No decision changes.

--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -48,6 +48,8 @@
 	const char *path; /* with the query */
 	size_t path_length;
 	const char *request_id; /* NULL: it has none */
+	/* Of what it asks, the same for each repeat; 0: not told. */
+	uint64_t fingerprint;
 	int64_t deadline_ms; /* what the caller will wait; below 0: not told */
 	int64_t caller_rtt_us; /* measured on its connection; 0: unknown */
 	/* It made its connection for this request, and has waited for that. */
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -123,6 +123,7 @@
 struct rr_gate_run {
 	uint64_t id;
 	char *request_id;
+	uint64_t fingerprint;
 	struct rr_route_table *table; /* keeps the route */
 	const struct rr_route *route;
 	struct rr_route_record *record;
@@ -443,6 +444,9 @@
 /* gate-tell.c */
 /* Why a part was not asked again: the budget of extra attempts is spent. */
 #define RR_NO_EXTRA_LEFT "no-extra-left"
+/* Tell of an attempt that its replica broke off, and what else it had. */
+void rr_tell_broken(struct rr_context *ctx, const struct rr_gate *gate,
+		    const struct rr_gate_attempt *attempt);
 /* Tell a request whole, or what it lacks, or its end only, or nothing. */
 void rr_tell_answer(struct rr_context *ctx, struct rr_gate *gate,
 		    struct rr_gate_run *run,
--- a/source/core/gate-reply.c
+++ b/source/core/gate-reply.c
@@ -191,6 +191,8 @@
 	if (run)
 		rr_note_attempt(gate, run, attempt, RR_TRAIL_REPLY,
 				outcome_name(reply), reply->status);
+	if (reply->outcome == RR_GATE_BROKEN)
+		rr_tell_broken(ctx, gate, attempt);
 	track_reply(ctx, gate, attempt, reply);
 	rr_end_attempt(gate, attempt);
 	if (run) {
--- a/source/core/gate-run.c
+++ b/source/core/gate-run.c
@@ -10,6 +10,8 @@
 
 #include <string.h>
 
+#include "wire/fingerprint.h"
+
 struct rr_gate_run *rr_find_run(const struct rr_gate *gate, uint64_t id)
 {
 	return g_hash_table_lookup(gate->runs, &id);
@@ -391,7 +393,9 @@
 		.status = status,
 		.reason = reason,
 	};
+	char fingerprint[RR_FINGERPRINT_TEXT];
 
+	rr_format_fingerprint(ask->fingerprint, fingerprint);
 	if (is_promise(status))
 		answer.retry_after_ms = rr_draw_retry_ms(
 			ctx, gate,
@@ -399,6 +403,7 @@
 						gate->policy.retry_base_us);
 	rr_log(ctx, RR_LOG_INFO, "turned-away",
 	       RR_FIELD_STRING("request", ask->request_id),
+	       RR_FIELD_STRING("fingerprint", fingerprint),
 	       RR_FIELD_STRING("instance", gate->instance),
 	       RR_FIELD_U64("status", status),
 	       RR_FIELD_STRING("reason", reason),
@@ -429,6 +434,7 @@
 	run = g_new0(struct rr_gate_run, 1);
 	run->id = id = ++gate->next_id;
 	run->request_id = g_strdup(ask->request_id ? ask->request_id : "");
+	run->fingerprint = ask->fingerprint;
 	run->table = rr_keep_route_table(gate->table);
 	run->route = route;
 	run->record = record_of(gate, route);
--- a/source/core/gate-tell.c
+++ b/source/core/gate-tell.c
@@ -6,6 +6,7 @@
  * lines goes, all of its steps, or those of the parts that lack.
  */
 #include "core/gate-private.h"
+#include "wire/fingerprint.h"
 
 /* Parts without an answer, by why. */
 struct lacks {
@@ -70,9 +71,12 @@
 		      size_t steps_left_out)
 {
 	struct lacks lacks = count_lacks(run);
+	char fingerprint[RR_FINGERPRINT_TEXT];
 
+	rr_format_fingerprint(run->fingerprint, fingerprint);
 	rr_log(ctx, RR_LOG_INFO, "answered",
 	       RR_FIELD_STRING("request", run->request_id),
+	       RR_FIELD_STRING("fingerprint", fingerprint),
 	       RR_FIELD_STRING("instance", gate->instance),
 	       RR_FIELD_I64("after_us", gate->now_us - run->started_us),
 	       RR_FIELD_STRING("route", run->route->name),
@@ -134,6 +138,24 @@
 	return n;
 }
 
+void rr_tell_broken(struct rr_context *ctx, const struct rr_gate *gate,
+		    const struct rr_gate_attempt *attempt)
+{
+	const struct rr_gate_run *run = attempt->run;
+	const struct rr_endpoint *endpoint = attempt->endpoint;
+	char fingerprint[RR_FINGERPRINT_TEXT];
+
+	rr_format_fingerprint(run ? run->fingerprint : 0, fingerprint);
+	rr_log(ctx, RR_LOG_INFO, "attempt-broken",
+	       RR_FIELD_STRING("request", run ? run->request_id : ""),
+	       RR_FIELD_STRING("fingerprint", fingerprint),
+	       RR_FIELD_U64("attempt", attempt->id),
+	       RR_FIELD_STRING("service", endpoint->service->name),
+	       RR_FIELD_STRING("endpoint", endpoint->lifetime),
+	       RR_FIELD_I64("ran_us", gate->now_us - attempt->sent_us),
+	       RR_FIELD_U64("in_flight", endpoint->live.length));
+}
+
 void rr_tell_answer(struct rr_context *ctx, struct rr_gate *gate,
 		    struct rr_gate_run *run,
 		    const struct rr_gate_answer *answer)
--- a/source/gateway/gateway-callers.c
+++ b/source/gateway/gateway-callers.c
@@ -8,6 +8,7 @@
 
 #include "gateway/request-head.h"
 #include "ragwort/counters.h"
+#include "wire/fingerprint.h"
 
 void rr_free_open_request(gpointer data)
 {
@@ -222,6 +223,22 @@
 	return key;
 }
 
+/* What a replica would get of it on any attempt. */
+static uint64_t fingerprint_of(const struct rr_http_message *message)
+{
+	struct rr_fingerprint_parts parts = {
+		.method = message->method,
+		.host = rr_http_value(message, "Host"),
+		.path = message->target,
+		.path_length = message->target_length,
+		.credentials = rr_http_value(message, "Authorization"),
+		.body = message->body,
+		.body_length = message->body_length,
+	};
+
+	return rr_fingerprint(&parts);
+}
+
 static void take_request(struct rr_gateway *gateway, struct rr_caller *caller,
 			 const struct rr_http_message *message, bool handed)
 {
@@ -233,6 +250,7 @@
 		.path_length = message->target_length,
 		.request_id =
 			rr_http_value(message, gateway->names->request_id),
+		.fingerprint = fingerprint_of(message),
 		.deadline_ms = read_number(message, gateway->names->deadline),
 		.caller_rtt_us = rr_caller_rtt_us(caller),
 		.caller_is_new = rr_caller_is_new(caller),
--- a/tests/support/gate-scene.h
+++ b/tests/support/gate-scene.h
@@ -41,11 +41,12 @@
 	struct rr_context *ctx;
 	struct rr_gate *gate;
 	int64_t now_us;
-	bool nothing_leaves; /* attempts can be recalled */
-	bool caller_is_new;  /* as callers of the next requests are */
-	GPtrArray *sent;     /* struct test_sent */
-	GPtrArray *answers;  /* struct test_answer */
-	GPtrArray *probes;   /* char *, lifetimes */
+	bool nothing_leaves;  /* attempts can be recalled */
+	bool caller_is_new;   /* as callers of the next requests are */
+	uint64_t fingerprint; /* of the next requests */
+	GPtrArray *sent;      /* struct test_sent */
+	GPtrArray *answers;   /* struct test_answer */
+	GPtrArray *probes;    /* char *, lifetimes */
 	GPtrArray *opened;
 	GPtrArray *forgotten;
 	GString *log; /* lines, each with its line feed */
--- a/tests/test-gate-tell.c
+++ b/tests/test-gate-tell.c
@@ -113,12 +113,33 @@
 	test_drop_scene(scene);
 }
 
+/* Which request a replica broke off, and how it ended, share a fingerprint. */
+static void test_broken_attempts_are_told(void **state)
+{
+	struct gate_scene *scene = test_start_scene(&test_often_route);
+
+	(void)state;
+	scene->fingerprint = 0xabc;
+	g_string_truncate(scene->log, 0);
+	test_take(scene, "/often/1", 900);
+	test_reply(scene, test_sent_at(scene, 0), RR_GATE_BROKEN, 0);
+	test_pass(scene, 1000 * TEST_MS);
+	assert_int_equal(count_of(scene, "event=attempt-broken request=id "
+					 "fingerprint=0000000000000abc"),
+			 1);
+	assert_int_equal(count_of(scene, "event=answered request=id "
+					 "fingerprint=0000000000000abc"),
+			 1);
+	test_drop_scene(scene);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_what_lacks_is_told),
 		cmocka_unit_test(test_the_bound_holds),
 		cmocka_unit_test(test_what_went_well_is_not_told),
+		cmocka_unit_test(test_broken_attempts_are_told),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
