--- a/tests/support/port.c
+++ b/tests/support/port.c
@@ -61,6 +61,11 @@
 	return port;
 }
 
+char *test_free_address(void)
+{
+	return g_strdup_printf("127.0.0.1:%u", test_take_port());
+}
+
 GSocket *test_open_listener(uint16_t *port)
 {
 	GError *error = NULL;
--- a/tests/support/raw-http.c
+++ b/tests/support/raw-http.c
@@ -216,3 +216,17 @@
 		g_clear_object(&server->listener);
 	}
 }
+
+void test_end_server(struct test_server *server)
+{
+	test_listen(server, false);
+	while (server->connections->len)
+		test_close_connection(
+			g_ptr_array_index(server->connections, 0));
+}
+
+void test_close_server(struct test_server *server)
+{
+	test_end_server(server);
+	g_ptr_array_unref(server->connections);
+}
--- a/tests/support/raw-http.h
+++ b/tests/support/raw-http.h
@@ -44,6 +44,10 @@
 
 /* Open or close the listener; with a closed one connections are refused. */
 void test_listen(struct test_server *server, bool open);
+/* As when its process ends: no listener, and no connections. */
+void test_end_server(struct test_server *server);
+/* The same, and it is not opened again. */
+void test_close_server(struct test_server *server);
 
 /* A header of the request, NULL if absent. */
 const char *test_header(struct test_connection *connection, const char *name);
--- a/tests/test-process-fleet.c
+++ b/tests/test-process-fleet.c
@@ -28,17 +28,12 @@
 	struct test_process *gateways[GATEWAYS];
 };
 
-static char *free_address(void)
-{
-	return g_strdup_printf("127.0.0.1:%u", test_take_port());
-}
-
 /* The first is stronger than the others. */
 static void start_gateway(struct world *world, int i)
 {
-	char *callers = free_address();
-	char *ready = free_address();
-	char *peers = free_address();
+	char *callers = test_free_address();
+	char *ready = test_free_address();
+	char *peers = test_free_address();
 	char *text = g_strdup_printf(
 		"instance: gw-%d\nzone: a\ncaller_address: \"%s\"\n"
 		"ready_address: \"%s\"\npeer_address: \"%s\"\n"
--- a/tests/test-process-gateway.c
+++ b/tests/test-process-gateway.c
@@ -138,11 +138,6 @@
 	g_free(text);
 }
 
-static char *free_address(void)
-{
-	return g_strdup_printf("127.0.0.1:%u", test_take_port());
-}
-
 static int set_up(void **state)
 {
 	struct world *world = g_new0(struct world, 1);
@@ -154,22 +149,13 @@
 		test_listen(&world->replicas[i], true);
 	}
 	fill_store(world);
-	world->caller_address = free_address();
-	world->ready_address = free_address();
+	world->caller_address = test_free_address();
+	world->ready_address = test_free_address();
 	start_gateway(world);
 	*state = world;
 	return 0;
 }
 
-static void close_server(struct test_server *server)
-{
-	test_listen(server, false);
-	while (server->connections->len)
-		test_close_connection(
-			g_ptr_array_index(server->connections, 0));
-	g_ptr_array_unref(server->connections);
-}
-
 static int tear_down(void **state)
 {
 	struct world *world = *state;
@@ -177,7 +163,7 @@
 	test_drop_process(world->gateway);
 	test_close_store(&world->store);
 	for (int i = 0; i < SHARDS; i++)
-		close_server(&world->replicas[i]);
+		test_close_server(&world->replicas[i]);
 	test_remove_file(world->start_file);
 	g_free(world->caller_address);
 	g_free(world->ready_address);
