gate: the latest attempt goes on as the canary; tests of quarantine by module

A search that comes under suspicion withdrew what it had under way, also the repeat that it had just sent, and asked one replica more: that part then had had its two attempts and a bystander's answer lacked it. The attempt that was sent after the first close is the canary itself.

Tests: quarantine (what condemns, what does not), gate-quarantine (the twins: a bystander, a reset over the cap, a replica that leaves, one killed from outside, a bystander that comes often; trials; what others tell), feed-report (conflicts, leases, a store that is away, a flood), platform-entries.

--- a/source/base/fingerprint.c
+++ b/source/base/fingerprint.c
@@ -35,7 +35,9 @@
 	add_text(hash, parts->host);
 	add_part(hash, parts->path, parts->path_length);
 	add_text(hash, parts->credentials);
+#ifndef RR_MUTANT_FINGERPRINT_WITHOUT_BODY
 	add_part(hash, parts->body, parts->body_length);
+#endif
 	g_checksum_get_digest(hash, digest, &length);
 	g_checksum_free(hash);
 	memcpy(&fingerprint, digest, sizeof(fingerprint));
--- a/source/core/feed-report.c
+++ b/source/core/feed-report.c
@@ -184,6 +184,9 @@
 	call.entry = report->entry;
 	call.entry_goes = report->released;
 	call.revision = revision_of(feed, text_of(report, text));
+#ifdef RR_MUTANT_REPORTS_KNOW_NO_REVISION
+	call.revision = 0;
+#endif
 	rr_start_feed_call(ctx, feed, &reports->line, &call);
 }
 
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -351,8 +351,9 @@
 	}
 }
 
-void rr_withdraw_idempotent(struct rr_context *ctx, struct rr_gate *gate,
-			    struct rr_gate_run *run, const char *reason)
+void rr_withdraw_others(struct rr_context *ctx, struct rr_gate *gate,
+			struct rr_gate_run *run,
+			const struct rr_gate_attempt *kept, const char *reason)
 {
 	GList *next;
 
@@ -360,7 +361,7 @@
 		struct rr_gate_attempt *attempt = l->data;
 
 		next = l->next;
-		if (attempt->idempotent)
+		if (attempt != kept && attempt->idempotent)
 			withdraw(ctx, gate, attempt, reason);
 	}
 }
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -151,6 +151,7 @@
 	bool trial;		 /* it has one, though it is in quarantine */
 	bool refused_for_good;	 /* no instance would send it */
 	uint32_t n_closed;	 /* attempts that replicas closed */
+	int64_t closed_us;	 /* when the first of them was */
 	uint32_t retry_after_ms; /* told to its caller; 0: drawn */
 	struct rr_top_records top;
 	GString *seals;
@@ -398,9 +399,10 @@
 /* Take back attempts that have not left: they were not run. */
 void rr_recall_unsent(struct rr_context *ctx, struct rr_gate *gate,
 		      struct rr_gate_run *run);
-/* End those of a request that may be repeated. */
-void rr_withdraw_idempotent(struct rr_context *ctx, struct rr_gate *gate,
-			    struct rr_gate_run *run, const char *reason);
+/* End those of a request that may be repeated, but for one; NULL: all. */
+void rr_withdraw_others(struct rr_context *ctx, struct rr_gate *gate,
+			struct rr_gate_run *run,
+			const struct rr_gate_attempt *kept, const char *reason);
 /* The request is over, and with it its attempts. */
 void rr_leave_attempts(struct rr_context *ctx, struct rr_gate *gate,
 		       struct rr_gate_run *run);
--- a/source/core/gate-quarantine.c
+++ b/source/core/gate-quarantine.c
@@ -234,13 +234,22 @@
 			       &run->fingerprint);
 }
 
+/* One that was sent after an attempt of its request had crashed its replica. */
+static struct rr_gate_attempt *find_canary(const struct rr_gate_run *run)
+{
+	struct rr_gate_attempt *last = g_queue_peek_tail((GQueue *)&run->live);
+
+	return last && last->sent_us >= run->closed_us ? last : NULL;
+}
+
 bool rr_go_on_as_canary(struct rr_context *ctx, struct rr_gate *gate,
 			struct rr_gate_run *run,
 			const struct rr_gate_reply *reply)
 {
 	bool was_canary = run->canary;
 
-	run->n_closed += reply->closed;
+	if (reply->closed && !run->n_closed++)
+		run->closed_us = gate->now_us;
 	if (!was_canary && !is_suspicious(gate, run))
 		return false;
 	if (was_canary && reply->closed) {
@@ -249,8 +258,8 @@
 	}
 	if (!was_canary) {
 		run->canary = true;
-		rr_withdraw_idempotent(ctx, gate, run, "suspected");
-		/* What runs once at most is not sent again anyway. */
+		rr_withdraw_others(ctx, gate, run, find_canary(run),
+				   "suspected");
 		if (run->live.length)
 			return true;
 	}
@@ -337,6 +346,10 @@
 #endif
 	if (!record->in_force)
 		return RR_QUARANTINE_PASS;
+#ifdef RR_MUTANT_GATE_TRIES_AT_WILL
+	run->trial = true;
+	return RR_QUARANTINE_PASS;
+#endif
 	if (record->trials >= gate->policy.quarantine_trials ||
 	    gate->now_us < record->retry_us || record->claiming) {
 		refuse_quarantined(ctx, gate, run);
--- a/tests/support/feed-scene.c
+++ b/tests/support/feed-scene.c
@@ -18,6 +18,7 @@
 
 	g_string_free(call->entries, TRUE);
 	g_free(call->after_key);
+	g_free(call->report);
 	g_free(call->peer);
 	g_free(call);
 }
@@ -38,6 +39,15 @@
 			(const char *)g_ptr_array_index(call->removed, i));
 }
 
+static char *name_entry(const struct rr_quarantine_entry *entry, bool released)
+{
+	return g_strdup_printf("%s %" G_GUINT64_FORMAT,
+			       released	       ? "released" :
+			       entry->in_force ? "quarantined" :
+						 "suspected",
+			       entry->fingerprint.low);
+}
+
 static void note_call(void *data, const struct rr_feed_call *call)
 {
 	struct feed_scene *scene = data;
@@ -51,6 +61,9 @@
 	kept->wait_ms = call->wait_ms;
 	kept->lease = call->lease;
 	kept->may_be_old = call->may_be_old;
+	if (call->entry)
+		kept->report = name_entry(call->entry, call->entry_goes);
+	kept->revision = call->revision;
 	note_entries(kept, call);
 	g_ptr_array_add(scene->calls, kept);
 }
@@ -115,6 +128,29 @@
 			       (unsigned)revision);
 }
 
+static void note_quarantine(void *data,
+			    const struct rr_fingerprint *fingerprint,
+			    const struct rr_quarantine_entry *entry)
+{
+	struct feed_scene *scene = data;
+	char *name = entry ? name_entry(entry, false) :
+			     g_strdup_printf("released %" G_GUINT64_FORMAT,
+					     fingerprint->low);
+
+	g_string_append_printf(scene->news, "%s ", name);
+	g_free(name);
+}
+
+static void note_claimed(void *data, const struct rr_quarantine_entry *entry,
+			 bool granted)
+{
+	struct feed_scene *scene = data;
+
+	g_string_append_printf(scene->news, "%s %" G_GUINT64_FORMAT " ",
+			       granted ? "granted" : "not-granted",
+			       entry->fingerprint.low);
+}
+
 static struct feed_scene *make_scene(const char *const *seeds, double strength)
 {
 	struct feed_scene *scene = g_new0(struct feed_scene, 1);
@@ -128,6 +164,8 @@
 			.instances = note_instances,
 			.instance = note_instance,
 			.evacuation = note_evacuation,
+			.quarantine = note_quarantine,
+			.claimed = note_claimed,
 			.data = scene,
 		},
 		.self = { .id = (char *)"inst0",
@@ -235,6 +273,61 @@
 	return instance;
 }
 
+static struct rr_quarantine_entry make_quarantine(uint64_t n, bool in_force)
+{
+	static char *crashed[] = { (char *)"i-1", NULL };
+
+	return (struct rr_quarantine_entry){
+		.fingerprint.low = n,
+		.crashed = crashed,
+		.in_force = in_force,
+	};
+}
+
+static void tell(struct feed_scene *scene, uint64_t n, bool in_force,
+		 bool released, bool claim)
+{
+	struct rr_quarantine_entry entry = make_quarantine(n, in_force);
+	struct rr_quarantine_report report = {
+		.entry = &entry,
+		.released = released,
+		.claim = claim,
+	};
+
+	rr_feed_report(scene->feed, scene->now_us, &report);
+	rr_feed_tick(scene->ctx, scene->feed, scene->now_us);
+}
+
+void feed_report(struct feed_scene *scene, uint64_t n, bool in_force)
+{
+	tell(scene, n, in_force, false, false);
+}
+
+void feed_claim(struct feed_scene *scene, uint64_t n)
+{
+	tell(scene, n, true, false, true);
+}
+
+void feed_release(struct feed_scene *scene, uint64_t n)
+{
+	tell(scene, n, true, true, false);
+}
+
+/* "suspected/5" or "quarantined/5". */
+static void name_quarantine(struct rr_feed_item *item, const char *what)
+{
+	uint64_t n = g_ascii_strtoull(strchr(what, '/') + 1, NULL, 10);
+	struct rr_quarantine_entry entry = make_quarantine(n, *what == 'q');
+	char text[RR_FINGERPRINT_TEXT];
+
+	item->kind = RR_FEED_QUARANTINE;
+	item->id = g_strdup(rr_format_fingerprint(&entry.fingerprint, text));
+	g_free(item->key);
+	item->key = g_strdup(item->id);
+	if (!item->removed && !item->fault)
+		item->quarantine = rr_copy_quarantine_entry(&entry);
+}
+
 struct rr_feed_item *feed_make_item(const char *what, uint64_t revision)
 {
 	struct rr_feed_item *item = g_new0(struct rr_feed_item, 1);
@@ -257,6 +350,9 @@
 		item->id = g_strdup(what);
 		if (!item->removed && !item->fault)
 			item->instance = make_instance(what);
+	} else if (g_str_has_prefix(what, "suspected/") ||
+		   g_str_has_prefix(what, "quarantined/")) {
+		name_quarantine(item, what);
 	} else if (g_str_has_prefix(what, "evacuate/")) {
 		item->kind = RR_FEED_EVACUATION;
 		item->id = g_strdup(what + strlen("evacuate/"));
--- a/tests/support/feed-scene.h
+++ b/tests/support/feed-scene.h
@@ -18,6 +18,9 @@
 	uint64_t lease;
 	bool may_be_old;
 	GString *entries; /* "+entered" and "-removed" instances */
+	/* Of a report, as in the news; revision that its key is to have. */
+	char *report;
+	uint64_t revision;
 	bool over;
 };
 
@@ -27,7 +30,12 @@
 	int64_t now_us;
 	GPtrArray *calls; /* struct feed_call */
 	GString *places;  /* "+instance", "-instance" */
-	GString *news;	  /* "+id", "-id", "routes N", "instances N" */
+	/*
+	 * "+id", "-id", "routes N", "instances N"; of a request that crashes
+	 * replicas "suspected N", "quarantined N" or "released N", with the
+	 * low half of its fingerprint; "granted N", "not-granted N".
+	 */
+	GString *news;
 };
 
 struct feed_scene *feed_new_scene_from(const char *const *seeds);
@@ -43,8 +51,15 @@
 guint feed_count_store_calls(struct feed_scene *scene);
 guint feed_count_calls(struct feed_scene *scene, enum rr_feed_call_kind kind);
 struct rr_feed_item *feed_make_item(const char *what, uint64_t revision);
+/* Tell of the request N; the entry names one replica. */
+void feed_report(struct feed_scene *scene, uint64_t n, bool in_force);
+/* Claim a trial of it. */
+void feed_claim(struct feed_scene *scene, uint64_t n);
+/* It ran to its end. */
+void feed_release(struct feed_scene *scene, uint64_t n);
 /*
- * `items` is "name@revision" separated by blanks; "-name" is removed, "?name"
+ * `items` is "name@revision" separated by blanks; "suspected/N" and
+ * "quarantined/N" are of requests that crash replicas; "-name" is removed, "?name"
  * has a value that is none of its kind.
  */
 void feed_answer(struct feed_scene *scene, struct feed_call *call,
--- /dev/null
+++ b/tests/test-gate-quarantine.c
@@ -0,0 +1,451 @@
+/*
+ * test-gate-quarantine.c - a request that crashes the replicas that run it,
+ * and those that run beside it.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+#include <string.h>
+
+#include "support/gate-scene.h"
+
+#define HOLD_MS ((uint32_t)600000)
+
+static const struct rr_fingerprint deadly = { 7, 1 };
+static const struct rr_fingerprint other = { 7, 2 };
+
+static struct gate_scene *new_scene(const struct test_route *route)
+{
+	struct gate_scene *scene = test_start_scene(route);
+	char *path = g_strconcat(route->prefix, "1", NULL);
+
+	test_earn_extras(scene, path);
+	g_free(path);
+	g_ptr_array_set_size(scene->sent, 0);
+	g_ptr_array_set_size(scene->answers, 0);
+	scene->fingerprint = deadly;
+	return scene;
+}
+
+/* Closed all together, and then found to be gone: as bystanders see it. */
+static void crash_at_once(struct gate_scene *scene, guint n)
+{
+	for (guint i = 0; i < n; i++)
+		test_close_sent(scene, test_sent_at(scene, i));
+	for (guint i = 0; i < n; i++)
+		test_probed(scene, test_sent_at(scene, i)->lifetime, false);
+}
+
+static struct test_sent *last_sent(struct gate_scene *scene)
+{
+	return test_sent_at(scene, scene->sent->len - 1);
+}
+
+static void assert_refused(struct gate_scene *scene, const char *path)
+{
+	guint sent = scene->sent->len;
+
+	test_take(scene, path, 900);
+	assert_int_equal(scene->sent->len, sent);
+	assert_int_equal(test_last_answer(scene)->status, 503);
+	assert_string_equal(test_last_answer(scene)->reason, "quarantined");
+}
+
+/* Put it into quarantine, as others tell. */
+static void tell_quarantine(struct gate_scene *scene)
+{
+	char *crashed[] = { (char *)"x", (char *)"y", (char *)"z", NULL };
+	struct rr_quarantine_entry entry = {
+		.fingerprint = deadly,
+		.crashed = crashed,
+		.in_force = true,
+	};
+
+	rr_gate_note_quarantine(scene->ctx, scene->gate, scene->now_us, &deadly,
+				&entry);
+}
+
+/* Guards against a search that takes along a replica of each shard, twice. */
+static void test_a_search_goes_on_as_a_canary(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_search_route);
+
+	(void)state;
+	test_take(scene, "/search/1", 900);
+	assert_int_equal(scene->sent->len, 4);
+	crash_at_once(scene, 2);
+	assert_int_equal(test_count_open(scene), 1);
+	assert_int_equal(scene->sent->len, 5);
+	test_pass(scene, 100 * TEST_MS);
+	assert_int_equal(scene->sent->len, 5);
+	test_crash(scene, last_sent(scene));
+	assert_int_equal(scene->sent->len, 5);
+	assert_int_equal(test_last_answer(scene)->status, 502);
+	assert_true(test_last_report(scene)->entry->in_force);
+	assert_refused(scene, "/search/1");
+	assert_true(test_last_answer(scene)->retry_after_ms <= HOLD_MS);
+	assert_true(test_last_answer(scene)->retry_after_ms > HOLD_MS - 1000);
+	test_drop_scene(scene);
+}
+
+/* Guards against a canary that costs others more than one attempt's time. */
+static void test_a_bystander_is_served(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_search_route);
+
+	(void)state;
+	test_take(scene, "/search/1", 900);
+	crash_at_once(scene, 3);
+	assert_int_equal(test_count_open(scene), 1);
+	test_reply(scene, last_sent(scene), RR_GATE_ANSWERED, 200);
+	assert_int_equal(test_count_open(scene), 3);
+	test_reply_all(scene);
+	assert_int_equal(test_last_answer(scene)->status, 200);
+	assert_int_equal(test_last_answer(scene)->missing, 0);
+	assert_null(test_last_report(scene));
+	g_ptr_array_set_size(scene->sent, 0);
+	test_pass(scene, 20000 * TEST_MS);
+	test_take(scene, "/search/1", 900);
+	assert_int_equal(scene->sent->len, 4);
+	test_drop_scene(scene);
+}
+
+/* Guards against replicas over their cap, which reset what is too much. */
+static void test_a_reset_is_no_crash(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_once_route);
+
+	(void)state;
+	for (int i = 0; i < 5; i++) {
+		test_take(scene, "/once/1", 900);
+		test_close_sent(scene, last_sent(scene));
+		test_probed(scene, last_sent(scene)->lifetime, true);
+		test_pass(scene, 100 * TEST_MS);
+	}
+	assert_null(test_last_report(scene));
+	assert_int_equal(scene->sent->len, 5);
+	test_drop_scene(scene);
+}
+
+/* Guards against planned ends that are taken for crashes. */
+static void test_replicas_that_leave_do_not_count(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_once_route);
+	struct test_sent *sent;
+
+	(void)state;
+	test_take(scene, "/once/1", 900);
+	sent = last_sent(scene);
+	test_list_draining(scene, sent->endpoint, "s",
+			   strchr(sent->endpoint, '.') + 1);
+	g_ptr_array_set_size(scene->probes, 0);
+	test_close_sent(scene, sent);
+	assert_int_equal(scene->probes->len, 0);
+	test_probed(scene, sent->lifetime, false);
+	assert_null(test_last_report(scene));
+	test_drop_scene(scene);
+}
+
+/* Guards against a write for each request that a kill from outside cut. */
+static void test_a_killed_replica_condemns_nobody(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_often_route);
+
+	(void)state;
+	test_take(scene, "/often/1", 900);
+	test_crash(scene, test_sent_at(scene, 0));
+	assert_int_equal(scene->sent->len, 2);
+	test_reply(scene, test_sent_at(scene, 1), RR_GATE_ANSWERED, 200);
+	assert_int_equal(test_last_answer(scene)->status, 200);
+	assert_null(test_last_report(scene));
+	test_drop_scene(scene);
+}
+
+/*
+ * Guards against one that runs beside the deadly one again and again: it ran
+ * to its end a moment before.
+ */
+static void test_a_frequent_bystander_is_not_condemned(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_often_route);
+
+	(void)state;
+	scene->fingerprint = other;
+	for (int i = 0; i < 6; i++) {
+		char *id = g_strdup_printf("r%d", i);
+
+		test_take(scene, "/often/1", 900);
+		test_reply(scene, last_sent(scene), RR_GATE_ANSWERED, 200);
+		test_take(scene, "/often/1", 900);
+		test_crash(scene, last_sent(scene));
+		test_crash(scene, last_sent(scene));
+		assert_int_equal(test_last_answer(scene)->status, 502);
+		test_list(scene, id, "s", "a");
+		test_pass(scene, 2000 * TEST_MS);
+		g_free(id);
+	}
+	assert_null(test_last_report(scene));
+	test_drop_scene(scene);
+}
+
+/* What one instance reports, the others learn. */
+static void pass_on(struct gate_scene *from, struct gate_scene *const *to)
+{
+	struct test_report *report = test_last_report(from);
+
+	for (; report && *to; to++)
+		rr_gate_note_quarantine((*to)->ctx, (*to)->gate, (*to)->now_us,
+					&report->entry->fingerprint,
+					report->entry);
+}
+
+/* An instance that knows one replica, which nobody else does. */
+static struct gate_scene *scene_with(const char *replica)
+{
+	struct gate_scene *scene = test_new_scene(1);
+
+	test_list(scene, replica, "s", "a");
+	test_set_routes(scene, 5, &test_once_route, 1);
+	test_pass(scene, TEST_MS);
+	scene->fingerprint = deadly;
+	return scene;
+}
+
+/* Guards against crashes that no instance counts to three by itself. */
+static void test_instances_add_up_what_they_see(void **state)
+{
+	struct gate_scene *scenes[] = { scene_with("p"), scene_with("q"),
+					scene_with("r"), NULL };
+
+	(void)state;
+	for (int i = 0; scenes[i]; i++) {
+		test_take(scenes[i], "/once/1", 900);
+		test_crash(scenes[i], last_sent(scenes[i]));
+		assert_int_equal(test_last_report(scenes[i])->entry->in_force,
+				 i == 2);
+		pass_on(scenes[i], scenes);
+		for (int j = 0; scenes[j]; j++)
+			test_pass(scenes[j], 100 * TEST_MS);
+	}
+	for (int i = 0; scenes[i]; i++) {
+		assert_refused(scenes[i], "/once/1");
+		test_drop_scene(scenes[i]);
+	}
+}
+
+/* Guards against attempts that go on after others have told. */
+static void test_what_is_under_way_ends_when_others_tell(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_search_route);
+
+	(void)state;
+	test_take(scene, "/search/1", 900);
+	tell_quarantine(scene);
+	assert_int_equal(test_count_open(scene), 0);
+	assert_int_equal(test_last_answer(scene)->status, 502);
+	assert_refused(scene, "/search/1");
+	scene->fingerprint = other;
+	test_take(scene, "/search/1", 900);
+	assert_int_equal(test_count_open(scene), 4);
+	test_drop_scene(scene);
+}
+
+/* Guards against "outcome unknown" where nothing has left. */
+static void test_what_has_not_left_was_not_run(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_search_route);
+
+	(void)state;
+	scene->nothing_leaves = true;
+	test_take(scene, "/search/1", 900);
+	tell_quarantine(scene);
+	assert_int_equal(test_last_answer(scene)->status, 503);
+	test_drop_scene(scene);
+}
+
+/* One that others suspect is sent to one replica first. */
+static void test_a_suspected_search_starts_as_a_canary(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_search_route);
+	char *crashed[] = { (char *)"x", NULL };
+	struct rr_quarantine_entry entry = {
+		.fingerprint = deadly,
+		.crashed = crashed,
+	};
+
+	(void)state;
+	rr_gate_note_quarantine(scene->ctx, scene->gate, scene->now_us, &deadly,
+				&entry);
+	test_take(scene, "/search/1", 900);
+	assert_int_equal(scene->sent->len, 1);
+	test_reply(scene, last_sent(scene), RR_GATE_ANSWERED, 200);
+	assert_int_equal(scene->sent->len, 4);
+	/* It ran to its end: the others are told. */
+	assert_true(test_last_report(scene)->released);
+	test_reply_all(scene);
+	assert_int_equal(test_last_answer(scene)->missing, 0);
+	test_drop_scene(scene);
+}
+
+/* Guards against crashes that count only while their caller waits. */
+static void test_a_caller_that_leaves_changes_nothing(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_once_route);
+	uint64_t id;
+
+	(void)state;
+	id = test_take(scene, "/once/1", 900);
+	rr_gate_abandon(scene->ctx, scene->gate, scene->now_us, id);
+	test_crash(scene, last_sent(scene));
+	assert_non_null(test_last_report(scene));
+	test_drop_scene(scene);
+}
+
+/* Claim the trial of one in quarantine, whose time has come. */
+static void claim(struct gate_scene *scene, const char *path)
+{
+	guint sent = scene->sent->len;
+
+	test_take(scene, path, 900);
+	assert_int_equal(scene->sent->len, sent);
+	assert_true(test_last_report(scene)->claim);
+}
+
+static void answer_claim(struct gate_scene *scene, bool granted)
+{
+	rr_gate_claimed(scene->ctx, scene->gate, scene->now_us,
+			test_last_report(scene)->entry, granted);
+}
+
+/* Guards against a wrong quarantine that lasts. */
+static void test_a_trial_that_is_answered_ends_it(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_search_route);
+
+	(void)state;
+	tell_quarantine(scene);
+	test_pass(scene, (int64_t)HOLD_MS * TEST_MS);
+	claim(scene, "/search/1");
+	/* Only one at a time. */
+	assert_refused(scene, "/search/1");
+	answer_claim(scene, true);
+	assert_int_equal(test_count_open(scene), 1);
+	assert_refused(scene, "/search/1");
+	test_reply(scene, last_sent(scene), RR_GATE_ANSWERED, 200);
+	assert_true(test_last_report(scene)->released);
+	assert_int_equal(test_count_open(scene), 3);
+	test_reply_all(scene);
+	assert_int_equal(test_last_answer(scene)->status, 200);
+	g_ptr_array_set_size(scene->sent, 0);
+	test_take(scene, "/search/1", 900);
+	assert_int_equal(scene->sent->len, 4);
+	test_drop_scene(scene);
+}
+
+/* Guards against trials without end: two at the most, one attempt each. */
+static void test_a_trial_that_crashes_goes_on_with_it(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_search_route);
+
+	(void)state;
+	tell_quarantine(scene);
+	test_pass(scene, (int64_t)HOLD_MS * TEST_MS);
+	for (uint32_t trial = 1; trial <= 2; trial++) {
+		claim(scene, "/search/1");
+		answer_claim(scene, true);
+		test_crash(scene, last_sent(scene));
+		assert_int_equal(test_last_answer(scene)->status, 502);
+		assert_int_equal(scene->sent->len, trial);
+		test_pass(scene, (int64_t)HOLD_MS * TEST_MS);
+		assert_refused(scene, "/search/1");
+		test_pass(scene, 3 * (int64_t)HOLD_MS * TEST_MS);
+	}
+	test_pass(scene, 100 * (int64_t)HOLD_MS * TEST_MS);
+	assert_refused(scene, "/search/1");
+	test_drop_scene(scene);
+}
+
+/* Guards against two instances that try it at once, and a store that is away. */
+static void test_a_trial_needs_the_claim(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_often_route);
+
+	(void)state;
+	tell_quarantine(scene);
+	test_pass(scene, (int64_t)HOLD_MS * TEST_MS);
+	claim(scene, "/often/1");
+	answer_claim(scene, false);
+	assert_int_equal(test_last_answer(scene)->status, 503);
+	claim(scene, "/often/1");
+	test_pass(scene, 300 * TEST_MS);
+	assert_int_equal(test_last_answer(scene)->status, 503);
+	assert_int_equal(scene->sent->len, 0);
+	/* Granted too late: nobody waits for it any more. */
+	answer_claim(scene, true);
+	assert_int_equal(scene->sent->len, 0);
+	test_drop_scene(scene);
+}
+
+/* Guards against a strong instance whose refusal leads to the next one. */
+static void test_one_that_was_handed_over_is_refused_for_good(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_search_route);
+	struct rr_gate_ask ask = {
+		.host = "h",
+		.path = "/search/1",
+		.path_length = strlen("/search/1"),
+		.fingerprint = deadly,
+		.deadline_ms = 900,
+		.handed_left_us = 80 * TEST_MS,
+	};
+
+	(void)state;
+	tell_quarantine(scene);
+	rr_gate_take(scene->ctx, scene->gate, scene->now_us, &ask);
+	assert_int_equal(test_last_answer(scene)->status, 429);
+	test_drop_scene(scene);
+}
+
+/* Operators remove its entry. */
+static void test_a_removed_entry_ends_it(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_search_route);
+
+	(void)state;
+	tell_quarantine(scene);
+	assert_refused(scene, "/search/1");
+	rr_gate_note_quarantine(scene->ctx, scene->gate, scene->now_us, &deadly,
+				NULL);
+	test_take(scene, "/search/1", 900);
+	assert_int_equal(test_count_open(scene), 4);
+	test_drop_scene(scene);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_a_search_goes_on_as_a_canary),
+		cmocka_unit_test(test_a_bystander_is_served),
+		cmocka_unit_test(test_a_reset_is_no_crash),
+		cmocka_unit_test(test_replicas_that_leave_do_not_count),
+		cmocka_unit_test(test_a_killed_replica_condemns_nobody),
+		cmocka_unit_test(test_a_frequent_bystander_is_not_condemned),
+		cmocka_unit_test(test_instances_add_up_what_they_see),
+		cmocka_unit_test(test_what_is_under_way_ends_when_others_tell),
+		cmocka_unit_test(test_what_has_not_left_was_not_run),
+		cmocka_unit_test(test_a_suspected_search_starts_as_a_canary),
+		cmocka_unit_test(test_a_caller_that_leaves_changes_nothing),
+		cmocka_unit_test(test_a_trial_that_is_answered_ends_it),
+		cmocka_unit_test(test_a_trial_that_crashes_goes_on_with_it),
+		cmocka_unit_test(test_a_trial_needs_the_claim),
+		cmocka_unit_test(
+			test_one_that_was_handed_over_is_refused_for_good),
+		cmocka_unit_test(test_a_removed_entry_ends_it),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test-platform-entries.c
+++ b/tests/test-platform-entries.c
@@ -447,6 +447,96 @@
 		assert_null(parse_entries(bodies[i]));
 }
 
+#define DEADLY "00000000000000010000000000000002"
+
+static const char *find_quarantine_fault(const char *id, const char *text)
+{
+	const char *fault;
+	struct rr_quarantine_entry *entry =
+		rr_decode_quarantine(id, text, strlen(text), &fault);
+
+	assert_true(!entry == !!fault);
+	rr_free_quarantine_entry(entry);
+	return fault;
+}
+
+static void test_quarantine_comes_back(void **state)
+{
+	char *crashed[] = { (char *)"i-1", (char *)"i-2@170\"0", NULL };
+	struct rr_quarantine_entry entry = {
+		.fingerprint = { 1, 2 },
+		.crashed = crashed,
+		.in_force = true,
+		.trials = 3,
+	};
+	char *text = rr_encode_quarantine(&entry);
+	const char *fault;
+	struct rr_quarantine_entry *back =
+		rr_decode_quarantine(DEADLY, text, strlen(text), &fault);
+
+	(void)state;
+	assert_non_null(back);
+	assert_true(
+		rr_same_fingerprint(&back->fingerprint, &entry.fingerprint));
+	assert_true(back->in_force);
+	assert_int_equal(back->trials, 3);
+	assert_int_equal(g_strv_length(back->crashed), 2);
+	assert_string_equal(back->crashed[1], crashed[1]);
+	rr_free_quarantine_entry(back);
+	g_free(text);
+}
+
+/* Guards against entries that others write, or a later version. */
+static void test_quarantine_that_is_none(void **state)
+{
+	static const char *const bad[] = {
+		"",
+		"[]",
+		"{}",
+		"{\"state\":\"quarantined\"}",
+		"{\"state\":\"odd\",\"trials\":0,\"crashed\":[\"i\"]}",
+		"{\"state\":\"quarantined\",\"trials\":-1,\"crashed\":[\"i\"]}",
+		"{\"state\":\"quarantined\",\"trials\":0,\"crashed\":[]}",
+		"{\"state\":\"quarantined\",\"trials\":0,\"crashed\":[7]}",
+		"{\"state\":\"quarantined\",\"trials\":0,\"crashed\":[\"a b\"]}",
+		"{\"state\":\"quarantined\",\"trials\":0,\"crashed\":[\"a\",\"b\","
+		"\"c\",\"d\",\"e\"]}",
+	};
+	const char *good =
+		"{\"state\":\"suspected\",\"trials\":0,\"crashed\":[\"i\"]}";
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+		assert_non_null(find_quarantine_fault(DEADLY, bad[i]));
+	assert_null(find_quarantine_fault(DEADLY, good));
+	assert_non_null(find_quarantine_fault("", good));
+	assert_non_null(find_quarantine_fault("x", good));
+}
+
+/* Of a key that others wrote, and of one that is not there any more. */
+static void test_a_report_that_came_too_late(void **state)
+{
+	static const char *const bodies[] = {
+		"{\"items\":[{\"key\":\"ragwort/quarantine/" DEADLY
+		"\",\"value\":\"e30=\",\"revision\":7}]}",
+		"{\"items\":[{\"key\":\"ragwort/quarantine/" DEADLY
+		"\",\"revision\":0}]}",
+		"{\"items\":[]}",
+	};
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+		struct rr_feed_reply reply = { 0 };
+
+		rr_decode_feed_reply(RR_FEED_REPORT, 412,
+				     (const uint8_t *)bodies[i],
+				     strlen(bodies[i]), &reply);
+		assert_int_equal(reply.status, RR_FEED_CONFLICT);
+		assert_int_equal(reply.items->len, i == 0);
+		g_ptr_array_unref(reply.items);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -465,6 +555,9 @@
 		cmocka_unit_test(test_a_zero_byte_ends_no_key),
 		cmocka_unit_test(test_entries_for_another),
 		cmocka_unit_test(test_bad_entries_for_another),
+		cmocka_unit_test(test_quarantine_comes_back),
+		cmocka_unit_test(test_quarantine_that_is_none),
+		cmocka_unit_test(test_a_report_that_came_too_late),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/tests/test-quarantine.c
@@ -0,0 +1,195 @@
+/*
+ * test-quarantine.c - what puts a request into quarantine, and what does not.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <glib.h>
+
+#include "core/quarantine.h"
+
+#define S G_USEC_PER_SEC
+#define HOLD_US ((int64_t)600 * S)
+
+static const struct rr_fingerprint deadly = { 1, 2 };
+
+static struct rr_quarantine *new_quarantine(void)
+{
+	struct rr_quarantine_options options = {
+		.crashes = 3,
+		.hold_us = HOLD_US,
+		.harmless_us = 10 * S,
+	};
+
+	return rr_new_quarantine(&options);
+}
+
+/* It was sent and closed at these times; whether that puts it into force. */
+static bool crash(struct rr_quarantine *quarantine, int64_t sent_us,
+		  int64_t closed_us, const char *lifetime)
+{
+	struct rr_crash crash = {
+		.fingerprint = deadly,
+		.sent_us = sent_us,
+		.closed_us = closed_us,
+	};
+	struct rr_quarantine_record *record =
+		rr_note_crash(quarantine, closed_us, &crash, lifetime);
+
+	return record && rr_enforce_quarantine(quarantine, closed_us, record);
+}
+
+static void test_three_replicas_one_after_the_other(void **state)
+{
+	struct rr_quarantine *quarantine = new_quarantine();
+
+	(void)state;
+	assert_false(crash(quarantine, 0, 10, "a"));
+	assert_false(crash(quarantine, 10, 20, "b"));
+	assert_int_equal(rr_count_quarantined(quarantine), 0);
+	assert_true(crash(quarantine, 20, 30, "c"));
+	assert_int_equal(rr_count_quarantined(quarantine), 1);
+	assert_false(crash(quarantine, 30, 40, "d"));
+	rr_drop_quarantine(quarantine);
+}
+
+/* Guards against condemning what ran at many replicas that die at once. */
+static void test_replicas_that_die_at_once(void **state)
+{
+	struct rr_quarantine *quarantine = new_quarantine();
+
+	(void)state;
+	for (char name[] = "a"; *name < 'm'; ++*name)
+		assert_false(crash(quarantine, 0, 10 + *name, name));
+	/* A later attempt crashes as well: it was no bystander. */
+	assert_true(crash(quarantine, 200, 210, "z"));
+	rr_drop_quarantine(quarantine);
+}
+
+/* Guards against one crash that is told by several attempts. */
+static void test_a_replica_counts_once(void **state)
+{
+	struct rr_quarantine *quarantine = new_quarantine();
+
+	(void)state;
+	for (int i = 0; i < 9; i++)
+		assert_false(crash(quarantine, i * 10, i * 10 + 5, "a"));
+	rr_drop_quarantine(quarantine);
+}
+
+/* Guards against bystanders that are asked all the time. */
+static void test_one_that_ran_to_its_end_is_harmless(void **state)
+{
+	struct rr_quarantine *quarantine = new_quarantine();
+	struct rr_fingerprint other = { 1, 3 };
+
+	(void)state;
+	rr_note_harmless(quarantine, 1 * S, &deadly);
+	for (char name[] = "a"; *name < 'g'; ++*name)
+		assert_false(crash(quarantine, 2 * S + *name, 2 * S + *name + 1,
+				   name));
+	assert_true(rr_quarantine_is_empty(quarantine));
+	assert_false(rr_is_harmless(quarantine, 2 * S, &other));
+	/* It may crash replicas all the same, from some moment on. */
+	assert_false(crash(quarantine, 12 * S, 12 * S + 1, "p"));
+	assert_false(crash(quarantine, 13 * S, 13 * S + 1, "q"));
+	assert_true(crash(quarantine, 14 * S, 14 * S + 1, "r"));
+	rr_drop_quarantine(quarantine);
+}
+
+/* Guards against crashes that are divided among instances. */
+static void test_crashes_of_others_count(void **state)
+{
+	struct rr_quarantine *quarantine = new_quarantine();
+	char *crashed[] = { (char *)"a", (char *)"b", NULL };
+	struct rr_quarantine_entry entry = {
+		.fingerprint = deadly,
+		.crashed = crashed,
+	};
+	struct rr_quarantine_record *record =
+		rr_merge_quarantine(quarantine, 100, &entry);
+
+	(void)state;
+	assert_int_equal(record->n_crashed, 2);
+	rr_merge_quarantine(quarantine, 101, &entry);
+	assert_int_equal(record->n_crashed, 2);
+	assert_true(crash(quarantine, 110, 120, "c"));
+	entry = rr_entry_of_record(record);
+	assert_int_equal(g_strv_length(entry.crashed), 3);
+	assert_true(entry.in_force);
+	rr_drop_quarantine(quarantine);
+}
+
+static void test_trials_become_rarer(void **state)
+{
+	struct rr_quarantine *quarantine = new_quarantine();
+	char *crashed[] = { (char *)"a", NULL };
+	struct rr_quarantine_entry entry = {
+		.fingerprint = deadly,
+		.crashed = crashed,
+		.in_force = true,
+	};
+	struct rr_quarantine_record *record =
+		rr_merge_quarantine(quarantine, 5, &entry);
+
+	(void)state;
+	assert_true(record->retry_us == 5 + HOLD_US);
+	rr_count_trials(quarantine, HOLD_US + 5, record, 1);
+	assert_true(record->retry_us == HOLD_US + 5 + 4 * HOLD_US);
+	/* An entry of before that tells nothing new. */
+	entry.trials = 0;
+	rr_merge_quarantine(quarantine, 2 * HOLD_US, &entry);
+	assert_int_equal(record->trials, 1);
+	assert_true(record->retry_us == HOLD_US + 5 + 4 * HOLD_US);
+	rr_forget_quarantined(quarantine, &deadly);
+	assert_int_equal(rr_count_quarantined(quarantine), 0);
+	assert_null(rr_find_quarantined(quarantine, &deadly));
+	rr_drop_quarantine(quarantine);
+}
+
+/* Guards against a flood of distinct bad requests: those in force stay. */
+static void test_memory_is_bounded(void **state)
+{
+	struct rr_quarantine *quarantine = new_quarantine();
+	uint32_t n = 0;
+
+	(void)state;
+	for (uint64_t i = 0; i < 2; i++)
+		crash(quarantine, (int64_t)i, (int64_t)i + 1, i ? "a" : "b");
+	assert_true(crash(quarantine, 10, 20, "c"));
+	for (uint64_t i = 0; i < 5000; i++) {
+		struct rr_crash other = {
+			.fingerprint = { 9, i },
+			.sent_us = (int64_t)i,
+			.closed_us = (int64_t)i + 1,
+		};
+
+		rr_note_crash(quarantine, (int64_t)i, &other, "x");
+	}
+	for (uint64_t i = 0; i < 5000; i++) {
+		struct rr_fingerprint other = { 9, i };
+
+		n += rr_find_quarantined(quarantine, &other) != NULL;
+	}
+	assert_int_equal(n, 1023);
+	assert_non_null(rr_find_quarantined(quarantine, &deadly));
+	rr_drop_quarantine(quarantine);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_three_replicas_one_after_the_other),
+		cmocka_unit_test(test_replicas_that_die_at_once),
+		cmocka_unit_test(test_a_replica_counts_once),
+		cmocka_unit_test(test_one_that_ran_to_its_end_is_harmless),
+		cmocka_unit_test(test_crashes_of_others_count),
+		cmocka_unit_test(test_trials_become_rarer),
+		cmocka_unit_test(test_memory_is_bounded),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
