emulator: replicas that crash, by themselves or under a request

Two troubles: 'crash' closes the connections of many replicas at once, 'deadly' brings one request, every x seconds, that crashes each replica that runs it; instances tell each other through an emulated store. Two scenarios.

--- a/bench/gate.c
+++ b/bench/gate.c
@@ -38,11 +38,15 @@
 	       ",\"refused\":%" G_GUINT64_FORMAT
 	       ",\"failed\":%" G_GUINT64_FORMAT
 	       ",\"attempts\":%" G_GUINT64_FORMAT
+	       ",\"crashes\":%" G_GUINT64_FORMAT
+	       ",\"reports\":%" G_GUINT64_FORMAT
+	       ",\"deadly_late\":%" G_GUINT64_FORMAT
 	       ",\"slot_use\":%.3f,\"p50_ms\":%.1f,\"p99_ms\":%.1f}\n",
 	       scenario->name, experiment->label, seed, mean_value(result),
 	       result->asked, result->in_time, result->late, result->partial,
 	       result->returned, result->refused, result->failed,
-	       result->attempts, result->slot_use,
+	       result->attempts, result->crashes, result->reports,
+	       result->deadly_late, result->slot_use,
 	       wait_quantile_ms(result, 0.5), wait_quantile_ms(result, 0.99));
 	fflush(stdout);
 }
--- a/bench/gate/emulated-caller.c
+++ b/bench/gate/emulated-caller.c
@@ -63,6 +63,7 @@
 		.host = "h",
 		.path = path,
 		.request_id = "id",
+		.fingerprint = { request->deadly ? 1 : 2, request->asks },
 		.deadline_ms =
 			MAX((request->last_us - world->now_us) / 1000, 0),
 		.caller_rtt_us = 2 * ms_to_us(world->scenario->caller_ms),
@@ -90,6 +91,7 @@
 	struct world *world = request->world;
 	int64_t way = ms_to_us(world->scenario->caller_ms);
 
+	request->number = ++world->next_number;
 	request->instance = draw_instance(world, request->zone)->number;
 	/* A connection takes a round trip before the request's own way. */
 	push_event(world->events,
@@ -112,6 +114,11 @@
 	double wait_us = (double)(world->now_us - request->started_us);
 	bool in_time = wait_us <= ms_to_us(request->route->objective_ms);
 
+	/* One that crashes replicas earns nothing. */
+	if (request->deadly) {
+		g_free(request);
+		return;
+	}
 	if (in_time)
 		result->in_time++;
 	else
@@ -135,12 +142,12 @@
 	} else if (++request->tries < MOST_TRIES &&
 		   world->now_us + again_us < request->last_us) {
 		request->is_new = true;
-		world->result->returned++;
+		world->result->returned += !request->deadly;
 		send_request(request, again_us);
 	} else {
 		/* What is neither answered nor refused is counted as failed. */
 		if (arrival->status == 503)
-			world->result->refused++;
+			world->result->refused += !request->deadly;
 		g_free(request);
 	}
 	g_free(arrival);
@@ -170,6 +177,22 @@
 	const struct emulated_route *route;
 };
 
+static struct request *new_request(struct world *world,
+				   const struct emulated_route *route)
+{
+	struct request *request = g_new0(struct request, 1);
+
+	request->world = world;
+	request->route = route;
+	request->zone = (uint32_t)g_rand_int_range(
+		world->arrivals, 0, (gint32)world->scenario->zones);
+	request->started_us = world->now_us;
+	request->last_us = world->now_us + ms_to_us(route->deadline_ms);
+	request->is_new =
+		g_rand_double(world->arrivals) < world->scenario->new_callers;
+	return request;
+}
+
 static void begin_request(void *context, void *data)
 {
 	struct stream *stream = data;
@@ -185,16 +208,18 @@
 	}
 	push_event(world->events, world->now_us + (int64_t)(gap_s * US_PER_S),
 		   begin_request, stream);
-	request = g_new0(struct request, 1);
-	request->world = world;
-	request->route = route;
-	request->zone = (uint32_t)g_rand_int_range(
-		world->arrivals, 0, (gint32)world->scenario->zones);
-	request->started_us = world->now_us;
-	request->last_us = world->now_us + ms_to_us(route->deadline_ms);
-	request->is_new =
-		g_rand_double(world->arrivals) < world->scenario->new_callers;
-	world->result->asked++;
+	request = new_request(world, route);
+	request->asks = world->result->asked++;
+	send_request(request, 0);
+}
+
+void ask_deadly(struct world *world, uint64_t asks)
+{
+	struct request *request =
+		new_request(world, &world->scenario->routes[0]);
+
+	request->asks = asks;
+	request->deadly = true;
 	send_request(request, 0);
 }
 
--- /dev/null
+++ b/bench/gate/emulated-crash.c
@@ -0,0 +1,155 @@
+/*
+ * emulated-crash.c - replicas that crash, by a fault of theirs or under a
+ * request, and what instances tell each other of such requests.
+ */
+#include "gate/emulator-private.h"
+
+/* A crashed replica is back after this. */
+#define RESTART_US (3 * G_USEC_PER_SEC)
+/* What an instance writes into the store is known to all after this. */
+#define STORE_US (400 * 1000)
+/* Instances in touch know of the third crash after this. */
+#define SETTLED_US (4 * G_USEC_PER_SEC)
+
+static void close_works(struct replica *replica)
+{
+	struct world *world = replica->world;
+	GPtrArray *closed = g_ptr_array_new();
+
+	for (guint i = 0; i < world->instances->len; i++) {
+		struct instance *instance =
+			g_ptr_array_index(world->instances, i);
+		GHashTableIter iter;
+		gpointer value;
+
+		instance->idle[replica->number] = 0;
+		g_hash_table_iter_init(&iter, instance->works);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			struct work *work = value;
+
+			if (work->replica == replica && work->taken &&
+			    !work->over)
+				g_ptr_array_add(closed, work);
+		}
+	}
+	for (guint i = 0; i < closed->len; i++)
+		close_work(g_ptr_array_index(closed, i));
+	g_ptr_array_unref(closed);
+}
+
+void crash_replica(struct replica *replica)
+{
+	if (replica->gone)
+		return;
+	replica->gone = true;
+	replica->world->result->crashes++;
+	close_works(replica);
+}
+
+void restart_replica(struct replica *replica, int64_t after_us)
+{
+	replica->gone = false;
+	replica->born_ms += 1 + after_us / 1000;
+	tell_rebirth_later(replica);
+}
+
+static void restart(void *context, void *data)
+{
+	restart_replica(data, RESTART_US);
+}
+
+void crash_under(struct work *work)
+{
+	struct replica *replica = work->replica;
+	struct world *world = replica->world;
+
+	if (replica->gone)
+		return;
+	crash_replica(replica);
+	if (++world->deadly_crashes == 3)
+		world->third_us = world->now_us;
+	push_event(world->events, world->now_us + RESTART_US, restart, replica);
+}
+
+void note_deadly_arrival(const struct work *work)
+{
+	struct world *world = work->world;
+
+	if (!world->third_us || world->now_us < world->third_us + SETTLED_US)
+		return;
+	if (g_hash_table_add(world->late,
+			     g_memdup2(&work->request, sizeof(work->request))))
+		world->result->deadly_late++;
+}
+
+/* An entry on its way to all instances. */
+struct news {
+	struct world *world;
+	struct rr_quarantine_entry *entry; /* NULL: it is removed */
+	struct rr_fingerprint fingerprint;
+};
+
+static void deliver(void *context, void *data)
+{
+	struct news *news = data;
+	struct world *world = news->world;
+
+	for (guint i = 0; i < world->instances->len; i++) {
+		struct instance *instance =
+			g_ptr_array_index(world->instances, i);
+
+		rr_gate_note_quarantine(instance->ctx, instance->gate,
+					world->now_us, &news->fingerprint,
+					news->entry);
+		set_tick(instance);
+	}
+	rr_free_quarantine_entry(news->entry);
+	g_free(news);
+}
+
+/* Compare-and-swap: what tells no more than the store has is not written. */
+static bool is_known(const struct world *world,
+		     const struct rr_quarantine_entry *entry)
+{
+	const struct rr_quarantine_entry *known =
+		g_hash_table_lookup(world->entries, &entry->fingerprint.low);
+
+	return known && known->in_force >= entry->in_force &&
+	       g_strv_length(known->crashed) >= g_strv_length(entry->crashed);
+}
+
+static void write_entry(struct world *world,
+			const struct rr_quarantine_entry *entry)
+{
+	struct rr_quarantine_entry *copy = rr_copy_quarantine_entry(entry);
+
+	g_hash_table_replace(world->entries, &copy->fingerprint.low, copy);
+}
+
+void free_entry(gpointer data)
+{
+	rr_free_quarantine_entry(data);
+}
+
+void report_to_store(void *data, const struct rr_quarantine_report *report)
+{
+	const struct instance *instance = data;
+	struct world *world = instance->world;
+	struct news *news;
+
+	world->result->reports++;
+	/* Runs are shorter than the wait for a trial. */
+	if (report->claim ||
+	    (!report->released && is_known(world, report->entry)))
+		return;
+	news = g_new0(struct news, 1);
+	news->world = world;
+	news->fingerprint = report->entry->fingerprint;
+	if (report->released) {
+		g_hash_table_remove(world->entries, &news->fingerprint.low);
+	} else {
+		news->entry = rr_copy_quarantine_entry(report->entry);
+		write_entry(world, report->entry);
+	}
+	push_event(world->events, world->now_us + STORE_US, deliver, news);
+}
--- a/bench/gate/emulated-fault.c
+++ b/bench/gate/emulated-fault.c
@@ -26,6 +26,13 @@
 	case TROUBLE_REBORN:
 		replica->gone = on;
 		return;
+	case TROUBLE_CRASH:
+		if (on)
+			crash_replica(replica);
+		else
+			restart_replica(replica,
+					(int64_t)(fault->for_s * US_PER_S));
+		return;
 	case TROUBLE_SHED:
 		replica->shed = on ? fault->x : 0;
 		return;
@@ -34,6 +41,7 @@
 		return;
 	case TROUBLE_CUT:
 	case TROUBLE_BURST:
+	case TROUBLE_DEADLY:
 	case N_TROUBLES:
 		return;
 	}
@@ -49,6 +57,12 @@
 			     false);
 }
 
+void tell_rebirth_later(struct replica *replica)
+{
+	push_event(replica->world->events, replica->world->now_us + NEWS_US,
+		   tell_rebirth, replica);
+}
+
 static void end_trouble(void *context, void *data)
 {
 	struct trouble *trouble = data;
@@ -65,13 +79,45 @@
 		if (trouble->fault->kind != TROUBLE_REBORN)
 			continue;
 		replica->born_ms += 1 + (int64_t)(trouble->fault->for_s * 1000);
-		push_event(world->events, world->now_us + NEWS_US, tell_rebirth,
-			   replica);
+		tell_rebirth_later(replica);
 	}
 	g_ptr_array_unref(trouble->hit);
 	g_free(trouble);
 }
 
+struct visits {
+	struct world *world;
+	const struct emulated_fault *fault;
+	int64_t end_us;
+};
+
+static void visit(void *context, void *data)
+{
+	struct visits *visits = data;
+	struct world *world = visits->world;
+	const struct emulated_fault *faults = world->scenario->faults;
+
+	if (world->now_us >= visits->end_us) {
+		g_free(visits);
+		return;
+	}
+	ask_deadly(world, (uint64_t)(visits->fault - faults));
+	push_event(world->events,
+		   world->now_us + (int64_t)(visits->fault->x * US_PER_S),
+		   visit, visits);
+}
+
+static void begin_visits(struct world *world,
+			 const struct emulated_fault *fault)
+{
+	struct visits *visits = g_new0(struct visits, 1);
+
+	visits->world = world;
+	visits->fault = fault;
+	visits->end_us = world->now_us + (int64_t)(fault->for_s * US_PER_S);
+	push_event(world->events, world->now_us, visit, visits);
+}
+
 static bool is_meant(const struct emulated_fault *fault,
 		     const struct replica *replica, struct world *world)
 {
@@ -90,6 +136,8 @@
 		world->cut_zone = (int)fault->x;
 	if (fault->kind == TROUBLE_BURST)
 		world->burst = MAX(fault->x, 0.01);
+	if (fault->kind == TROUBLE_DEADLY)
+		begin_visits(world, fault);
 	for (guint i = 0; i < world->replicas->len; i++) {
 		struct replica *replica = g_ptr_array_index(world->replicas, i);
 
--- a/bench/gate/emulated-replica.c
+++ b/bench/gate/emulated-replica.c
@@ -179,6 +179,8 @@
 	if (work->running) {
 		work->running = false;
 		replica->busy--;
+		if (work->deadly)
+			crash_under(work);
 		if (!replica->silent && !replica->gone)
 			send_reply(work, RR_GATE_ANSWERED,
 				   draw_unit(replica->world) < replica->fail ?
@@ -190,6 +192,19 @@
 	drop_work(work);
 }
 
+void close_work(struct work *work)
+{
+	struct replica *replica = work->replica;
+
+	if (work->running) {
+		work->running = false;
+		replica->busy--;
+	} else if (g_queue_remove(&replica->waiting, work)) {
+		work->refs--; /* the queue's, and not the last one */
+	}
+	send_reply(work, RR_GATE_BROKEN, 0, false);
+}
+
 void arrive_at_replica(void *context, void *data)
 {
 	struct work *work = data;
@@ -203,6 +218,9 @@
 			    (guint)replica->world->scenario->queue) {
 			send_reply(work, RR_GATE_REFUSED, 503, false);
 		} else {
+			if (work->deadly)
+				note_deadly_arrival(work);
+			work->taken = true;
 			keep_work(work);
 			g_queue_push_tail(&replica->waiting, work);
 			start_next(replica);
--- a/bench/gate/emulator-private.h
+++ b/bench/gate/emulator-private.h
@@ -37,9 +37,12 @@
 struct work {
 	struct world *world;
 	uint64_t attempt;
+	uint64_t request; /* number of its caller's attempt */
 	uint32_t instance;
 	struct replica *replica;
 	double work_us;
+	bool deadly;
+	bool taken; /* by its replica */
 	bool running;
 	bool withdrawn;
 	bool over; /* its reply is on the way, or lost */
@@ -63,6 +66,9 @@
 struct request {
 	struct world *world;
 	const struct emulated_route *route;
+	uint64_t number; /* of this attempt of its caller */
+	uint64_t asks;	 /* what it asks, the same in each attempt */
+	bool deadly;
 	uint32_t zone;
 	uint32_t tries;
 	uint32_t instance;
@@ -86,6 +92,12 @@
 	GPtrArray *instances; /* struct instance */
 	int cut_zone;	      /* -1: none */
 	double burst;
+	uint64_t next_number; /* of requests */
+	uint64_t deadly_crashes;
+	int64_t third_us; /* when the third of these was; 0: not yet */
+	GHashTable *late; /* numbers counted in deadly_late */
+	GHashTable
+		*entries; /* low half of a fingerprint -> the store's entry */
 };
 
 /* emulator.c */
@@ -109,12 +121,30 @@
 void list_replica(struct instance *instance, const struct replica *replica,
 		  bool draining);
 
+/* Its connection closes: it has no answer, and never will. */
+void close_work(struct work *work);
+
+/* emulated-crash.c */
+/* Its connections close, and new ones are refused. */
+void crash_replica(struct replica *replica);
+/* It is back as another lifetime, after it was gone for so long. */
+void restart_replica(struct replica *replica, int64_t after_us);
+/* It crashes under a request that does that to replicas. */
+void crash_under(struct work *work);
+void note_deadly_arrival(const struct work *work);
+void free_entry(gpointer entry);
+void report_to_store(void *instance, const struct rr_quarantine_report *report);
+
 /* emulated-caller.c */
 void start_callers(struct world *world);
+/* A request that crashes replicas; `asks` names it. */
+void ask_deadly(struct world *world, uint64_t asks);
 void take_gate_answer(struct instance *instance, struct request *request,
 		      const struct rr_gate_answer *answer);
 
 /* emulated-fault.c */
 void start_faults(struct world *world);
+/* The news of its new lifetime comes to all instances. */
+void tell_rebirth_later(struct replica *replica);
 
 #endif
--- a/bench/gate/emulator.c
+++ b/bench/gate/emulator.c
@@ -128,6 +128,8 @@
 	work->attempt = send->attempt;
 	work->instance = instance->number;
 	work->replica = replica_of(world, send->lifetime);
+	work->request = request->number;
+	work->deadly = request->deadly;
 	work->work_us = draw_work_us(world, request->route);
 	work->refs = 1;
 	g_hash_table_insert(instance->works, &work->attempt, work);
@@ -246,6 +248,7 @@
 		.body = record,
 		.length = sizeof(record),
 		.unreachable = unreachable,
+		.closed = outcome == RR_GATE_BROKEN,
 	};
 
 	if (work->withdrawn)
@@ -324,6 +327,7 @@
 			.open = open_connection,
 			.probe = send_probe,
 			.forget = forget,
+			.report = report_to_store,
 			.data = instance,
 		},
 		.extra_ratio = scenario->extra_ratio,
@@ -424,6 +428,10 @@
 
 	*result = (struct emulated_result){ 0 };
 	result->waits_us = g_array_new(FALSE, FALSE, sizeof(double));
+	world.late = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   NULL);
+	world.entries = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					      free_entry);
 	world.replicas = g_ptr_array_new_with_free_func(drop_replica);
 	world.instances = g_ptr_array_new_with_free_func(drop_instance);
 	start_replicas(&world);
@@ -440,6 +448,8 @@
 	drop_event_queue(world.events, NULL);
 	g_ptr_array_unref(world.instances);
 	g_ptr_array_unref(world.replicas);
+	g_hash_table_unref(world.late);
+	g_hash_table_unref(world.entries);
 	g_rand_free(world.rand);
 	g_rand_free(world.arrivals);
 	g_rand_free(world.layout);
--- a/bench/gate/scenario.c
+++ b/bench/gate/scenario.c
@@ -66,6 +66,7 @@
 	[TROUBLE_GONE] = "gone",   [TROUBLE_SHED] = "shed",
 	[TROUBLE_FAIL] = "fail",   [TROUBLE_CUT] = "cut",
 	[TROUBLE_BURST] = "burst", [TROUBLE_REBORN] = "reborn",
+	[TROUBLE_CRASH] = "crash", [TROUBLE_DEADLY] = "deadly",
 };
 
 void init_scenario(struct emulated_scenario *scenario)
--- a/source/core/gate-quarantine.c
+++ b/source/core/gate-quarantine.c
@@ -137,7 +137,8 @@
 	};
 
 	/* One that leaves, or is gone from the list, ends by itself. */
-	if (endpoint->service == gate->strong || !endpoint->listed ||
+	if (!gate->policy.quarantine_known ||
+	    endpoint->service == gate->strong || !endpoint->listed ||
 	    endpoint->draining || !rr_is_fingerprint(&crash.fingerprint))
 		return;
 	if (!endpoint->closed)
@@ -228,7 +229,7 @@
 #ifdef RR_MUTANT_GATE_SENDS_ALL_AT_ONCE
 	return false;
 #endif
-	return !run->completed &&
+	return gate->policy.quarantine_known && !run->completed &&
 	       run->n_closed >= gate->policy.quarantine_caution &&
 	       !rr_is_harmless(gate->quarantine, gate->now_us,
 			       &run->fingerprint);
--- a/tests/test-gate-emulated.c
+++ b/tests/test-gate-emulated.c
@@ -79,8 +79,8 @@
 static void test_troubles_cost_a_tenth_at_most(void **state)
 {
 	static const char *const names[] = {
-		"failing",  "shedding",	     "reborn",
-		"zone-cut", "ninety-shards", "shard-lost",
+		"failing",	 "shedding",   "reborn", "zone-cut",
+		"ninety-shards", "shard-lost", "deadly",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
@@ -110,6 +110,7 @@
 		{ "burst", "limit_adapts" },
 		{ "zone-cut", "silence_of_zones" },
 		{ "zone-cut", "silence_unready" },
+		{ "deadly", "quarantine_known" },
 	};
 	double with = 0;
 
@@ -127,6 +128,39 @@
 	}
 }
 
+/* Guards against a request that goes on crashing replicas once it is known. */
+static void test_a_deadly_request_is_kept_from_replicas(void **state)
+{
+	struct emulated_scenario scenario;
+	struct emulated_result result;
+
+	(void)state;
+	load("deadly", &scenario);
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		emulate(&scenario, NULL, seed, &result);
+		assert_true(result.crashes >= 3);
+		assert_in_range(result.deadly_late, 0, 3);
+		clear_emulated_result(&result);
+	}
+}
+
+/* Guards against caution that costs those more who run where replicas crash. */
+static void test_crashes_without_a_cause_condemn_nobody(void **state)
+{
+	double with = value_of("crashing", NULL, NULL);
+	double without = value_of("crashing", "quarantine_known", NULL);
+	struct emulated_scenario scenario;
+	struct emulated_result result;
+
+	(void)state;
+	if (without - with >= LEAST_GAIN)
+		fail_msg("%.4f with it, %.4f without", with, without);
+	load("crashing", &scenario);
+	emulate(&scenario, NULL, 1, &result);
+	assert_int_equal(result.reports, 0);
+	clear_emulated_result(&result);
+}
+
 static void test_a_run_repeats(void **state)
 {
 	assert_true(value_of("few-quick", NULL, NULL) ==
@@ -172,6 +206,8 @@
 		cmocka_unit_test(test_calm_answers_are_in_time),
 		cmocka_unit_test(test_troubles_cost_a_tenth_at_most),
 		cmocka_unit_test(test_each_mechanism_is_worth_its_load),
+		cmocka_unit_test(test_a_deadly_request_is_kept_from_replicas),
+		cmocka_unit_test(test_crashes_without_a_cause_condemn_nobody),
 		cmocka_unit_test(test_a_run_repeats),
 		cmocka_unit_test(test_faulty_scenarios),
 	};
