soak: a few requests crash the replicas that run them

Callers repeat them under ids of their own, of each kind, a new one every 20 seconds; replicas note what comes. A replica that has crashed refuses connections now, as its machine would: the link before it took them and closed.

--- a/soak/soak-caller.c
+++ b/soak/soak-caller.c
@@ -360,6 +360,7 @@
 		g_strdup_printf("q%" G_GUINT64_FORMAT, ++soak->next_request);
 	request->kind = (enum soak_kind)soak_draw(soak, SOAK_KINDS);
 	request->sent_us = g_get_monotonic_time();
+	soak_draw_deadly(soak, request);
 	g_hash_table_insert(soak->requests, request->id, request);
 	return request;
 }
@@ -372,7 +373,9 @@
 	char *text = g_strdup_printf(
 		"%s%s HTTP/1.1\r\nHost: soak\r\nRequest-Id: %s\r\n"
 		"Deadline-Ms: %d\r\n%s\r\n",
-		lines[request->kind], request->id, request->id, DEADLINE_MS,
+		lines[request->kind],
+		request->deadly[0] ? request->deadly : request->id, request->id,
+		DEADLINE_MS,
 		request->kind == SOAK_ONCE ? "Content-Length: 0\r\n" : "");
 
 	caller->open = request;
--- /dev/null
+++ b/soak/soak-deadly.c
@@ -0,0 +1,93 @@
+/*
+ * soak-deadly.c - requests that crash the replicas that run them: callers
+ * repeat them, under ids of their own, and replicas check how often they come.
+ */
+#include <string.h>
+
+#include "soak.h"
+
+/* Of all requests. */
+#define SHARE 0.005
+/* Another one comes up each so often, of each kind. */
+#define EPOCH_US (20000 * MS)
+#define RESTART_MS 400
+#define CRASHES 3
+/* Instances know of the third crash after this, once harm is over. */
+#define SETTLED_US (4500 * MS)
+#define MARGIN_US (500 * MS)
+#define MOST_LATE 3
+
+struct deadly {
+	uint32_t crashes;
+	int64_t third_us; /* 0: not yet */
+	uint32_t late;	  /* requests that came when it was long known */
+};
+
+void soak_draw_deadly(struct soak *soak, struct soak_request *request)
+{
+	int64_t epoch = g_get_monotonic_time() / EPOCH_US;
+
+	if (soak_chance(soak, SHARE))
+		g_snprintf(request->deadly, sizeof(request->deadly),
+			   "deadly-%d-%d", (int)(epoch % 10000),
+			   (int)request->kind);
+}
+
+static struct deadly *deadly_of(struct soak *soak,
+				const struct soak_request *request)
+{
+	struct deadly *deadly =
+		g_hash_table_lookup(soak->deadly, request->deadly);
+
+	if (!deadly) {
+		deadly = g_new0(struct deadly, 1);
+		g_hash_table_insert(soak->deadly, g_strdup(request->deadly),
+				    deadly);
+	}
+	return deadly;
+}
+
+void soak_check_deadly(struct soak *soak, const struct soak_request *request)
+{
+	struct deadly *deadly;
+	int64_t now_us = g_get_monotonic_time();
+
+	if (!request->deadly[0] || request->n_runs)
+		return;
+	deadly = deadly_of(soak, request);
+	if (!soak->options.timing || !deadly->third_us ||
+	    now_us - deadly->third_us < SETTLED_US ||
+	    !soak_is_calm_since(soak, NULL, now_us - MARGIN_US))
+		return;
+	if (++deadly->late > MOST_LATE)
+		soak_violation(soak, "BUDGET",
+			       "%s came as %s %u times after three replicas "
+			       "had crashed under it",
+			       request->deadly, request->id, deadly->late);
+}
+
+static gboolean restart(gpointer data)
+{
+	struct soak_replica *replica = data;
+	char service[sizeof(replica->service)];
+
+	g_strlcpy(service, replica->service, sizeof(service));
+	if (!replica->up)
+		soak_revive_replica(replica, service);
+	return G_SOURCE_REMOVE;
+}
+
+void soak_crash_under(struct soak_replica *replica, const char *request_id)
+{
+	struct soak *soak = replica->soak;
+	struct deadly *deadly = deadly_of(
+		soak, g_hash_table_lookup(soak->requests, request_id));
+
+	if (!replica->up)
+		return;
+	soak->crashes++;
+	if (++deadly->crashes == CRASHES)
+		deadly->third_us = g_get_monotonic_time();
+	soak_crash_replica(replica);
+	g_timeout_add(RESTART_MS, restart, replica);
+}
--- a/soak/soak-link.c
+++ b/soak/soak-link.c
@@ -253,17 +253,31 @@
 	return G_SOURCE_REMOVE;
 }
 
-struct soak_link *soak_new_link(struct soak *soak, uint16_t target_port)
+void soak_listen_link(struct soak_link *link, bool open)
 {
-	struct soak_link *link = g_new0(struct soak_link, 1);
-
-	link->target_port = target_port;
-	link->pairs = g_ptr_array_new();
+	if (open == (link->listener != NULL))
+		return;
+	if (!open) {
+		g_source_destroy(link->source);
+		g_source_unref(link->source);
+		g_socket_close(link->listener, NULL);
+		g_clear_object(&link->listener);
+		return;
+	}
 	link->listener = test_open_listener(&link->port);
 	link->source = g_socket_create_source(link->listener, G_IO_IN, NULL);
 	g_source_set_callback(link->source, G_SOURCE_FUNC(accept_pair), link,
 			      NULL);
 	g_source_attach(link->source, NULL);
+}
+
+struct soak_link *soak_new_link(struct soak *soak, uint16_t target_port)
+{
+	struct soak_link *link = g_new0(struct soak_link, 1);
+
+	link->target_port = target_port;
+	link->pairs = g_ptr_array_new();
+	soak_listen_link(link, true);
 	return link;
 }
 
@@ -271,12 +285,9 @@
 {
 	if (link->timer)
 		g_source_remove(link->timer);
-	g_source_destroy(link->source);
-	g_source_unref(link->source);
+	soak_listen_link(link, false);
 	soak_reset_link(link);
 	g_ptr_array_unref(link->pairs);
-	g_socket_close(link->listener, NULL);
-	g_object_unref(link->listener);
 	g_free(link);
 }
 
--- a/soak/soak-replica.c
+++ b/soak/soak-replica.c
@@ -101,7 +101,10 @@
 
 	if (connection) {
 		connection->user = NULL;
-		answer_work(work->replica->soak, work);
+		if (strstr(connection->path, "deadly"))
+			soak_crash_under(work->replica, work->request_id);
+		else
+			answer_work(work->replica->soak, work);
 		work->connection = NULL;
 	}
 	free_work(work);
@@ -139,7 +142,8 @@
 	const char *prefix = prefixes[request->kind];
 
 	if (!g_str_has_prefix(connection->path, prefix) ||
-	    strcmp(connection->path + strlen(prefix), request->id) ||
+	    strcmp(connection->path + strlen(prefix),
+		   request->deadly[0] ? request->deadly : request->id) ||
 	    strcmp(connection->method,
 		   request->kind == SOAK_ONCE ? "POST" : "GET"))
 		soak_violation(soak, "UNASKED", "%s %s ran for %s",
@@ -255,6 +259,7 @@
 		return;
 	}
 	check_run(replica, request, connection);
+	soak_check_deadly(replica->soak, request);
 	note_run(replica, request);
 	start_work(replica, connection, request);
 }
@@ -281,6 +286,8 @@
 	replica->draining_us = 0;
 	replica->up = true;
 	test_listen(&replica->server, true);
+	if (replica->link)
+		soak_listen_link(replica->link, true);
 }
 
 struct soak_replica *soak_new_replica(struct soak *soak, const char *service,
@@ -298,18 +305,9 @@
 	return replica;
 }
 
-static void end_connections(struct soak_replica *replica)
-{
-	while (replica->server.connections->len)
-		test_close_connection(
-			g_ptr_array_index(replica->server.connections, 0));
-}
-
 void soak_drop_replica(struct soak_replica *replica)
 {
-	test_listen(&replica->server, false);
-	end_connections(replica);
-	g_ptr_array_unref(replica->server.connections);
+	test_close_server(&replica->server);
 	soak_drop_link(replica->link);
 	g_free(replica);
 }
@@ -381,8 +379,8 @@
 {
 	replica->up = false;
 	note_lost(replica);
-	test_listen(&replica->server, false);
-	end_connections(replica);
+	soak_listen_link(replica->link, false);
+	test_end_server(&replica->server);
 }
 
 void soak_revive_replica(struct soak_replica *replica, const char *service)
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -189,6 +189,7 @@
 		soak_drop_replica(g_ptr_array_index(soak->replicas, i));
 	test_close_store(&soak->store);
 	g_hash_table_unref(soak->requests);
+	g_hash_table_unref(soak->deadly);
 	g_ptr_array_unref(soak->callers);
 	g_ptr_array_unref(soak->instances);
 	g_ptr_array_unref(soak->replicas);
@@ -205,6 +206,8 @@
 		.callers = g_ptr_array_new(),
 		.requests = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 						  free_request),
+		.deadly = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						g_free),
 	};
 
 	make_world(&soak);
@@ -219,11 +222,12 @@
 	if (!wait_for_whole(&soak, 10 * options->instances))
 		soak_violation(&soak, "RECOVER", "does not serve any more");
 	printf("soak: seed=%u %s faults=%u requests=%u whole=%u partial=%u "
-	       "refused=%u unknown=%u cut=%u runs=%u violations=%u\n",
+	       "refused=%u unknown=%u cut=%u runs=%u crashes=%u "
+	       "violations=%u\n",
 	       options->seed, soak.violations ? "FAILED" : "ok", soak.faults,
 	       (unsigned int)g_hash_table_size(soak.requests), soak.whole,
 	       soak.partial, soak.refused, soak.unknown, soak.cut, soak.runs,
-	       soak.violations);
+	       soak.crashes, soak.violations);
 	fflush(stdout);
 	drop_all(&soak);
 	return soak.violations ? 1 : 0;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -55,6 +55,7 @@
 struct soak_request {
 	char *id;
 	enum soak_kind kind;
+	char deadly[24]; /* what it asks, if that crashes replicas; else "" */
 	int64_t sent_us;
 	uint32_t n_runs;
 	struct soak_run runs[MOST_RUNS];
@@ -136,6 +137,8 @@
 	uint32_t unknown; /* 502 and 504 */
 	uint32_t cut;	  /* connections that ended without an answer */
 	uint32_t runs;
+	uint32_t crashes;   /* of replicas, under requests */
+	GHashTable *deadly; /* what is asked -> struct deadly */
 	uint32_t violations;
 };
 
@@ -154,6 +157,8 @@
 uint16_t soak_link_port(const struct soak_link *link);
 void soak_set_link(struct soak_link *link, enum soak_link_state state,
 		   uint32_t delay_ms);
+/* Whether new connections are taken, or refused as by a machine's system. */
+void soak_listen_link(struct soak_link *link, bool open);
 /* End all connections now. */
 void soak_reset_link(struct soak_link *link);
 
@@ -189,6 +194,13 @@
 struct soak_caller *soak_new_caller(struct soak *soak, uint32_t instance);
 void soak_drop_caller(struct soak_caller *caller);
 
+/* soak-deadly.c */
+/* A few requests crash the replicas that run them. */
+void soak_draw_deadly(struct soak *soak, struct soak_request *request);
+/* One of them has come to a replica: not again and again. */
+void soak_check_deadly(struct soak *soak, const struct soak_request *request);
+void soak_crash_under(struct soak_replica *replica, const char *request_id);
+
 /* soak-fault.c */
 enum soak_phase {
 	SOAK_STORM,	  /* anything */
