tool: quarantine list and release; explain tells of crashes before a refusal

Operators see which requests crash replicas, with the replicas that crashed, and send one to replicas again. 'ragwort explain' names the fingerprint of a request and shows what was learnt of it at whatever time before, not in the last ten seconds only.

Tests: tool test_operators_release_a_request, explain test_its_replicas_crashed_before.

--- a/source/tool/explain-print.c
+++ b/source/tool/explain-print.c
@@ -176,6 +176,11 @@
 		return "this instance knew no configuration yet";
 	if (!strcmp(reason, "no-route"))
 		return "the configuration in force has no such route";
+	if (!strcmp(reason, "quarantined"))
+		return "replicas crashed under it before, and it is kept from "
+		       "them";
+	if (!strcmp(reason, "crashes-replicas"))
+		return "the replicas that ran it crashed";
 	if (!strcmp(reason, "time-over"))
 		return "its time was over";
 	if (!strcmp(reason, "too-few-parts"))
@@ -231,6 +236,9 @@
 	if (*rr_line_text(end, "instance"))
 		g_string_append_printf(out, " at %s",
 				       rr_line_text(end, "instance"));
+	if (*rr_line_text(end, "fingerprint"))
+		g_string_append_printf(out, ", fingerprint %s",
+				       rr_line_text(end, "fingerprint"));
 	if (rr_line_is(end, "turned-away")) {
 		g_string_append_printf(
 			out, ": turned away with %s, configuration %s\n",
@@ -345,13 +353,15 @@
 		return;
 	for (guint i = 0; i < story->lines->len; i++)
 		end_us = MAX(end_us, line_at(story->lines, i)->time_us);
-	g_string_append(out, "what had been learnt in the 10 s before:\n");
+	g_string_append(out, "what had been learnt before:\n");
 	for (guint i = 0; i < story->beliefs->len; i++) {
 		const struct rr_log_line *line = line_at(story->beliefs, i);
 		const char *about = rr_line_text(line, "endpoint");
 
 		if (!*about)
 			about = rr_line_text(line, "zone");
+		if (!*about)
+			about = rr_line_text(line, "endpoints");
 		g_string_append_printf(
 			out, "  %6.1f s before its end: %s %s %s %s\n",
 			(double)(end_us - line->time_us) / G_USEC_PER_SEC,
--- a/source/tool/explain.c
+++ b/source/tool/explain.c
@@ -38,6 +38,10 @@
 		"zone-heard",
 		"zone-evacuated",
 		"zone-taken-back",
+		"replica-crashed",
+		"request-suspected",
+		"request-quarantined",
+		"request-released",
 		"cut-off",
 		"not-cut-off",
 		"store-lost",
@@ -70,6 +74,21 @@
 	return end_us;
 }
 
+/* Whether a line tells of what the request asks, at whatever time. */
+static bool is_of_same(const struct rr_story *story,
+		       const struct rr_log_line *belief)
+{
+	const char *fingerprint = rr_line_text(belief, "fingerprint");
+
+	for (guint i = 0; *fingerprint && i < story->lines->len; i++) {
+		if (!strcmp(rr_line_text(g_ptr_array_index(story->lines, i),
+					 "fingerprint"),
+			    fingerprint))
+			return true;
+	}
+	return false;
+}
+
 /* Whether a belief is about what the request had to do with. */
 static bool concerns(const struct rr_story *story,
 		     const struct rr_log_line *belief)
@@ -77,6 +96,8 @@
 	const char *endpoint = rr_line_text(belief, "endpoint");
 	const char *service = rr_line_text(belief, "service");
 
+	if (*rr_line_text(belief, "fingerprint"))
+		return false;
 	if (!*endpoint)
 		return true;
 	for (guint i = 0; i < story->lines->len; i++) {
@@ -97,9 +118,11 @@
 	for (guint i = 0; end_us && i < lines->len; i++) {
 		struct rr_log_line *line = g_ptr_array_index(lines, i);
 
-		if (is_belief(line) && line->time_us <= end_us &&
-		    line->time_us >= end_us - BELIEF_US &&
-		    concerns(story, line))
+		if (!is_belief(line) || line->time_us > end_us)
+			continue;
+		if (is_of_same(story, line) ||
+		    (line->time_us >= end_us - BELIEF_US &&
+		     concerns(story, line)))
 			g_ptr_array_add(story->beliefs, line);
 	}
 }
--- a/source/tool/main.c
+++ b/source/tool/main.c
@@ -34,6 +34,13 @@
 	{ "explain", rr_run_explain,
 	  "tell what happened to a gateway's request, from logs",
 	  "ragwort explain 76fa2c4d41ae4cb5 --logs gateway.log" },
+	{ "quarantine list", rr_run_quarantine_list,
+	  "list requests that crash replicas",
+	  "ragwort quarantine list --platform 127.0.0.1:8001" },
+	{ "quarantine release", rr_run_quarantine_release,
+	  "send such a request to replicas again",
+	  "ragwort quarantine release --platform 127.0.0.1:8001 "
+	  "1b4e28ba2fa111d2883f0016d3cca427" },
 	{ "query", rr_run_query, "ask a service and print its answer",
 	  "ragwort query --instance 127.0.0.1:8101 --service counter-desk" },
 	{ "status", rr_run_status, "show instances, upstreams and revisions",
--- a/source/tool/platform.c
+++ b/source/tool/platform.c
@@ -96,6 +96,82 @@
 	rr_clear_http_reply(&http);
 }
 
+/* One page; false if there is none. */
+static bool read_page(const char *address, const char *prefix,
+		      const char *after_key, struct rr_feed_reply *page,
+		      char **why)
+{
+	enum rr_store_status status;
+	struct rr_store_call call;
+	struct rr_http_reply http;
+
+	*page = (struct rr_feed_reply){ .status = RR_FEED_FAILED };
+	rr_make_range(&call, prefix, after_key);
+	g_clear_pointer(why, g_free);
+	if (call_platform(address, &call, &http, &status, why))
+		rr_decode_feed_reply(RR_FEED_RANGE, (uint16_t)http.status,
+				     (const uint8_t *)http.body, http.length,
+				     page);
+	rr_clear_http_reply(&http);
+	return page->status == RR_FEED_OK;
+}
+
+GPtrArray *rr_read_platform_items(const char *address,
+				  enum rr_feed_item_kind kind, char **why)
+{
+	GPtrArray *items = g_ptr_array_new_with_free_func(rr_free_feed_item);
+	const char *after_key = NULL;
+	struct rr_feed_reply page;
+
+	do {
+		bool good = read_page(address, rr_store_prefix(kind), after_key,
+				      &page, why);
+
+		if (good)
+			g_ptr_array_extend_and_steal(
+				items, g_steal_pointer(&page.items));
+		if (page.items)
+			g_ptr_array_unref(page.items);
+		if (!good) {
+			g_ptr_array_unref(items);
+			return NULL;
+		}
+		if (items->len)
+			after_key = ((struct rr_feed_item *)g_ptr_array_index(
+					     items, items->len - 1))
+					    ->key;
+	} while (page.more && after_key);
+	return items;
+}
+
+bool rr_remove_platform_item(const char *address,
+			     const struct rr_feed_item *item, char **why)
+{
+	struct rr_quarantine_entry named = { 0 };
+	struct rr_feed_call removal = {
+		.kind = RR_FEED_REPORT,
+		.entry = &named,
+		.entry_goes = true,
+		.revision = item->revision,
+	};
+	static char *nobody[] = { NULL };
+	enum rr_store_status status;
+	struct rr_store_call call;
+	struct rr_http_reply http;
+	bool removed = false;
+
+	named.crashed = nobody;
+	if (!rr_parse_fingerprint(item->id, &named.fingerprint)) {
+		*why = g_strdup("its key is no fingerprint");
+		return false;
+	}
+	rr_make_feed_call(&call, &removal);
+	if (call_platform(address, &call, &http, &status, why))
+		removed = http.status == 200;
+	rr_clear_http_reply(&http);
+	return removed;
+}
+
 struct rr_record *rr_read_record(const struct rr_command *command,
 				 const char *address, int *code)
 {
--- a/source/tool/platform.h
+++ b/source/tool/platform.h
@@ -4,6 +4,7 @@
 #ifndef TOOL_PLATFORM_H
 #define TOOL_PLATFORM_H
 
+#include "ragwort/feed.h"
 #include "ragwort/record.h"
 #include "ragwort/store.h"
 
@@ -19,6 +20,16 @@
 		      const char *value, size_t length,
 		      struct rr_store_reply *reply, char **why);
 
+/*
+ * All items of a kind, as struct rr_feed_item; for g_ptr_array_unref().  NULL,
+ * with *why (g_free()), if they cannot be read.
+ */
+GPtrArray *rr_read_platform_items(const char *address,
+				  enum rr_feed_item_kind kind, char **why);
+/* Remove one as it was read; false, with *why, if it may still be there. */
+bool rr_remove_platform_item(const char *address,
+			     const struct rr_feed_item *item, char **why);
+
 /*
  * Read the accepted configuration; an empty record when there is none yet.
  * NULL with *code set and a line on stderr when it cannot be had.
--- /dev/null
+++ b/source/tool/quarantine.c
@@ -0,0 +1,138 @@
+/*
+ * quarantine.c - `ragwort quarantine list` and `release`: requests that crash
+ * replicas, as the gateways tell each other of them in the platform's service.
+ */
+#include <stdio.h>
+
+#include "ragwort/feed.h"
+#include "tool/platform.h"
+#include "tool/tool.h"
+
+static bool is_quarantine(const struct rr_feed_item *item)
+{
+	return item->kind == RR_FEED_QUARANTINE;
+}
+
+static void print_item(const struct rr_feed_item *item)
+{
+	const struct rr_quarantine_entry *entry = item->quarantine;
+	char *crashed;
+
+	if (!entry) {
+		printf("%s  cannot be read: %s\n", item->id, item->fault);
+		return;
+	}
+	crashed = g_strjoinv(" ", entry->crashed);
+	printf("%s  %-11s  trials %u  crashed %s\n", item->id,
+	       entry->in_force ? "quarantined" : "suspected", entry->trials,
+	       crashed);
+	g_free(crashed);
+}
+
+/* NULL after telling why; else struct rr_feed_item of all kinds. */
+static GPtrArray *read_items(const struct rr_command *command,
+			     const char *address, int *code)
+{
+	char **addresses = rr_split_addresses(command, address);
+	GPtrArray *items;
+	char *why = NULL;
+
+	*code = RR_EXIT_USAGE;
+	if (!addresses)
+		return NULL;
+	g_strfreev(addresses);
+	items = rr_read_platform_items(address, RR_FEED_QUARANTINE, &why);
+	*code = RR_EXIT_OK;
+	if (!items) {
+		rr_tell(command, "the platform's service cannot be read: %s",
+			why);
+		*code = RR_EXIT_UNREACHABLE;
+	}
+	g_free(why);
+	return items;
+}
+
+static int list_items(const struct rr_command *command, const char *address)
+{
+	int code;
+	GPtrArray *items = read_items(command, address, &code);
+
+	if (!items)
+		return code;
+	for (guint i = 0; i < items->len; i++) {
+		if (is_quarantine(g_ptr_array_index(items, i)))
+			print_item(g_ptr_array_index(items, i));
+	}
+	g_ptr_array_unref(items);
+	return RR_EXIT_OK;
+}
+
+static const struct rr_feed_item *find_item(const GPtrArray *items,
+					    const char *fingerprint)
+{
+	for (guint i = 0; i < items->len; i++) {
+		const struct rr_feed_item *item = g_ptr_array_index(items, i);
+
+		if (is_quarantine(item) && !g_strcmp0(item->id, fingerprint))
+			return item;
+	}
+	return NULL;
+}
+
+static int release_item(const struct rr_command *command, const char *address,
+			const char *fingerprint)
+{
+	int code;
+	GPtrArray *items = read_items(command, address, &code);
+	const struct rr_feed_item *item;
+	char *why = NULL;
+
+	if (!items)
+		return code;
+	item = find_item(items, fingerprint);
+	if (!item) {
+		rr_tell(command, "%s is not in quarantine", fingerprint);
+		code = RR_EXIT_FAILED;
+	} else if (!rr_remove_platform_item(address, item, &why)) {
+		rr_tell(command, "%s was not released: %s", fingerprint, why);
+		code = RR_EXIT_FAILED;
+	} else {
+		printf("released %s\n", fingerprint);
+	}
+	g_free(why);
+	g_ptr_array_unref(items);
+	return code;
+}
+
+int rr_run_quarantine_list(const struct rr_command *command, int argc,
+			   char **argv)
+{
+	struct rr_common_arguments common = rr_new_common_arguments();
+	struct arg_str *platform =
+		arg_str1(NULL, "platform", "IP:PORT", "the platform's service");
+	void *table[] = { platform, common.help, common.end };
+	int code = RR_EXIT_OK;
+
+	if (rr_parse_arguments(command, table, &common, argc, argv, &code))
+		code = list_items(command, platform->sval[0]);
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
+
+int rr_run_quarantine_release(const struct rr_command *command, int argc,
+			      char **argv)
+{
+	struct rr_common_arguments common = rr_new_common_arguments();
+	struct arg_str *platform =
+		arg_str1(NULL, "platform", "IP:PORT", "the platform's service");
+	struct arg_str *fingerprint =
+		arg_str1(NULL, NULL, "FINGERPRINT", "as `list` prints it");
+	void *table[] = { platform, fingerprint, common.help, common.end };
+	int code = RR_EXIT_OK;
+
+	if (rr_parse_arguments(command, table, &common, argc, argv, &code))
+		code = release_item(command, platform->sval[0],
+				    fingerprint->sval[0]);
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
--- a/source/tool/tool.h
+++ b/source/tool/tool.h
@@ -36,6 +36,10 @@
 			  char **argv);
 int rr_run_explain(const struct rr_command *command, int argc, char **argv);
 int rr_run_query(const struct rr_command *command, int argc, char **argv);
+int rr_run_quarantine_list(const struct rr_command *command, int argc,
+			   char **argv);
+int rr_run_quarantine_release(const struct rr_command *command, int argc,
+			      char **argv);
 int rr_run_status(const struct rr_command *command, int argc, char **argv);
 
 int rr_run_keys_new(const struct rr_command *command, int argc, char **argv);
--- a/tests/test-explain.c
+++ b/tests/test-explain.c
@@ -15,6 +15,13 @@
 
 /* Lines of two instances, with those of other programs between them. */
 static const char logs[] =
+	/* Long before: replicas crash under what is asked again later. */
+	"time=2026-09-12T06:31:00.000000Z level=warning "
+	"event=request-quarantined fingerprint=0badc0de reason=crashes-replicas "
+	"crashed=3 endpoints=i-71,i-72,i-73 age_us=9000 trials=0\n"
+	"time=2026-09-12T06:31:00.100000Z level=warning "
+	"event=request-quarantined fingerprint=0ddba11 reason=told "
+	"crashed=3 endpoints=i-81,i-82,i-83 age_us=9000 trials=0\n"
 	"  33.0794 front-1 time=2026-09-12T06:37:16.878969Z level=info "
 	"event=endpoint-suspected endpoint=i-9 service=s9 reason=silent "
 	"for_us=400000\n"
@@ -87,6 +94,12 @@
 	"version_age_us=13349703 status=503 reason=evacuated parts=3 "
 	"missing=3 may_have_run=0 late=false objective_us=69600 end_us=428000 "
 	"retry_after_ms=90 steps_left_out=0\n"
+	"time=2026-09-12T06:37:18.912000Z level=info event=answered "
+	"request=deadly1 fingerprint=0badc0de instance=front-3 after_us=0 "
+	"route=r version=22 version_age_us=13349703 status=503 "
+	"reason=quarantined parts=0 missing=0 may_have_run=0 late=false "
+	"objective_us=69600 end_us=428000 retry_after_ms=230000 "
+	"steps_left_out=0\n"
 	/* Only its steps: the end was cut off. */
 	"time=2026-09-12T06:37:19.000000Z level=info event=sent request=cut1 "
 	"after_us=0 attempt=9 service=s1 endpoint=i-1 reason=first\n"
@@ -128,6 +141,24 @@
 	assert_tells("empty1", words);
 }
 
+/* Guards against a refusal whose crashes are in lines of minutes before. */
+static void test_its_replicas_crashed_before(void **state)
+{
+	static const char *const words[] = {
+		"fingerprint 0badc0de",
+		"replicas crashed under it before",
+		"request-quarantined",
+		"i-71,i-72,i-73",
+		NULL,
+	};
+	struct tool_run *run = explain("deadly1");
+
+	(void)state;
+	assert_null(strstr(run->out, "i-81"));
+	test_drop_run(run);
+	assert_tells("deadly1", words);
+}
+
 /*
  * Story: a search of 180 shards comes late.  Its steps would fill the log, so
  * its last line counts why its parts lacked.
@@ -240,6 +271,7 @@
 		cmocka_unit_test(test_refused_at_a_strong_instance),
 		cmocka_unit_test(test_cut_logs),
 		cmocka_unit_test(test_no_such_request),
+		cmocka_unit_test(test_its_replicas_crashed_before),
 		cmocka_unit_test(test_a_wide_search),
 		cmocka_unit_test(test_all_its_replicas_were_evacuated),
 	};
--- a/tests/test-tool.c
+++ b/tests/test-tool.c
@@ -13,6 +13,7 @@
 #include <libsoup/soup.h>
 #include <string.h>
 
+#include "platform/platform.h"
 #include "support/paths.h"
 #include "support/port.h"
 #include "support/tool-run.h"
@@ -268,6 +269,54 @@
 	test_remove_file(overlay);
 }
 
+static void put_quarantine(const struct tool_platform *platform,
+			   const struct rr_quarantine_entry *entry)
+{
+	struct rr_feed_call report = { .kind = RR_FEED_REPORT, .entry = entry };
+	struct rr_store_call call;
+	struct test_reply *reply;
+
+	rr_make_feed_call(&call, &report);
+	reply = test_call(call.method, platform->standin->port, call.path, NULL,
+			  call.body);
+	assert_int_equal(reply->status, 200);
+	test_drop_reply(reply);
+	rr_clear_store_call(&call);
+}
+
+/* Guards against a request that is kept from replicas for good. */
+static void test_operators_release_a_request(void **state)
+{
+	struct tool_platform *platform = *state;
+	char *crashed[] = { (char *)"i-1", (char *)"i-2", NULL };
+	struct rr_quarantine_entry entry = {
+		.fingerprint = { 1, 2 },
+		.crashed = crashed,
+		.in_force = true,
+	};
+	const char *fingerprint = "00000000000000010000000000000002";
+
+	put_quarantine(platform, &entry);
+	test_expect(test_run_tool("quarantine", "list", "--platform",
+				  platform->address, NULL),
+		    0,
+		    "00000000000000010000000000000002  quarantined  trials 0  "
+		    "crashed i-1 i-2",
+		    NULL);
+	test_expect(test_run_tool("quarantine", "release", "--platform",
+				  platform->address, fingerprint, NULL),
+		    0, "released 00000000000000010000000000000002", NULL);
+	test_expect(test_run_tool("quarantine", "release", "--platform",
+				  platform->address, fingerprint, NULL),
+		    1, NULL, "is not in quarantine");
+	test_expect(test_run_tool("quarantine", "list", "--platform",
+				  "127.0.0.1:1", NULL),
+		    3, NULL, "cannot be read");
+	test_expect(test_run_tool("quarantine", "release", "--platform",
+				  platform->address, NULL),
+		    2, NULL, NULL);
+}
+
 /*
  * Story: a push that must not be in force, is: an edit made from an old text
  * undoes another operator's, a broken file stops a site, or reservations run
@@ -474,6 +523,9 @@
 		cmocka_unit_test_setup_teardown(test_push_show_history,
 						test_set_up_platform,
 						test_tear_down_platform),
+		cmocka_unit_test_setup_teardown(
+			test_operators_release_a_request, test_set_up_platform,
+			test_tear_down_platform),
 		cmocka_unit_test_setup_teardown(test_push_refuses,
 						test_set_up_platform,
 						test_tear_down_platform),
