gate: caution only where a replica has crashed; crashed replicas do not count

Cause: a close was taken as reason for caution before its replica was probed. Now one of them has to be found crashed, and one is enough. A canary whose connection closes waits for the probe as well. What a suspected search withdrew may go to the same replica again, and replicas that crashed do not count for the route's attempts: a bystander of three crashes lacked two parts.

--- a/include/ragwort/gate-policy-list.h
+++ b/include/ragwort/gate-policy-list.h
@@ -83,7 +83,6 @@
 /* Requests that crash replicas. */
 RR_POLICY_SWITCH(quarantine_known, true, "requests that crash replicas are told apart from those that run beside them, and kept from replicas")
 RR_POLICY_COUNT(quarantine_crashes, 3, "replicas", "replicas that crash under a request until it is kept from them; lowering it condemns more bystanders")
-RR_POLICY_COUNT(quarantine_caution, 2, "attempts", "attempts of a request that replicas close, with none answered, until it goes on with one at a time")
 RR_POLICY_TIME(quarantine_harmless_us, 10000000, "how long a request that ran to its end is not suspected; raising it protects bystanders that are asked seldom, and delays what becomes harmful")
 RR_POLICY_TIME(quarantine_hold_us, 600000000, "until a request in quarantine is tried once; four times as long until the next trial")
 RR_POLICY_COUNT(quarantine_trials, 2, "trials", "trials of a request in quarantine; then operators remove its entry")
--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -190,7 +190,8 @@
 	if (!run->route->idempotent && part->n_run)
 		return false;
 #endif
-	return part->n_run < run->route->max_attempts;
+	/* Replicas that crashed do not count for the bound. */
+	return part->n_run < run->route->max_attempts + part->n_crashed;
 }
 
 /* Once a part: a hedge that waits for a token is looked at often. */
@@ -351,6 +352,17 @@
 	}
 }
 
+/* It may be sent there again: it was not the replica that ended it. */
+static void forget_tried(struct rr_gate_part *part, uint64_t number)
+{
+	for (uint8_t i = 0; i < part->n_tried; i++) {
+		if (part->tried[i] == number) {
+			part->tried[i] = part->tried[--part->n_tried];
+			return;
+		}
+	}
+}
+
 void rr_withdraw_others(struct rr_context *ctx, struct rr_gate *gate,
 			struct rr_gate_run *run,
 			const struct rr_gate_attempt *kept, const char *reason)
@@ -361,8 +373,11 @@
 		struct rr_gate_attempt *attempt = l->data;
 
 		next = l->next;
-		if (attempt != kept && attempt->idempotent)
-			withdraw(ctx, gate, attempt, reason);
+		if (attempt == kept || !attempt->idempotent)
+			continue;
+		forget_tried(&run->parts[attempt->part],
+			     attempt->endpoint->number);
+		withdraw(ctx, gate, attempt, reason);
 	}
 }
 
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -56,6 +56,13 @@
 	struct rr_cold_window window;
 };
 
+/* An attempt whose connection its replica closed. */
+struct rr_closed_attempt {
+	struct rr_crash crash; /* if it turns out to be one */
+	uint64_t run;	       /* id of its request; 0: that is over */
+	size_t part;
+};
+
 /* One lifetime of a replica. */
 struct rr_endpoint {
 	int refs;
@@ -79,7 +86,7 @@
 	struct rr_limit limit; /* of open attempts, in usual times */
 	GQueue live;	       /* struct rr_gate_attempt, the oldest first */
 	struct rr_cold_sending *cold; /* NULL: it was not sent to while cold */
-	/* struct rr_crash, until it is known if it crashed; NULL: none */
+	/* struct rr_closed_attempt, until it was probed; NULL: none */
 	GArray *closed;
 };
 
@@ -117,6 +124,7 @@
 	uint8_t n_tried;   /* replicas that it went to */
 	uint8_t n_arrived; /* of these, that it reached: one is not extra */
 	uint8_t n_run;	   /* of these, where it may have run */
+	uint8_t n_crashed; /* of these, that crashed */
 	uint8_t n_live;	   /* attempts under way */
 	uint64_t tried[RR_MOST_TRIED]; /* numbers of these replicas */
 	int64_t last_sent_us;
@@ -151,7 +159,9 @@
 	bool trial;		 /* it has one, though it is in quarantine */
 	bool refused_for_good;	 /* no instance would send it */
 	uint32_t n_closed;	 /* attempts that replicas closed */
-	int64_t closed_us;	 /* when the first of them was */
+	uint32_t n_unjudged;	 /* of these, whose replica is being probed */
+	uint32_t n_crashed;	 /* of these, whose replica has crashed */
+	int64_t closed_us;	 /* when the first was closed */
 	uint32_t retry_after_ms; /* told to its caller; 0: drawn */
 	struct rr_top_records top;
 	GString *seals;
@@ -509,8 +519,7 @@
  * canary, or has ended.
  */
 bool rr_go_on_as_canary(struct rr_context *ctx, struct rr_gate *gate,
-			struct rr_gate_run *run,
-			const struct rr_gate_reply *reply);
+			struct rr_gate_run *run);
 /* An attempt of a part was answered: the other parts go on as usual. */
 void rr_end_canary(struct rr_context *ctx, struct rr_gate *gate,
 		   struct rr_gate_run *run, size_t index);
--- a/source/core/gate-quarantine.c
+++ b/source/core/gate-quarantine.c
@@ -126,88 +126,6 @@
 		tell_others(gate, record);
 }
 
-void rr_note_closed(struct rr_context *ctx, struct rr_gate *gate,
-		    const struct rr_gate_attempt *attempt)
-{
-	struct rr_endpoint *endpoint = attempt->endpoint;
-	struct rr_crash crash = {
-		.fingerprint = attempt->fingerprint,
-		.sent_us = attempt->sent_us,
-		.closed_us = gate->now_us,
-	};
-
-	/* One that leaves, or is gone from the list, ends by itself. */
-	if (!gate->policy.quarantine_known ||
-	    endpoint->service == gate->strong || !endpoint->listed ||
-	    endpoint->draining || !rr_is_fingerprint(&crash.fingerprint))
-		return;
-	if (!endpoint->closed)
-		endpoint->closed =
-			g_array_new(FALSE, FALSE, sizeof(struct rr_crash));
-	if (endpoint->closed->len < MOST_CLOSED)
-		g_array_append_val(endpoint->closed, crash);
-	if (endpoint->closed->len == 1)
-		gate->actions.probe(gate->actions.data, endpoint->lifetime,
-				    endpoint->address);
-}
-
-void rr_judge_closed(struct rr_context *ctx, struct rr_gate *gate,
-		     struct rr_endpoint *endpoint, bool reached)
-{
-	GArray *closed = g_steal_pointer(&endpoint->closed);
-
-	if (!closed)
-		return;
-#ifdef RR_MUTANT_GATE_TAKES_CLOSES_FOR_CRASHES
-	reached = false;
-#endif
-	if (!reached) {
-		rr_count(ctx, RR_N_CRASHES, 1);
-		rr_log(ctx, RR_LOG_WARNING, "replica-crashed",
-		       RR_FIELD_STRING("endpoint", endpoint->lifetime),
-		       RR_FIELD_STRING("service", endpoint->service->name),
-		       RR_FIELD_U64("requests", closed->len));
-	}
-	for (guint i = 0; !reached && i < closed->len; i++) {
-		const struct rr_crash *crash =
-			&g_array_index(closed, struct rr_crash, i);
-		struct rr_quarantine_record *record =
-			rr_note_crash(gate->quarantine, gate->now_us, crash,
-				      endpoint->lifetime);
-
-		if (!record)
-			continue;
-		log_record(ctx, gate, record, RR_LOG_INFO, "request-suspected",
-			   "replica-crashed");
-		look_at_record(ctx, gate, record);
-	}
-	g_array_unref(closed);
-}
-
-void rr_note_completed(struct rr_context *ctx, struct rr_gate *gate,
-		       const struct rr_gate_attempt *attempt)
-{
-	struct rr_quarantine_record *record;
-
-	if (attempt->endpoint->service == gate->strong ||
-	    !rr_is_fingerprint(&attempt->fingerprint))
-		return;
-	rr_note_harmless(gate->quarantine, gate->now_us, &attempt->fingerprint);
-	if (rr_quarantine_is_empty(gate->quarantine))
-		return;
-	record = rr_find_quarantined(gate->quarantine, &attempt->fingerprint);
-	if (!record)
-		return;
-	log_record(ctx, gate, record,
-		   record->in_force ? RR_LOG_WARNING : RR_LOG_INFO,
-		   "request-released", "ran-to-its-end");
-	if (record->stored)
-		report(gate, record, true);
-	rr_forget_quarantined(gate->quarantine, &attempt->fingerprint);
-	rr_set_gauge(ctx, RR_G_QUARANTINED,
-		     rr_count_quarantined(gate->quarantine));
-}
-
 /* Canaries. */
 
 void rr_send_canary(struct rr_context *ctx, struct rr_gate *gate,
@@ -223,14 +141,17 @@
 		    run->n_closed ? CRASHES_REPLICAS : "no-replica");
 }
 
+/*
+ * Guards against caution where replicas only lose answers: one has to be found
+ * crashed.
+ */
 static bool is_suspicious(const struct rr_gate *gate,
 			  const struct rr_gate_run *run)
 {
 #ifdef RR_MUTANT_GATE_SENDS_ALL_AT_ONCE
 	return false;
 #endif
-	return gate->policy.quarantine_known && !run->completed &&
-	       run->n_closed >= gate->policy.quarantine_caution &&
+	return !run->completed && run->n_crashed &&
 	       !rr_is_harmless(gate->quarantine, gate->now_us,
 			       &run->fingerprint);
 }
@@ -243,28 +164,48 @@
 	return last && last->sent_us >= run->closed_us ? last : NULL;
 }
 
-bool rr_go_on_as_canary(struct rr_context *ctx, struct rr_gate *gate,
-			struct rr_gate_run *run,
-			const struct rr_gate_reply *reply)
+static void become_canary(struct rr_context *ctx, struct rr_gate *gate,
+			  struct rr_gate_run *run)
 {
-	bool was_canary = run->canary;
+	run->canary = true;
+	rr_withdraw_others(ctx, gate, run, find_canary(run), "suspected");
+	if (!run->live.length)
+		rr_send_canary(ctx, gate, run);
+}
 
-	if (reply->closed && !run->n_closed++)
-		run->closed_us = gate->now_us;
-	if (!was_canary && !is_suspicious(gate, run))
-		return false;
-	if (was_canary && reply->closed) {
-		rr_fail_run(ctx, gate, run, CRASHES_REPLICAS);
-		return true;
-	}
-	if (!was_canary) {
-		run->canary = true;
-		rr_withdraw_others(ctx, gate, run, find_canary(run),
-				   "suspected");
-		if (run->live.length)
-			return true;
+/* The replica of an attempt that was closed has been probed. */
+static void judge_run(struct rr_context *ctx, struct rr_gate *gate,
+		      const struct rr_closed_attempt *attempt, bool crashed)
+{
+	struct rr_gate_run *run = rr_find_run(gate, attempt->run);
+
+	if (!run)
+		return;
+	run->n_unjudged--;
+	run->n_crashed += crashed;
+	run->parts[attempt->part].n_crashed += crashed;
+	if (!run->canary) {
+		if (is_suspicious(gate, run))
+			become_canary(ctx, gate, run);
+		return;
 	}
-	rr_send_canary(ctx, gate, run);
+	if (run->live.length || run->n_unjudged)
+		return;
+	if (crashed)
+		rr_fail_run(ctx, gate, run, CRASHES_REPLICAS);
+	else
+		rr_send_canary(ctx, gate, run);
+}
+
+bool rr_go_on_as_canary(struct rr_context *ctx, struct rr_gate *gate,
+			struct rr_gate_run *run)
+{
+	if (!run->canary && !is_suspicious(gate, run))
+		return false;
+	if (!run->canary)
+		become_canary(ctx, gate, run);
+	else if (!run->live.length && !run->n_unjudged)
+		rr_send_canary(ctx, gate, run);
 	return true;
 }
 
@@ -299,6 +240,107 @@
 	return true;
 }
 
+void rr_note_closed(struct rr_context *ctx, struct rr_gate *gate,
+		    const struct rr_gate_attempt *attempt)
+{
+	struct rr_endpoint *endpoint = attempt->endpoint;
+	struct rr_gate_run *run = attempt->run;
+	struct rr_closed_attempt closed = {
+		.crash = {
+			.fingerprint = attempt->fingerprint,
+			.sent_us = attempt->sent_us,
+			.closed_us = gate->now_us,
+		},
+		.run = run ? run->id : 0,
+		.part = attempt->part,
+	};
+
+	if (run && !run->n_closed++)
+		run->closed_us = gate->now_us;
+	/* One that leaves, or is gone from the list, ends by itself. */
+	if (!gate->policy.quarantine_known ||
+	    endpoint->service == gate->strong || !endpoint->listed ||
+	    endpoint->draining || !rr_is_fingerprint(&attempt->fingerprint))
+		return;
+	if (!endpoint->closed)
+		endpoint->closed = g_array_new(
+			FALSE, FALSE, sizeof(struct rr_closed_attempt));
+	if (endpoint->closed->len == MOST_CLOSED)
+		return;
+	g_array_append_val(endpoint->closed, closed);
+	if (run)
+		run->n_unjudged++;
+	if (endpoint->closed->len == 1)
+		gate->actions.probe(gate->actions.data, endpoint->lifetime,
+				    endpoint->address);
+}
+
+static void note_crash(struct rr_context *ctx, struct rr_gate *gate,
+		       const struct rr_crash *crash, const char *lifetime)
+{
+	struct rr_quarantine_record *record =
+		rr_note_crash(gate->quarantine, gate->now_us, crash, lifetime);
+
+	if (!record)
+		return;
+	log_record(ctx, gate, record, RR_LOG_INFO, "request-suspected",
+		   "replica-crashed");
+	look_at_record(ctx, gate, record);
+}
+
+void rr_judge_closed(struct rr_context *ctx, struct rr_gate *gate,
+		     struct rr_endpoint *endpoint, bool reached)
+{
+	GArray *closed = g_steal_pointer(&endpoint->closed);
+
+	if (!closed)
+		return;
+#ifdef RR_MUTANT_GATE_TAKES_CLOSES_FOR_CRASHES
+	reached = false;
+#endif
+	if (!reached) {
+		rr_count(ctx, RR_N_CRASHES, 1);
+		rr_log(ctx, RR_LOG_WARNING, "replica-crashed",
+		       RR_FIELD_STRING("endpoint", endpoint->lifetime),
+		       RR_FIELD_STRING("service", endpoint->service->name),
+		       RR_FIELD_U64("requests", closed->len));
+	}
+	for (guint i = 0; i < closed->len; i++) {
+		const struct rr_closed_attempt *attempt =
+			&g_array_index(closed, struct rr_closed_attempt, i);
+
+		if (!reached)
+			note_crash(ctx, gate, &attempt->crash,
+				   endpoint->lifetime);
+		judge_run(ctx, gate, attempt, !reached);
+	}
+	g_array_unref(closed);
+}
+
+void rr_note_completed(struct rr_context *ctx, struct rr_gate *gate,
+		       const struct rr_gate_attempt *attempt)
+{
+	struct rr_quarantine_record *record;
+
+	if (attempt->endpoint->service == gate->strong ||
+	    !rr_is_fingerprint(&attempt->fingerprint))
+		return;
+	rr_note_harmless(gate->quarantine, gate->now_us, &attempt->fingerprint);
+	if (rr_quarantine_is_empty(gate->quarantine))
+		return;
+	record = rr_find_quarantined(gate->quarantine, &attempt->fingerprint);
+	if (!record)
+		return;
+	log_record(ctx, gate, record,
+		   record->in_force ? RR_LOG_WARNING : RR_LOG_INFO,
+		   "request-released", "ran-to-its-end");
+	if (record->stored)
+		report(gate, record, true);
+	rr_forget_quarantined(gate->quarantine, &attempt->fingerprint);
+	rr_set_gauge(ctx, RR_G_QUARANTINED,
+		     rr_count_quarantined(gate->quarantine));
+}
+
 /* Quarantine. */
 
 static void refuse_quarantined(struct rr_context *ctx, struct rr_gate *gate,
--- a/source/core/gate-reply.c
+++ b/source/core/gate-reply.c
@@ -148,7 +148,7 @@
 	}
 	if (reply->outcome == RR_GATE_ANSWERED)
 		rr_end_canary(ctx, gate, run, index);
-	else if (rr_go_on_as_canary(ctx, gate, run, reply))
+	else if (rr_go_on_as_canary(ctx, gate, run))
 		return;
 	if (good && gate->policy.hedge_ends_losers)
 		rr_withdraw_losers(ctx, gate, run, index);
