gate: a replica whose lifetime is over has crashed, also without a probe

A request that waits as a canary for the probe of a replica whose entry was replaced meanwhile waited to its deadline: the probe's outcome found nobody. And a part that had waited for room was sent beside such a probe. Found by reading; test_a_replica_that_is_replaced_has_crashed failed before.

--- a/source/core/gate-attempt.c
+++ b/source/core/gate-attempt.c
@@ -254,7 +254,7 @@
 		return;
 	/* As a canary it waits for the attempt that is under way, or is next. */
 	if (run->canary) {
-		if (!run->live.length)
+		if (!run->live.length && !run->n_unjudged)
 			rr_send_canary(ctx, gate, run);
 		return;
 	}
--- a/tests/test-gate-quarantine.c
+++ b/tests/test-gate-quarantine.c
@@ -134,6 +134,23 @@
 	test_drop_scene(scene);
 }
 
+/* Guards against a canary that waits for the probe of a replica that is gone. */
+static void test_a_replica_that_is_replaced_has_crashed(void **state)
+{
+	struct gate_scene *scene = new_scene(&test_once_route);
+	struct test_lifetime born = { .service = "s", .born_ms = 5 };
+
+	(void)state;
+	test_take(scene, "/once/1", 900);
+	test_close_sent(scene, last_sent(scene));
+	assert_null(test_last_report(scene));
+	born.id = last_sent(scene)->endpoint;
+	born.zone = strchr(born.id, '.') + 1;
+	test_list_lifetime(scene, &born);
+	assert_non_null(test_last_report(scene));
+	test_drop_scene(scene);
+}
+
 /* Guards against a canary that is ended by a lost answer. */
 static void test_a_canary_whose_answer_is_lost_goes_on(void **state)
 {
@@ -472,6 +489,7 @@
 		cmocka_unit_test(test_a_bystander_is_served),
 		cmocka_unit_test(test_lost_answers_are_asked_again_at_once),
 		cmocka_unit_test(test_a_canary_whose_answer_is_lost_goes_on),
+		cmocka_unit_test(test_a_replica_that_is_replaced_has_crashed),
 		cmocka_unit_test(test_a_reset_is_no_crash),
 		cmocka_unit_test(test_replicas_that_leave_do_not_count),
 		cmocka_unit_test(test_a_killed_replica_condemns_nobody),
