tests: a handed-over search that crashes replicas, and a store that is away meanwhile

process-quarantine, two more: a strong instance gathers for two weak ones; the store ends all connections while replicas crash.

--- a/tests/test-process-quarantine.c
+++ b/tests/test-process-quarantine.c
@@ -53,6 +53,8 @@
 	GPtrArray *runs; /* struct run */
 	int crashes;
 	int64_t third_us; /* when the third replica crashed; 0: not yet */
+	int64_t calm_us;  /* when the last harm from outside was over */
+	bool hands_over;  /* the first instance is strong, the others weak */
 	GHashTable *late; /* ids of deadly requests that came after that */
 	char *callers[GATEWAYS];
 	char *start_files[GATEWAYS];
@@ -200,7 +202,8 @@
 	run->source = g_timeout_add(RUN_MS, end_run, run);
 	g_ptr_array_add(world->runs, run);
 	if (strstr(connection->path, "deadly") && world->third_us &&
-	    g_get_monotonic_time() >= world->third_us + SETTLED_US)
+	    g_get_monotonic_time() >=
+		    MAX(world->third_us, world->calm_us) + SETTLED_US)
 		g_hash_table_add(
 			world->late,
 			g_strdup(test_header(connection, "request-id")));
@@ -212,13 +215,14 @@
 {
 	char *ready = test_free_address();
 	char *peers = test_free_address();
+	bool weak = world->hands_over && i;
 	char *text = g_strdup_printf(
 		"instance: gw-%d\nzone: %c\ncaller_address: \"%s\"\n"
 		"ready_address: \"%s\"\npeer_address: \"%s\"\n"
 		"store_address: \"127.0.0.1:%u\"\nstop_timeout_s: 6\n"
-		"extra_slack: 100\n",
-		i, 'a' + i, world->callers[i], ready, peers,
-		world->store.server.port);
+		"extra_slack: 100\nstrength: %s\n",
+		i, world->hands_over ? 'a' : 'a' + i, world->callers[i], ready,
+		peers, world->store.server.port, weak ? "0.2" : "1");
 	const char *arguments[] = { "--settings", NULL, NULL };
 
 	world->start_files[i] = test_write_file(text);
@@ -270,10 +274,11 @@
 		raw_turn_for(20 * 1000);
 }
 
-static int set_up(void **state)
+static int set_up_world(void **state, bool hands_over)
 {
 	struct world *world = g_new0(struct world, 1);
 
+	world->hands_over = hands_over;
 	test_open_store(&world->store, 1);
 	test_store_put(&world->store, "op/config", config);
 	world->runs = g_ptr_array_new_with_free_func(free_run);
@@ -300,6 +305,16 @@
 	return 0;
 }
 
+static int set_up(void **state)
+{
+	return set_up_world(state, false);
+}
+
+static int set_up_weak(void **state)
+{
+	return set_up_world(state, true);
+}
+
 static int tear_down(void **state)
 {
 	struct world *world = *state;
@@ -411,6 +426,30 @@
 	assert_kept_from_replicas(world);
 }
 
+/* Guards against a strong instance that gathers it for each weak one. */
+static void test_one_that_is_handed_over_is_kept_from_them(void **state)
+{
+	struct world *world = *state;
+
+	ask_in_turn(world, "GET /all/deadly", 15);
+	assert_kept_from_replicas(world);
+	for (int i = 0; i < GATEWAYS; i++)
+		wait_until_served(world, i);
+}
+
+/* Guards against crashes that are forgotten since the store was away. */
+static void test_a_store_that_is_away_is_told_later(void **state)
+{
+	struct world *world = *state;
+
+	test_store_set_state(&world->store, TEST_STORE_RESET);
+	ask_in_turn(world, "GET /all/deadly", 6);
+	test_store_set_state(&world->store, TEST_STORE_UP);
+	world->calm_us = g_get_monotonic_time() + SETTLED_US;
+	ask_in_turn(world, "GET /all/deadly", 18);
+	assert_kept_from_replicas(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -429,6 +468,12 @@
 		cmocka_unit_test_setup_teardown(
 			test_an_instance_that_starts_again_knows_of_it, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_one_that_is_handed_over_is_kept_from_them,
+			set_up_weak, tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_a_store_that_is_away_is_told_later, set_up,
+			tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
