soak: new replicas are cold, and say what they bear

raw-http: a stand-in's connections are ended by a list of their own; the linter took the loop of before for a use after free.

--- a/soak/soak-fault.c
+++ b/soak/soak-fault.c
@@ -468,12 +468,17 @@
 	g_string_append(out, "],\"services\":[");
 	for (int i = 0; i < 2 * SHARDS; i++)
 		g_string_append_printf(
-			out, "{\"name\":\"%c%d\",\"maxConnections\":64},",
-			i < SHARDS ? 's' : 't', i % SHARDS);
+			out,
+			"{\"name\":\"%c%d\",\"maxConnections\":64,"
+			"\"coldPerS\":%d,\"coldStartS\":%d},",
+			i < SHARDS ? 's' : 't', i % SHARDS, COLD_PER_S,
+			COLD_MS / 1000);
 	for (gsize i = 0; i < G_N_ELEMENTS(singles); i++)
 		g_string_append_printf(
-			out, "%s{\"name\":\"%s\",\"maxConnections\":64}",
-			i ? "," : "", singles[i]);
+			out,
+			"%s{\"name\":\"%s\",\"maxConnections\":64,"
+			"\"coldPerS\":%d,\"coldStartS\":%d}",
+			i ? "," : "", singles[i], COLD_PER_S, COLD_MS / 1000);
 }
 
 void soak_write_config(struct soak *soak)
--- a/soak/soak-instance.c
+++ b/soak/soak-instance.c
@@ -33,11 +33,13 @@
 		"peer_address: \"127.0.0.1:%u\"\n"
 		"store_address: \"127.0.0.1:%u\"\n"
 		"strength: %s\nextra_share: 0.2\nextra_slack: 100\n"
+		"cold_overage: %g\ncold_slack: %d\n"
 		"news_bound_ms: 3000\nstop_timeout_s: 6\nseed_peers: [",
 		instance->name, instance->number % ZONES, instance->port,
 		instance->ready_port, instance->peer_port,
 		soak_link_port(instance->store),
-		instance->number < ZONES ? "0.5" : "0.2");
+		instance->number < ZONES ? "0.5" : "0.2", COLD_OVERAGE,
+		COLD_SLACK);
 	for (uint32_t i = 0; i < MIN(SEEDS, soak->instances->len); i++)
 		g_string_append_printf(text, "%s\"127.0.0.1:%u\"",
 				       i ? ", " : "", peer_port_of(soak, i));
--- a/soak/soak-replica.c
+++ b/soak/soak-replica.c
@@ -199,6 +199,34 @@
 			       (int)(late_us / MS));
 }
 
+/*
+ * No more arrive at a cold replica in any second than it bears.  Links that
+ * held some back may bring them together.
+ */
+static void check_cold(struct soak_replica *replica, const char *id)
+{
+	const uint32_t most =
+		(uint32_t)(COLD_PER_S * COLD_OVERAGE + COLD_SLACK);
+	struct soak *soak = replica->soak;
+	int64_t now_us = g_get_monotonic_time();
+	int64_t before_us;
+
+	if (now_us >= replica->cold_until_us)
+		return;
+	before_us = replica->n_arrivals < most ?
+			    0 :
+			    replica->arrivals_us[(replica->n_arrivals - most) %
+						 ARRIVALS];
+	replica->arrivals_us[replica->n_arrivals++ % ARRIVALS] = now_us;
+	if (soak->options.timing && before_us &&
+	    now_us - before_us < 1000 * MS &&
+	    soak_is_calm_since(soak, NULL, before_us))
+		soak_violation(soak, "FAILBACK",
+			       "%s is number %u in %d ms at %s, which is cold",
+			       id, most + 1, (int)((now_us - before_us) / MS),
+			       replica->id);
+}
+
 static void note_run(struct soak_replica *replica, struct soak_request *request)
 {
 	struct soak_run *run;
@@ -253,6 +281,7 @@
 	}
 	check_drain(replica, id);
 	check_evacuation(replica, id);
+	check_cold(replica, id);
 	if (soak_chance(replica->soak, replica->shed)) {
 		test_reply_to(connection, 503, "Not-Executed: 1\r\n", "",
 			      false);
@@ -284,6 +313,14 @@
 			   replica->number);
 	g_strlcpy(replica->service, service, sizeof(replica->service));
 	replica->draining_us = 0;
+	/*
+	 * Those of the start are warm; so is one under the id of the one
+	 * before, which gets its requests until its entry is read.
+	 */
+	replica->cold_until_us = replica->link && !keeps_id ?
+					 g_get_monotonic_time() + COLD_MS * MS :
+					 0;
+	replica->n_arrivals = 0;
 	replica->up = true;
 	test_listen(&replica->server, true);
 	if (replica->link)
@@ -325,6 +362,10 @@
 		.slots = 4,
 		.draining = replica->draining_us != 0,
 		.born_ms = replica->born_ms,
+		.cold_ms = (uint32_t)(MAX(replica->cold_until_us -
+						  g_get_monotonic_time(),
+					  0) /
+				      MS),
 	};
 
 	replica->listed = true;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -27,6 +27,13 @@
 /* Shards that an answer needs: 0.6 of them. */
 #define LEAST_PARTS 4
 #define DEADLINE_MS 1500
+/* What a cold replica bears, and for how long a new one is cold. */
+#define COLD_PER_S 20
+#define COLD_OVERAGE 1.5
+#define COLD_SLACK 5
+#define COLD_MS 3000
+/* Times of a replica's last arrivals that are remembered. */
+#define ARRIVALS 64
 /* Runs of one request that are remembered: more than there may ever be. */
 #define MOST_RUNS 32
 
@@ -88,6 +95,9 @@
 	bool listed;
 	int64_t draining_us; /* 0: it is not */
 	int64_t paused_until_us;
+	int64_t cold_until_us;
+	int64_t arrivals_us[ARRIVALS]; /* a ring */
+	uint32_t n_arrivals;
 	uint32_t slow_ms;
 	double shed;
 	double lose;   /* of the answers to what it ran */
--- a/tests/support/raw-http.c
+++ b/tests/support/raw-http.c
@@ -219,10 +219,12 @@
 
 void test_end_server(struct test_server *server)
 {
+	GPtrArray *open = g_ptr_array_copy(server->connections, NULL, NULL);
+
 	test_listen(server, false);
-	while (server->connections->len)
-		test_close_connection(
-			g_ptr_array_index(server->connections, 0));
+	for (guint i = 0; i < open->len; i++)
+		test_close_connection(g_ptr_array_index(open, i));
+	g_ptr_array_unref(open);
 }
 
 void test_close_server(struct test_server *server)
--- a/tests/support/standin-store.c
+++ b/tests/support/standin-store.c
@@ -425,11 +425,11 @@
 		out,
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
 		"\"version\":\"v1\",\"slots\":%u,\"state\":\"%s\","
-		"\"coldRemainingMs\":0,\"sequence\":1",
+		"\"coldRemainingMs\":%u,\"sequence\":1",
 		text_or(entry->service, "any"),
 		text_or(entry->address, "127.0.0.1:1"),
 		text_or(entry->zone, "a"), MAX(entry->slots, 1),
-		entry->draining ? "draining" : "ready");
+		entry->draining ? "draining" : "ready", entry->cold_ms);
 	if (entry->born_ms)
 		g_string_append_printf(out, ",\"born\":%" G_GINT64_FORMAT,
 				       entry->born_ms);
--- a/tests/support/standin-store.h
+++ b/tests/support/standin-store.h
@@ -67,7 +67,8 @@
 	const char *zone;
 	uint32_t slots;
 	bool draining;
-	int64_t born_ms; /* 0: not told */
+	int64_t born_ms;  /* 0: not told */
+	uint32_t cold_ms; /* it stays cold for that long */
 };
 
 /* The value of an entry, for g_free(). */
