--- a/fuzz/entries.c
+++ b/fuzz/entries.c
@@ -1,7 +1,8 @@
 /*
  * entries.c - fuzz target: what anybody may write into the store under the
- * keys of replicas, instances and evacuated zones, how it is passed on, what
- * instances ask each other to write, and what replicas tell of their load.
+ * keys of replicas, instances, evacuated zones and queries of death, how it is
+ * passed on, what instances ask each other to write, and what replicas tell of
+ * their load.
  *
  * The first byte is the length of the key, the key and its value follow.
  */
@@ -52,6 +53,21 @@
 		abort();
 }
 
+/* Either an entry with crashed replicas, or a reason. */
+static void decode_quarantine(const char *id, const char *text, size_t length)
+{
+	const char *fault;
+	struct rr_quarantine_entry *entry =
+		rr_decode_quarantine(id, text, length, &fault);
+
+	if (!entry == !fault)
+		abort();
+	if (entry &&
+	    (!entry->crashed[0] || !rr_is_fingerprint(&entry->fingerprint)))
+		abort();
+	rr_free_quarantine_entry(entry);
+}
+
 /* Either figures that can be reckoned with, or nothing. */
 static void decode_load(const char *text, size_t length)
 {
@@ -126,6 +142,7 @@
 	decode_listing(key, text, length);
 	decode_instance(key, text, length);
 	judge_evacuation(key, text, length);
+	decode_quarantine(key, text, length);
 	decode_load(text, length);
 	pass_on(key, text, length);
 	parse_entries(text, length);
--- a/fuzz/store-reply.c
+++ b/fuzz/store-reply.c
@@ -7,6 +7,8 @@
 
 #include "platform/platform.h"
 
+#define KINDS (RR_FEED_REPORT + 1)
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t length);
 
 static void decode_texts(const uint8_t *data, size_t length)
@@ -25,11 +27,13 @@
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t length)
 {
 	struct rr_feed_reply reply = { 0 };
+	enum rr_feed_call_kind kind;
 
 	if (!length)
 		return 0;
-	rr_decode_feed_reply((enum rr_feed_call_kind)(data[0] % 6), 200,
-			     data + 1, length - 1, &reply);
+	kind = (enum rr_feed_call_kind)(data[0] % KINDS);
+	rr_decode_feed_reply(kind, kind == RR_FEED_REPORT ? 412 : 200, data + 1,
+			     length - 1, &reply);
 	if (reply.items)
 		g_ptr_array_unref(reply.items);
 	decode_texts(data + 1, length - 1);
