--- a/tests/test-platform-entries.c
+++ b/tests/test-platform-entries.c
@@ -489,6 +489,9 @@
 /* Guards against entries that others write, or a later version. */
 static void test_quarantine_that_is_none(void **state)
 {
+	static const char five[] =
+		"{\"state\":\"quarantined\",\"trials\":0,\"crashed\":"
+		"[\"a\",\"b\",\"c\",\"d\",\"e\"]}";
 	static const char *const bad[] = {
 		"",
 		"[]",
@@ -499,8 +502,7 @@
 		"{\"state\":\"quarantined\",\"trials\":0,\"crashed\":[]}",
 		"{\"state\":\"quarantined\",\"trials\":0,\"crashed\":[7]}",
 		"{\"state\":\"quarantined\",\"trials\":0,\"crashed\":[\"a b\"]}",
-		"{\"state\":\"quarantined\",\"trials\":0,\"crashed\":[\"a\",\"b\","
-		"\"c\",\"d\",\"e\"]}",
+		five,
 	};
 	const char *good =
 		"{\"state\":\"suspected\",\"trials\":0,\"crashed\":[\"i\"]}";
