emulator: evacuated zones and cold replicas

'evacuate' empties a zone for a while, replicas that crash come back cold; the emulator counts what reaches an evacuated zone and what is over a cold replica's bound.

--- a/bench/gate.c
+++ b/bench/gate.c
@@ -41,13 +41,16 @@
 	       ",\"crashes\":%" G_GUINT64_FORMAT
 	       ",\"reports\":%" G_GUINT64_FORMAT
 	       ",\"deadly_late\":%" G_GUINT64_FORMAT
+	       ",\"evacuated\":%" G_GUINT64_FORMAT
+	       ",\"cold_excess\":%" G_GUINT64_FORMAT
 	       ",\"slot_use\":%.3f,\"p50_ms\":%.1f,\"p99_ms\":%.1f}\n",
 	       scenario->name, experiment->label, seed, mean_value(result),
 	       result->asked, result->in_time, result->late, result->partial,
 	       result->returned, result->refused, result->failed,
 	       result->attempts, result->crashes, result->reports,
-	       result->deadly_late, result->slot_use,
-	       wait_quantile_ms(result, 0.5), wait_quantile_ms(result, 0.99));
+	       result->deadly_late, result->evacuated, result->cold_excess,
+	       result->slot_use, wait_quantile_ms(result, 0.5),
+	       wait_quantile_ms(result, 0.99));
 	fflush(stdout);
 }
 
--- a/bench/gate/emulated-crash.c
+++ b/bench/gate/emulated-crash.c
@@ -82,6 +82,39 @@
 		world->result->deadly_late++;
 }
 
+/* Requests that were sent before an evacuation have arrived after this. */
+#define IN_TRANSIT_US (50 * 1000)
+
+static uint32_t count_last_second(const struct replica *replica)
+{
+	int64_t now_us = replica->world->now_us;
+	uint32_t n = 0;
+
+	for (guint i = replica->arrivals_us->len; i > 0; i--) {
+		if (now_us - g_array_index(replica->arrivals_us, int64_t,
+					   i - 1) >=
+		    G_USEC_PER_SEC)
+			break;
+		n++;
+	}
+	return n;
+}
+
+void check_arrival(const struct work *work)
+{
+	struct replica *replica = work->replica;
+	struct world *world = replica->world;
+
+	if ((int)replica->zone == world->evacuated_zone &&
+	    world->now_us - world->evacuated_us >= IN_TRANSIT_US)
+		world->result->evacuated++;
+	if (world->now_us >= replica->cold_until_us)
+		return;
+	g_array_append_val(replica->arrivals_us, world->now_us);
+	if (count_last_second(replica) > cold_bound(world))
+		world->result->cold_excess++;
+}
+
 /* An update in transit to all instances. */
 struct news {
 	struct world *world;
--- a/bench/gate/emulated-fault.c
+++ b/bench/gate/emulated-fault.c
@@ -42,6 +42,7 @@
 	case TROUBLE_CUT:
 	case TROUBLE_BURST:
 	case TROUBLE_DEADLY:
+	case TROUBLE_EVACUATE:
 	case N_TROUBLES:
 		return;
 	}
@@ -52,6 +53,9 @@
 	struct replica *replica = data;
 	struct world *world = replica->world;
 
+	/* Its id is that of the lifetime before: it is known only from here. */
+	if (world->scenario->cold_per_s > 0)
+		replica->cold_until_us = world->now_us + COLD_US;
 	for (guint i = 0; i < world->instances->len; i++)
 		list_replica(g_ptr_array_index(world->instances, i), replica,
 			     false);
@@ -63,6 +67,23 @@
 		   tell_rebirth, replica);
 }
 
+static void set_evacuated(struct world *world, uint32_t zone, bool in_force)
+{
+	char name[16];
+
+	g_snprintf(name, sizeof(name), "z%u", zone);
+	world->evacuated_zone = in_force ? (int)zone : -1;
+	world->evacuated_us = world->now_us;
+	for (guint i = 0; i < world->instances->len; i++) {
+		struct instance *instance =
+			g_ptr_array_index(world->instances, i);
+
+		rr_gate_evacuate(instance->ctx, instance->gate, world->now_us,
+				 name, (uint64_t)world->now_us, in_force);
+		set_tick(instance);
+	}
+}
+
 static void end_trouble(void *context, void *data)
 {
 	struct trouble *trouble = data;
@@ -72,6 +93,8 @@
 		world->cut_zone = -1;
 	if (trouble->fault->kind == TROUBLE_BURST)
 		world->burst = 1;
+	if (trouble->fault->kind == TROUBLE_EVACUATE)
+		set_evacuated(world, (uint32_t)trouble->fault->x, false);
 	for (guint i = 0; i < trouble->hit->len; i++) {
 		struct replica *replica = g_ptr_array_index(trouble->hit, i);
 
@@ -136,6 +159,8 @@
 		world->cut_zone = (int)fault->x;
 	if (fault->kind == TROUBLE_BURST)
 		world->burst = MAX(fault->x, 0.01);
+	if (fault->kind == TROUBLE_EVACUATE)
+		set_evacuated(world, (uint32_t)fault->x, true);
 	if (fault->kind == TROUBLE_DEADLY)
 		begin_visits(world, fault);
 	for (guint i = 0; i < world->replicas->len; i++) {
--- a/bench/gate/emulated-replica.c
+++ b/bench/gate/emulated-replica.c
@@ -43,6 +43,8 @@
 		replica->pause_offset_us =
 			(int64_t)(g_rand_double(world->layout) *
 				  ms_to_us(scenario->pause_every_ms));
+		replica->arrivals_us =
+			g_array_new(FALSE, FALSE, sizeof(int64_t));
 		g_queue_init(&replica->waiting);
 		g_ptr_array_add(world->replicas, replica);
 	}
@@ -55,6 +57,7 @@
 
 	while ((work = g_queue_pop_head(&replica->waiting)))
 		drop_work(work);
+	g_array_unref(replica->arrivals_us);
 	g_free(replica->id);
 	g_free(replica);
 }
@@ -73,6 +76,10 @@
 		.zone = zone,
 		.slots = (uint32_t)instance->world->scenario->slots,
 		.draining = draining,
+		.cold_ms = (uint32_t)(MAX(replica->cold_until_us -
+						  instance->world->now_us,
+					  0) /
+				      1000),
 	};
 
 	g_snprintf(service, sizeof(service), "s%u", replica->shard);
@@ -213,6 +220,7 @@
 	if (replica->gone) {
 		send_reply(work, RR_GATE_UNSENT, 0, true);
 	} else if (!replica->silent && !work->withdrawn) {
+		check_arrival(work);
 		if (draw_unit(replica->world) < replica->shed ||
 		    replica->waiting.length >=
 			    (guint)replica->world->scenario->queue) {
--- a/bench/gate/emulator-private.h
+++ b/bench/gate/emulator-private.h
@@ -10,6 +10,8 @@
 
 #define US_PER_MS 1000.0
 #define US_PER_S 1000000.0
+/* How long a replica is cold after a restart. */
+#define COLD_US INT64_C(3000000)
 
 struct world;
 struct work;
@@ -21,6 +23,8 @@
 	uint32_t zone;
 	char *id;
 	int64_t born_ms;
+	int64_t cold_until_us;
+	GArray *arrivals_us; /* int64_t, while it is cold */
 	double speed;
 	int64_t pause_offset_us;
 	double slow;
@@ -92,6 +96,8 @@
 	GPtrArray *instances; /* struct instance */
 	int cut_zone;	      /* -1: none */
 	double burst;
+	int evacuated_zone; /* or -1 */
+	int64_t evacuated_us;
 	uint64_t next_number; /* of requests */
 	uint64_t deadly_crashes;
 	int64_t third_us; /* when the third of these was; 0: not yet */
@@ -103,6 +109,8 @@
 /* emulator.c */
 int64_t ms_to_us(double ms);
 double draw_unit(struct world *world);
+/* Bound on requests to a cold replica in any second, or 0. */
+double cold_bound(const struct world *world);
 /* One way; -1 where nothing passes. */
 int64_t way_us(const struct world *world, uint32_t from, uint32_t to);
 void set_tick(struct instance *instance);
@@ -132,6 +140,8 @@
 /* A query of death crashes its replica. */
 void crash_under(struct work *work);
 void note_deadly_arrival(const struct work *work);
+/* Count a request against the bounds of evacuated zones and cold replicas. */
+void check_arrival(const struct work *work);
 void free_entry(gpointer entry);
 void report_to_store(void *instance, const struct rr_quarantine_report *report);
 
--- a/bench/gate/emulator.c
+++ b/bench/gate/emulator.c
@@ -11,6 +11,8 @@
 #define NEAR_US 100
 /* Virtual time begins here: 0 means "never" to the gate. */
 #define BEGIN_US (INT64_C(1000) * 1000 * 1000)
+#define COLD_OVERAGE 1.5
+#define COLD_SLACK 5
 /* What is still open at the end is let run out for so long. */
 #define RUN_OUT_US (6 * G_USEC_PER_SEC)
 
@@ -33,6 +35,13 @@
 	return ms_to_us(world->scenario->far_ms);
 }
 
+double cold_bound(const struct world *world)
+{
+	double per_s = world->scenario->cold_per_s;
+
+	return per_s > 0 ? per_s * COLD_OVERAGE + COLD_SLACK : 0;
+}
+
 /* The gate's clock. */
 
 static void tick(void *context, void *data)
@@ -303,6 +312,8 @@
 
 		service->name = g_strdup_printf("s%u", i);
 		service->max_connections = (uint32_t)scenario->connections;
+		service->cold_per_s = scenario->cold_per_s;
+		service->cold_ms = COLD_US / 1000;
 		rr_add_route_service(table, service);
 	}
 	rr_gate_set_routes(instance->ctx, instance->gate,
@@ -317,6 +328,7 @@
 	const struct emulated_scenario *scenario = world->scenario;
 	struct rr_context_options context = { .seed = seed + number };
 	char zone[16];
+	char name[16];
 	struct rr_gate_options options = {
 		.zone = zone,
 		.actions = {
@@ -333,6 +345,8 @@
 		.extra_ratio = scenario->extra_ratio,
 		.extra_slack = scenario->extra_slack,
 		.extra_window_ms = 10000,
+		.cold_overage = COLD_OVERAGE,
+		.cold_slack = COLD_SLACK,
 		/* Long enough ago that its window is full. */
 		.began_us = 1,
 		.strength = 1,
@@ -344,6 +358,10 @@
 	instance->zone = number % (uint32_t)scenario->zones;
 	instance->tick_us = INT64_MAX;
 	g_snprintf(zone, sizeof(zone), "z%u", instance->zone);
+	g_snprintf(name, sizeof(name), "g%u", number);
+	/* Only then is there a share for each to be known by. */
+	if (scenario->cold_per_s > 0)
+		options.instance = name;
 	instance->open = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       g_free, NULL);
 	instance->works = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -353,6 +371,22 @@
 	return instance;
 }
 
+/* The member list, from which shares of cold replicas follow. */
+static void note_instances(struct instance *instance)
+{
+	struct world *world = instance->world;
+	char name[16];
+	struct rr_gate_instance told = {
+		.id = name, .zone = "z0", .address = "", .strength = 1
+	};
+
+	for (guint i = 0; i < world->instances->len; i++) {
+		g_snprintf(name, sizeof(name), "g%u", i);
+		rr_gate_note_instance(instance->ctx, instance->gate,
+				      world->now_us, &told);
+	}
+}
+
 static void start_instance(struct instance *instance)
 {
 	struct world *world = instance->world;
@@ -363,6 +397,8 @@
 			     false);
 	rr_gate_set_instances(instance->ctx, instance->gate,
 			      world->instances->len);
+	if (world->scenario->cold_per_s > 0)
+		note_instances(instance);
 	set_tick(instance);
 }
 
@@ -423,6 +459,7 @@
 		.arrivals = g_rand_new_with_seed(~seed),
 		.layout = g_rand_new_with_seed(seed ^ 0x5a5a5a5a),
 		.cut_zone = -1,
+		.evacuated_zone = -1,
 		.burst = 1,
 	};
 
--- a/bench/gate/emulator.h
+++ b/bench/gate/emulator.h
@@ -42,6 +42,7 @@
 	TROUBLE_CRASH,	/* the same, and its connections close at once */
 	/* A query of death to the first route, every x seconds. */
 	TROUBLE_DEADLY,
+	TROUBLE_EVACUATE, /* zone number x is evacuated */
 	N_TROUBLES,
 };
 
@@ -72,6 +73,7 @@
 	double new_callers; /* share of requests on a connection of their own */
 	double extra_ratio;
 	double extra_slack;
+	double cold_per_s; /* capacity of a cold replica; 0: unbounded */
 	struct emulated_route routes[MOST_ROUTES];
 	uint32_t n_routes;
 	struct emulated_fault faults[MOST_FAULTS];
@@ -93,6 +95,8 @@
 	uint64_t crashes;     /* crashed replicas */
 	uint64_t reports;     /* updates published by instances */
 	uint64_t deadly_late; /* queries of death received after SETTLED_US */
+	uint64_t evacuated;   /* requests received in an evacuated zone */
+	uint64_t cold_excess; /* requests beyond a cold replica's bound */
 	GArray *waits_us; /* double: from the caller's start to its answer */
 };
 
--- a/bench/gate/scenario.c
+++ b/bench/gate/scenario.c
@@ -47,6 +47,7 @@
 	OF_SCENARIO(new_callers, 0, 1),
 	OF_SCENARIO(extra_ratio, 0, 10),
 	OF_SCENARIO(extra_slack, 0, 100000),
+	OF_SCENARIO(cold_per_s, 0, 100000),
 };
 
 static const struct number_key route_keys[] = {
@@ -62,11 +63,12 @@
 };
 
 static const char *const trouble_names[N_TROUBLES] = {
-	[TROUBLE_SLOW] = "slow",   [TROUBLE_SILENT] = "silent",
-	[TROUBLE_GONE] = "gone",   [TROUBLE_SHED] = "shed",
-	[TROUBLE_FAIL] = "fail",   [TROUBLE_CUT] = "cut",
-	[TROUBLE_BURST] = "burst", [TROUBLE_REBORN] = "reborn",
-	[TROUBLE_CRASH] = "crash", [TROUBLE_DEADLY] = "deadly",
+	[TROUBLE_SLOW] = "slow",	 [TROUBLE_SILENT] = "silent",
+	[TROUBLE_GONE] = "gone",	 [TROUBLE_SHED] = "shed",
+	[TROUBLE_FAIL] = "fail",	 [TROUBLE_CUT] = "cut",
+	[TROUBLE_BURST] = "burst",	 [TROUBLE_REBORN] = "reborn",
+	[TROUBLE_CRASH] = "crash",	 [TROUBLE_DEADLY] = "deadly",
+	[TROUBLE_EVACUATE] = "evacuate",
 };
 
 void init_scenario(struct emulated_scenario *scenario)
--- a/source/core/gate-choose.c
+++ b/source/core/gate-choose.c
@@ -70,9 +70,12 @@
 #ifdef RR_MUTANT_GATE_DRAIN_IGNORED
 	return true;
 #endif
-	if (endpoint->draining || endpoint->zone->silent ||
-	    endpoint->zone->evacuation->in_force)
+	if (endpoint->draining || endpoint->zone->silent)
 		return false;
+#ifndef RR_MUTANT_GATE_IGNORES_EVACUATION
+	if (endpoint->zone->evacuation->in_force)
+		return false;
+#endif
 	if (!gate->policy.choose_avoids_suspects ||
 	    !rr_is_suspected(&endpoint->track, gate->now_us))
 		return true;
--- a/tests/test-gate-emulated.c
+++ b/tests/test-gate-emulated.c
@@ -161,6 +161,22 @@
 	clear_emulated_result(&result);
 }
 
+/* Guards against work for an evacuated zone, or too much for a cold replica. */
+static void test_evacuated_zones_and_cold_replicas(void **state)
+{
+	struct emulated_scenario scenario;
+	struct emulated_result result;
+
+	(void)state;
+	load("evacuated", &scenario);
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		emulate(&scenario, NULL, seed, &result);
+		assert_int_equal(result.evacuated, 0);
+		assert_int_equal(result.cold_excess, 0);
+		clear_emulated_result(&result);
+	}
+}
+
 static void test_a_run_repeats(void **state)
 {
 	assert_true(value_of("few-quick", NULL, NULL) ==
@@ -208,6 +224,7 @@
 		cmocka_unit_test(test_each_mechanism_is_worth_its_load),
 		cmocka_unit_test(test_a_deadly_request_is_kept_from_replicas),
 		cmocka_unit_test(test_crashes_without_a_cause_condemn_nobody),
+		cmocka_unit_test(test_evacuated_zones_and_cold_replicas),
 		cmocka_unit_test(test_a_run_repeats),
 		cmocka_unit_test(test_faulty_scenarios),
 	};
