gate: a record of a query of death is released in one place

Forgetting a record and setting the gauge stood twice, and the log function set the gauge as well. rr_take_report_reply() returned what nobody read. Two names and one help line in plainer words.

--- a/bench/gate/emulator.c
+++ b/bench/gate/emulator.c
@@ -376,14 +376,14 @@
 {
 	struct world *world = instance->world;
 	char name[16];
-	struct rr_gate_instance told = {
+	struct rr_gate_instance peer = {
 		.id = name, .zone = "z0", .address = "", .strength = 1
 	};
 
 	for (guint i = 0; i < world->instances->len; i++) {
 		g_snprintf(name, sizeof(name), "g%u", i);
 		rr_gate_note_instance(instance->ctx, instance->gate,
-				      world->now_us, &told);
+				      world->now_us, &peer);
 	}
 }
 
--- a/include/ragwort/gate-policy-list.h
+++ b/include/ragwort/gate-policy-list.h
@@ -81,7 +81,7 @@
 RR_POLICY_COUNT(silence_failed_probes, 2, "probes", "probes refused in a row that show a cut")
 
 /* Requests that crash replicas. */
-RR_POLICY_SWITCH(quarantine_known, true, "requests that crash replicas are told apart from those that run beside them, and kept from replicas")
+RR_POLICY_SWITCH(quarantine_known, true, "requests that crash replicas are detected and not sent to replicas any more")
 RR_POLICY_COUNT(quarantine_crashes, 3, "replicas", "replicas that crash under a request until it is kept from them; lowering it condemns more bystanders")
 RR_POLICY_TIME(quarantine_harmless_us, 10000000, "how long a request that ran to its end is not suspected; raising it protects bystanders that are asked seldom, and delays what becomes harmful")
 RR_POLICY_TIME(quarantine_hold_us, 600000000, "until a request in quarantine is tried once; four times as long until the next trial")
--- a/source/core/feed-private.h
+++ b/source/core/feed-private.h
@@ -111,8 +111,8 @@
 void rr_drop_reports(struct rr_reports *reports);
 /* Send the next call if one is due. */
 void rr_tick_reports(struct rr_context *ctx, struct rr_feed *feed);
-/* Handle a reply.  False if it belongs to another call. */
-bool rr_take_report_reply(struct rr_context *ctx, struct rr_feed *feed,
+/* Handle a reply.  Replies to other calls are ignored. */
+void rr_take_report_reply(struct rr_context *ctx, struct rr_feed *feed,
 			  const struct rr_feed_reply *reply);
 int64_t rr_reports_wake_us(const struct rr_feed *feed);
 
--- a/source/core/feed-report.c
+++ b/source/core/feed-report.c
@@ -275,13 +275,13 @@
 	end_first(feed);
 }
 
-bool rr_take_report_reply(struct rr_context *ctx, struct rr_feed *feed,
+void rr_take_report_reply(struct rr_context *ctx, struct rr_feed *feed,
 			  const struct rr_feed_reply *reply)
 {
 	struct rr_reports *reports = feed->reports;
 
 	if (!reply->call || reply->call != reports->line.call)
-		return false;
+		return;
 	rr_log_feed_call(ctx, feed, &reports->line, NULL, reply);
 	reports->line.call = 0;
 	switch (reply->status) {
@@ -300,5 +300,4 @@
 		take_failure(ctx, feed);
 		break;
 	}
-	return true;
 }
--- a/source/core/gate-quarantine.c
+++ b/source/core/gate-quarantine.c
@@ -43,9 +43,23 @@
 	       RR_FIELD_STRING("endpoints", crashed),
 	       RR_FIELD_I64("age_us", gate->now_us - record->since_us),
 	       RR_FIELD_U64("trials", record->trials));
+	g_free(crashed);
+}
+
+static void set_quarantine_gauge(struct rr_context *ctx,
+				 const struct rr_gate *gate)
+{
 	rr_set_gauge(ctx, RR_G_QUARANTINED,
 		     rr_count_quarantined(gate->quarantine));
-	g_free(crashed);
+}
+
+static void release_record(struct rr_context *ctx, struct rr_gate *gate,
+			   const struct rr_quarantine_record *record,
+			   enum rr_log_level level, const char *reason)
+{
+	log_record(ctx, gate, record, level, "request-released", reason);
+	rr_forget_quarantined(gate->quarantine, &record->fingerprint);
+	set_quarantine_gauge(ctx, gate);
 }
 
 static struct rr_gate_run *find_run_of(const struct rr_gate *gate,
@@ -120,6 +134,7 @@
 		rr_count(ctx, RR_N_QUARANTINED, 1);
 		log_record(ctx, gate, record, RR_LOG_WARNING,
 			   "request-quarantined", CRASHES_REPLICAS);
+		set_quarantine_gauge(ctx, gate);
 		stop_runs_of(ctx, gate, &fingerprint);
 	}
 	record = rr_find_quarantined(gate->quarantine, &fingerprint);
@@ -332,14 +347,11 @@
 	record = rr_find_quarantined(gate->quarantine, &attempt->fingerprint);
 	if (!record)
 		return;
-	log_record(ctx, gate, record,
-		   record->in_force ? RR_LOG_WARNING : RR_LOG_INFO,
-		   "request-released", "ran-to-its-end");
 	if (record->stored)
 		report(gate, record, true);
-	rr_forget_quarantined(gate->quarantine, &attempt->fingerprint);
-	rr_set_gauge(ctx, RR_G_QUARANTINED,
-		     rr_count_quarantined(gate->quarantine));
+	release_record(ctx, gate, record,
+		       record->in_force ? RR_LOG_WARNING : RR_LOG_INFO,
+		       "ran-to-its-end");
 }
 
 /* Quarantine. */
@@ -460,19 +472,16 @@
 
 	gate->now_us = now_us;
 	if (!entry) {
-		if (!record)
-			return;
-		log_record(ctx, gate, record, RR_LOG_INFO, "request-released",
-			   "entry-removed");
-		rr_forget_quarantined(gate->quarantine, fingerprint);
-		rr_set_gauge(ctx, RR_G_QUARANTINED,
-			     rr_count_quarantined(gate->quarantine));
+		if (record)
+			release_record(ctx, gate, record, RR_LOG_INFO,
+				       "entry-removed");
 		return;
 	}
 	record = rr_merge_quarantine(gate->quarantine, now_us, entry);
 	if (record->in_force && !was_in_force) {
 		log_record(ctx, gate, record, RR_LOG_WARNING,
 			   "request-quarantined", "reported");
+		set_quarantine_gauge(ctx, gate);
 		stop_runs_of(ctx, gate, fingerprint);
 	}
 	record = rr_find_quarantined(gate->quarantine, fingerprint);
