tests, fuzz: plainer words for an instance and for an evacuation key

Two fixtures named the instance they report "told", and a comment on what an evacuation key may hold did not read as a rule. The fuzz target changed in a comment only and was not run.

--- a/fuzz/entries.c
+++ b/fuzz/entries.c
@@ -44,7 +44,7 @@
 	rr_free_instance(instance);
 }
 
-/* A value may be any, a zone without a name is none. */
+/* Any value is accepted, but not a key without a zone name. */
 static void judge_evacuation(const char *zone, const char *text, size_t length)
 {
 	const char *fault = rr_find_evacuation_fault(zone, text, length);
--- a/tests/test-gate-cold.c
+++ b/tests/test-gate-cold.c
@@ -14,7 +14,7 @@
 
 static void tell(struct gate_scene *scene, const char *id)
 {
-	struct rr_gate_instance told = {
+	struct rr_gate_instance instance = {
 		.id = id,
 		.zone = "a",
 		.address = "127.0.0.1:4",
@@ -22,7 +22,8 @@
 		.born_ms = 5000,
 	};
 
-	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, &told);
+	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us,
+			      &instance);
 }
 
 static void list_cold(struct gate_scene *scene, const char *id,
--- a/tests/test-gate-peer.c
+++ b/tests/test-gate-peer.c
@@ -17,7 +17,7 @@
 static void tell(struct gate_scene *scene, const char *id, const char *zone,
 		 double strength, int64_t born_ms)
 {
-	struct rr_gate_instance told = {
+	struct rr_gate_instance instance = {
 		.id = id,
 		.zone = zone,
 		.address = "127.0.0.1:4",
@@ -25,7 +25,8 @@
 		.born_ms = born_ms,
 	};
 
-	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, &told);
+	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us,
+			      &instance);
 }
 
 /* A weak instance, w, and the strong one of its zone. */
