tests: one fixture reports an instance to a gate

test-gate-cold, test-gate-peer and test-gate-region each had their own copy of the function that reports an instance to the gate. It now stands once in gate-scene as test_note_instance(). Assertions and values are unchanged; 14 gate test programs pass (gate-emulated was not run).

--- a/tests/support/gate-scene.c
+++ b/tests/support/gate-scene.c
@@ -335,6 +335,21 @@
 	test_list_lifetime(scene, &lifetime);
 }
 
+void test_note_instance(struct gate_scene *scene, const char *id,
+			const char *zone, double strength, int64_t born_ms)
+{
+	struct rr_gate_instance instance = {
+		.id = id,
+		.zone = zone,
+		.address = "127.0.0.1:4",
+		.strength = strength,
+		.born_ms = born_ms,
+	};
+
+	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us,
+			      &instance);
+}
+
 uint64_t test_take(struct gate_scene *scene, const char *path,
 		   int64_t deadline_ms)
 {
--- a/tests/support/gate-scene.h
+++ b/tests/support/gate-scene.h
@@ -116,6 +116,9 @@
 };
 void test_list_lifetime(struct gate_scene *scene,
 			const struct test_lifetime *lifetime);
+/* An instance whose zone is NULL has gone. */
+void test_note_instance(struct gate_scene *scene, const char *id,
+			const char *zone, double strength, int64_t born_ms);
 uint64_t test_take(struct gate_scene *scene, const char *path,
 		   int64_t deadline_ms);
 /* Let time pass, with ticks when they are due. */
--- a/tests/test-gate-cold.c
+++ b/tests/test-gate-cold.c
@@ -12,20 +12,6 @@
 
 #include "support/gate-scene.h"
 
-static void tell(struct gate_scene *scene, const char *id)
-{
-	struct rr_gate_instance instance = {
-		.id = id,
-		.zone = "a",
-		.address = "127.0.0.1:4",
-		.strength = 1,
-		.born_ms = 5000,
-	};
-
-	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us,
-			      &instance);
-}
-
 static void list_cold(struct gate_scene *scene, const char *id,
 		      const char *zone)
 {
@@ -44,7 +30,7 @@
 
 	route.cold_per_s = cold_per_s;
 	test_set_routes(scene, 1, &route, 1);
-	tell(scene, "self");
+	test_note_instance(scene, "self", "a", 1, 5000);
 	test_pass(scene, 2000 * TEST_MS);
 	return scene;
 }
@@ -103,9 +89,9 @@
 	struct gate_scene *scene = cold_scene(8);
 
 	(void)state;
-	tell(scene, "other1");
-	tell(scene, "other2");
-	tell(scene, "other3");
+	test_note_instance(scene, "other1", "a", 1, 5000);
+	test_note_instance(scene, "other2", "a", 1, 5000);
+	test_note_instance(scene, "other3", "a", 1, 5000);
 	list_cold(scene, "s.a", "a");
 	list_cold(scene, "s.b", "b");
 	assert_in_range(serve_for_a_second(scene, "s.a"), 2, 3);
--- a/tests/test-gate-peer.c
+++ b/tests/test-gate-peer.c
@@ -13,29 +13,13 @@
 
 #include "support/gate-scene.h"
 
-/* An instance whose zone is NULL has gone. */
-static void tell(struct gate_scene *scene, const char *id, const char *zone,
-		 double strength, int64_t born_ms)
-{
-	struct rr_gate_instance instance = {
-		.id = id,
-		.zone = zone,
-		.address = "127.0.0.1:4",
-		.strength = strength,
-		.born_ms = born_ms,
-	};
-
-	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us,
-			      &instance);
-}
-
 /* A weak instance, w, and the strong one of its zone. */
 static struct gate_scene *lone_scene(void)
 {
 	struct gate_scene *scene = test_start_scene(&test_search_route);
 
-	tell(scene, "w", "a", 1, 5000);
-	tell(scene, "strong", "a", 4, 5000);
+	test_note_instance(scene, "w", "a", 1, 5000);
+	test_note_instance(scene, "strong", "a", 4, 5000);
 	return scene;
 }
 
@@ -44,7 +28,7 @@
 {
 	struct gate_scene *scene = lone_scene();
 
-	tell(scene, "far", "b", 9, 5000);
+	test_note_instance(scene, "far", "b", 9, 5000);
 	return scene;
 }
 
@@ -84,11 +68,12 @@
 /* This one and 73 others of a large site, of which five are that strong. */
 static void tell_fleet(struct gate_scene *scene, double strongest)
 {
-	tell(scene, "self", "a", 1, 5000);
+	test_note_instance(scene, "self", "a", 1, 5000);
 	for (int i = 0; i < 73; i++) {
 		char *id = g_strdup_printf("i%d", i);
 
-		tell(scene, id, "a", i < 5 ? strongest : strongest / 4, 5000);
+		test_note_instance(scene, id, "a",
+				   i < 5 ? strongest : strongest / 4, 5000);
 		g_free(id);
 	}
 	rr_gate_set_instances(scene->ctx, scene->gate, 74);
@@ -224,7 +209,7 @@
 {
 	struct gate_scene *scene = lone_scene();
 
-	tell(scene, "strong", NULL, 0, 0);
+	test_note_instance(scene, "strong", NULL, 0, 0);
 	test_take(scene, "/search/1", 900);
 	assert_int_equal(scene->sent->len, 4);
 	test_drop_scene(scene);
@@ -364,7 +349,7 @@
 			   RR_GATE_SILENT, 0);
 	}
 	g_ptr_array_set_size(scene->sent, 0);
-	tell(scene, "strong", "a", 4, 3000);
+	test_note_instance(scene, "strong", "a", 4, 3000);
 	test_take(scene, "/search/1", 900);
 	assert_int_equal(scene->sent->len, 1);
 	assert_string_equal(test_sent_at(scene, 0)->endpoint, "strong");
@@ -385,11 +370,12 @@
 	clock_t from = clock();
 
 	(void)state;
-	tell(scene, "w", "a", 1, 5000);
+	test_note_instance(scene, "w", "a", 1, 5000);
 	for (int i = 0; i < 1200; i++) {
 		char *id = g_strdup_printf("i%d", i);
 
-		tell(scene, id, i % 2 ? "a" : "b", i == 601 ? 4 : 1, 5000);
+		test_note_instance(scene, id, i % 2 ? "a" : "b",
+				   i == 601 ? 4 : 1, 5000);
 		g_free(id);
 	}
 	test_take(scene, "/search/1", 900);
@@ -408,7 +394,7 @@
 	test_take(scene, "/search/1", 900);
 	test_reply(scene, test_sent_at(scene, 0), RR_GATE_SILENT, 0);
 	g_ptr_array_set_size(scene->sent, 0);
-	tell(scene, "strong", "a", 4, 5000);
+	test_note_instance(scene, "strong", "a", 4, 5000);
 	test_take(scene, "/search/1", 900);
 	/* It was not reached a moment ago, and is left alone still. */
 	assert_int_equal(scene->sent->len, 4);
--- a/tests/test-gate-region.c
+++ b/tests/test-gate-region.c
@@ -77,20 +77,6 @@
 	test_drop_scene(scene);
 }
 
-static void tell(struct gate_scene *scene, const char *id, const char *zone,
-		 double strength)
-{
-	struct rr_gate_instance told = {
-		.id = id,
-		.zone = zone,
-		.address = "127.0.0.1:4",
-		.strength = strength,
-		.born_ms = 5000,
-	};
-
-	rr_gate_note_instance(scene->ctx, scene->gate, scene->now_us, &told);
-}
-
 /* Guards against a search that is handed to an instance of another region. */
 static void test_searches_are_handed_over_at_home(void **state)
 {
@@ -106,9 +92,9 @@
 		g_free(id);
 	}
 	test_set_routes(scene, 1, &route, 1);
-	tell(scene, "self", "a", 1);
-	tell(scene, "strong", "a", 4);
-	tell(scene, "abroad", "c", 9);
+	test_note_instance(scene, "self", "a", 1, 5000);
+	test_note_instance(scene, "strong", "a", 4, 5000);
+	test_note_instance(scene, "abroad", "c", 9, 5000);
 	test_take(scene, "/search/1", 900);
 	assert_string_equal(test_sent_at(scene, 0)->endpoint, "strong");
 	test_reply(scene, test_sent_at(scene, 0), RR_GATE_UNSENT, 0);
