tests: one fixture starts a gateway from its settings file

process-gateway, process-fleet and process-quarantine each built the same argument list to start a gateway. test_start_gateway() in support/process serves all three; the settings they write still differ, and stay with them.

--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -73,6 +73,13 @@
 	return launch(launcher, program, arguments);
 }
 
+struct test_process *test_start_gateway(const char *settings_path)
+{
+	const char *arguments[] = { "--settings", settings_path, NULL };
+
+	return test_start_process("ragwort-gateway", arguments, false);
+}
+
 void test_signal_process(struct test_process *process, int signal_number)
 {
 	g_subprocess_send_signal(process->handle, signal_number);
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -29,6 +29,8 @@
 struct test_process *test_start_logged_process(const char *program,
 					       const char *const *arguments,
 					       const char *log_file);
+/* Start a gateway with this settings file. Aborts on failure. */
+struct test_process *test_start_gateway(const char *settings_path);
 void test_signal_process(struct test_process *process, int signal_number);
 /* Wait for the end; returns the exit code, -1 if a signal ended it. */
 int test_wait_process(struct test_process *process);
--- a/tests/test-process-fleet.c
+++ b/tests/test-process-fleet.c
@@ -41,12 +41,9 @@
 		"stop_timeout_s: 6\n",
 		i, callers, ready, peers, world->store.server.port,
 		i ? "0.25" : "1");
-	const char *arguments[] = { "--settings", NULL, NULL };
 
 	world->start_files[i] = test_write_file(text);
-	arguments[1] = world->start_files[i];
-	world->gateways[i] =
-		test_start_process("ragwort-gateway", arguments, false);
+	world->gateways[i] = test_start_gateway(world->start_files[i]);
 	g_free(text);
 	g_free(peers);
 	g_free(ready);
--- a/tests/test-process-gateway.c
+++ b/tests/test-process-gateway.c
@@ -128,12 +128,9 @@
 		"stop_timeout_s: 6\n",
 		world->caller_address, world->ready_address,
 		world->store.server.port);
-	const char *arguments[] = { "--settings", NULL, NULL };
 
 	world->start_file = test_write_file(text);
-	arguments[1] = world->start_file;
-	world->gateway =
-		test_start_process("ragwort-gateway", arguments, false);
+	world->gateway = test_start_gateway(world->start_file);
 	wait_until_followed(world);
 	g_free(text);
 }
--- a/tests/test-process-quarantine.c
+++ b/tests/test-process-quarantine.c
@@ -223,12 +223,9 @@
 		"extra_slack: 100\nstrength: %s\n",
 		i, world->hands_over ? 'a' : 'a' + i, world->callers[i], ready,
 		peers, world->store.server.port, weak ? "0.2" : "1");
-	const char *arguments[] = { "--settings", NULL, NULL };
 
 	world->start_files[i] = test_write_file(text);
-	arguments[1] = world->start_files[i];
-	world->gateways[i] =
-		test_start_process("ragwort-gateway", arguments, false);
+	world->gateways[i] = test_start_gateway(world->start_files[i]);
 	g_free(text);
 	g_free(peers);
 	g_free(ready);
