feed: log the store's era, and why a read or an item was left out

Store-Era is decoded in platform/ and logged with each store-call. read-failed has the reason older-than-known, items-outdated says how many items of a read were left out, and store_items_outdated_total counts them. No decision changes.

--- a/include/ragwort/feed.h
+++ b/include/ragwort/feed.h
@@ -111,7 +111,12 @@
 	GPtrArray *items;     /* struct rr_feed_item; NULL: none */
 	bool more;	      /* range: more pages follow */
 	uint64_t revision;    /* of the store; range, watch, write, report */
-	uint64_t lease;	      /* grant */
+	/*
+	 * Number of times that the store was restored from a copy, in any
+	 * reply; 0: not stated.
+	 */
+	uint64_t era;
+	uint64_t lease; /* grant */
 };
 
 /* Callbacks of the feed; arguments are valid during the call only. */
--- a/include/ragwort/gate-names.h
+++ b/include/ragwort/gate-names.h
@@ -19,6 +19,7 @@
 	const char *missing_parts;
 	const char *load;	/* a replica's load, in its answers */
 	const char *ready_path; /* path of the readiness check */
+	const char *store_era;	/* the store's era, in its answers */
 };
 
 #endif
--- a/source/core/feed-items.c
+++ b/source/core/feed-items.c
@@ -208,8 +208,10 @@
 		rr_observe_registration(feed->registrations, item->id,
 					item->revision, item->removed);
 #ifndef RR_MUTANT_FEED_OLD_NEWS
-	if (state && item->revision < state->revision)
+	if (state && item->revision < state->revision) {
+		feed->n_outdated++;
 		return;
+	}
 #endif
 	if (item->removed) {
 		remove_key(feed, item->key, item->revision);
--- a/source/core/feed-private.h
+++ b/source/core/feed-private.h
@@ -63,6 +63,8 @@
 	int64_t peer_recheck_us;
 	uint64_t revision; /* revision up to which changes are known */
 	GHashTable *keys;  /* key -> struct rr_feed_key_state */
+	/* items of the current reply that were older than the known ones */
+	uint32_t n_outdated;
 	/* Registration. */
 	struct rr_feed_call_state entry;
 	/* other instances registered by this one */
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -162,6 +162,7 @@
 	       RR_FIELD_U64("code", reply->http_status),
 	       RR_FIELD_I64("took_us", feed->now_us - state->started_us),
 	       RR_FIELD_U64("items", reply->items ? reply->items->len : 0),
+	       RR_FIELD_U64("era", reply->era),
 	       RR_FIELD_U64("revision", reply->revision),
 	       RR_FIELD_U64("known", feed->revision));
 }
@@ -336,6 +337,22 @@
 	return feed->range_active && reply->revision < feed->revision;
 }
 
+/* Log how many items of a reply were older than the known ones. */
+static void log_outdated_items(struct rr_context *ctx, struct rr_feed *feed,
+			       const struct rr_feed_reply *reply)
+{
+	if (!feed->n_outdated)
+		return;
+	rr_count(ctx, RR_N_STORE_ITEMS_OUTDATED, feed->n_outdated);
+	rr_log(ctx, RR_LOG_INFO, "items-outdated",
+	       RR_FIELD_STRING("from",
+			       feed->read_peer ? feed->read_peer : "store"),
+	       RR_FIELD_U64("items", feed->n_outdated),
+	       RR_FIELD_U64("revision", reply->revision),
+	       RR_FIELD_U64("known", feed->revision));
+	feed->n_outdated = 0;
+}
+
 static void handle_read_success(struct rr_context *ctx, struct rr_feed *feed,
 				const struct rr_feed_reply *reply)
 {
@@ -351,16 +368,21 @@
 		rr_handle_feed_page(ctx, feed, reply);
 	else
 		apply_changes(ctx, feed, reply);
+	log_outdated_items(ctx, feed, reply);
 	rr_update_instance_count(feed);
 }
 
 static void log_read_failure(struct rr_context *ctx, const struct rr_feed *feed,
-			     bool compacted)
+			     const struct rr_feed_reply *reply)
 {
+	const char *reason = reply->status == RR_FEED_COMPACTED ?
+				     "history-forgotten" :
+			     reply->status == RR_FEED_OK ? "older-than-known" :
+							   "no-answer";
+
 	rr_count(ctx, RR_N_STORE_FAILURES, 1);
 	rr_log(ctx, RR_LOG_INFO, "read-failed",
-	       RR_FIELD_STRING("reason",
-			       compacted ? "history-forgotten" : "no-answer"),
+	       RR_FIELD_STRING("reason", reason),
 	       RR_FIELD_STRING("from",
 			       feed->read_peer ? feed->read_peer : "store"),
 	       RR_FIELD_BOOL("range", feed->range_active),
@@ -382,7 +404,7 @@
 		feed->last_serving_us = feed->now_us;
 	feed->last_read_ok = false;
 	feed->needs_short_watch = true;
-	log_read_failure(ctx, feed, compacted);
+	log_read_failure(ctx, feed, reply);
 	/* A source that has compacted the changes still has all items. */
 	if (compacted) {
 		rr_start_feed_range(feed);
--- a/source/gateway/gateway-store.c
+++ b/source/gateway/gateway-store.c
@@ -66,6 +66,9 @@
 	if (reply->outcome == RR_GATE_ANSWERED)
 		rr_decode_feed_reply(open->kind, reply->status, reply->body,
 				     reply->length, &decoded);
+	if (reply->message)
+		decoded.era = rr_decode_store_era(rr_find_http_header(
+			reply->message, rr_platform_names()->store_era));
 	if (reply->message &&
 	    rr_find_http_header(reply->message, ISOLATED_HEADER))
 		rr_gate_suspect_zones(gateway->ctx, gateway->gate,
--- a/tests/test-platform-load.c
+++ b/tests/test-platform-load.c
@@ -42,11 +42,25 @@
 	}
 }
 
+/* Guards against a malformed era that would pass for a restored store. */
+static void test_store_era(void **state)
+{
+	static const char *const malformed[] = { "",  "0",  "-1", "+2",
+						 "x", "2x", "2 ", "2,3" };
+
+	(void)state;
+	assert_int_equal(rr_decode_store_era("7"), 7);
+	assert_int_equal(rr_decode_store_era(NULL), 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(malformed); i++)
+		assert_int_equal(rr_decode_store_era(malformed[i]), 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_valid_load),
 		cmocka_unit_test(test_malformed_load),
+		cmocka_unit_test(test_store_era),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
