--- a/tests/support/feed-fixture.c
+++ b/tests/support/feed-fixture.c
@@ -387,6 +387,7 @@
 		.status = status,
 		.items = g_ptr_array_new_with_free_func(rr_free_feed_item),
 		.revision = revision,
+		.era = fixture->era,
 		.more = more,
 		.lease = 77,
 	};
--- a/tests/support/feed-fixture.h
+++ b/tests/support/feed-fixture.h
@@ -31,6 +31,7 @@
 	struct rr_context *ctx;
 	struct rr_feed *feed;
 	int64_t now_us;
+	uint64_t era;		  /* of the replies; 0: not stated */
 	GPtrArray *calls;	  /* struct recorded_call */
 	GString *instance_events; /* "+instance", "-instance" */
 	/*
--- a/tests/support/feed-fleet-store.c
+++ b/tests/support/feed-fleet-store.c
@@ -252,9 +252,13 @@
 
 static void answer_watch(struct fleet *fleet, struct fleet_call *call)
 {
-	struct delivery *delivery = fleet_new_delivery(call, RR_FEED_OK);
+	bool lost = call->call.after_revision > fleet->revision;
+	struct delivery *delivery =
+		fleet_new_delivery(call, lost ? RR_FEED_COMPACTED : RR_FEED_OK);
 
-	reply_changes(fleet, call, &delivery->reply);
+	delivery->reply.era = fleet->era;
+	if (!lost)
+		reply_changes(fleet, call, &delivery->reply);
 	fleet_answer(fleet, delivery);
 }
 
@@ -267,7 +271,7 @@
 
 		if (!call->done && !call->node->rejected_by_store &&
 		    !fleet->store_down &&
-		    fleet->revision <= call->call.after_revision &&
+		    fleet->revision == call->call.after_revision &&
 		    call->deadline_us > fleet->now_us) {
 			i++;
 			continue;
@@ -295,6 +299,7 @@
 		return;
 	}
 	delivery = fleet_new_delivery(call, RR_FEED_OK);
+	delivery->reply.era = fleet->era;
 	if (call->call.kind == RR_FEED_RANGE)
 		reply_range(fleet, call, &delivery->reply);
 	else if (call->call.kind == RR_FEED_LEASE_GRANT)
@@ -336,6 +341,53 @@
 	g_free(key);
 }
 
+/*
+ * Drop the leases granted after those of the restored items; their ids are
+ * given out again.
+ */
+static void drop_later_leases(struct fleet *fleet)
+{
+	GHashTableIter iter;
+	gpointer id;
+	gpointer value;
+
+	fleet->next_lease = 0;
+	g_hash_table_iter_init(&iter, fleet->items);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		fleet->next_lease = MAX(fleet->next_lease,
+					((struct fleet_change *)value)->lease);
+	g_hash_table_iter_init(&iter, fleet->leases);
+	while (g_hash_table_iter_next(&iter, &id, NULL)) {
+		if (*(uint64_t *)id > fleet->next_lease)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+void fleet_restore_store(struct fleet *fleet, int64_t age_us)
+{
+	GPtrArray *items =
+		items_at(fleet, fleet->now_us - age_us, &fleet->revision);
+	guint n = fleet->history->len;
+
+	g_hash_table_remove_all(fleet->items);
+	for (guint i = 0; i < items->len; i++) {
+		struct fleet_change *change = g_ptr_array_index(items, i);
+
+		g_hash_table_replace(fleet->items, change->key, change);
+	}
+	while (n &&
+	       ((struct fleet_change *)g_ptr_array_index(fleet->history, n - 1))
+			       ->at_us > fleet->now_us - age_us)
+		n--;
+	g_ptr_array_set_size(fleet->history, (gint)n);
+	g_ptr_array_unref(items);
+	drop_later_leases(fleet);
+	fleet->era++;
+	for (guint i = 0; i < fleet->watches->len; i++)
+		fleet_fail(fleet, g_ptr_array_index(fleet->watches, i));
+	g_ptr_array_set_size(fleet->watches, 0);
+}
+
 guint fleet_count_entries(struct fleet *fleet)
 {
 	GHashTableIter iter;
--- a/tests/support/feed-fleet.c
+++ b/tests/support/feed-fleet.c
@@ -355,6 +355,7 @@
 					      g_free, g_free);
 	fleet->watches = g_ptr_array_new_with_free_func(fleet_drop_call);
 	fleet->revision = 1;
+	fleet->era = 1;
 	for (guint i = 0; i < n; i++)
 		add_node(fleet, i, zones);
 	fleet_write_routes(fleet, 1);
--- a/tests/support/feed-fleet.h
+++ b/tests/support/feed-fleet.h
@@ -39,6 +39,7 @@
 	GHashTable *leases; /* id -> expiry time, int64_t */
 	GPtrArray *watches; /* struct fleet_call that wait at the store */
 	uint64_t revision;
+	uint64_t era; /* rises by one with each restore */
 	uint64_t next_lease;
 	bool store_down;
 	bool stopping; /* queued events are dropped */
@@ -66,6 +67,11 @@
  */
 void fleet_write_routes(struct fleet *fleet, uint64_t version);
 void fleet_write_replica(struct fleet *fleet, guint number);
+/*
+ * Restore the store from a copy that is `age_us` old: later changes and leases
+ * are lost, and their revisions are given out again.
+ */
+void fleet_restore_store(struct fleet *fleet, int64_t age_us);
 /* Number of instances with an entry. */
 guint fleet_count_entries(struct fleet *fleet);
 /*
--- a/tests/support/standin-store-private.h
+++ b/tests/support/standin-store-private.h
@@ -34,7 +34,18 @@
 struct test_prefix_counts *test_find_store_counts(struct test_store *store,
 						  const char *key);
 
+/* Answer a call without delay. */
+void test_answer_store_call_now(struct test_store *store,
+				struct test_connection *connection, int status,
+				const char *body);
+void test_close_store_connections(struct test_store *store);
+
+/* standin-store-copy.c */
+void test_drop_store_copy(struct test_store_copy *copy);
+
 /* standin-store-write.c */
+struct test_store_item *test_new_store_item(const char *key, const char *value,
+					    uint64_t revision, uint64_t lease);
 void test_free_store_item(gpointer data);
 void test_expire_store_leases(struct test_store *store);
 void test_handle_lease_grant(struct test_store *store,
--- a/tests/support/standin-store-write.c
+++ b/tests/support/standin-store-write.c
@@ -16,8 +16,8 @@
 	g_free(item);
 }
 
-static struct test_store_item *new_item(const char *key, const char *value,
-					uint64_t revision, uint64_t lease)
+struct test_store_item *test_new_store_item(const char *key, const char *value,
+					    uint64_t revision, uint64_t lease)
 {
 	struct test_store_item *item = g_new0(struct test_store_item, 1);
 
@@ -33,10 +33,12 @@
 {
 	uint64_t revision = ++store->revision;
 
-	g_ptr_array_add(store->changes, new_item(key, value, revision, lease));
+	g_ptr_array_add(store->changes,
+			test_new_store_item(key, value, revision, lease));
 	if (value)
-		g_hash_table_insert(store->items, g_strdup(key),
-				    new_item(key, value, revision, lease));
+		g_hash_table_insert(
+			store->items, g_strdup(key),
+			test_new_store_item(key, value, revision, lease));
 	else
 		g_hash_table_remove(store->items, key);
 }
--- a/tests/support/standin-store.c
+++ b/tests/support/standin-store.c
@@ -69,12 +69,22 @@
 	return g_string_free(out, !found);
 }
 
-static void answer_now(struct test_store *store,
-		       struct test_connection *connection, int status,
-		       const char *body)
+static void reply(struct test_store *store, struct test_connection *connection,
+		  int status, const char *body)
+{
+	char *era = g_strdup_printf("Store-Era: %" G_GUINT64_FORMAT "\r\n",
+				    store->era);
+
+	test_reply_to(connection, status, era, body, false);
+	g_free(era);
+}
+
+void test_answer_store_call_now(struct test_store *store,
+				struct test_connection *connection, int status,
+				const char *body)
 {
 	store->calls++;
-	test_reply_to(connection, status, "", body, false);
+	reply(store, connection, status, body);
 }
 
 static void add_waiter(struct test_store *store,
@@ -101,7 +111,7 @@
 		add_waiter(store, connection, "", 0,
 			   store->answer_delay_ms * 1000, status, body);
 	else
-		answer_now(store, connection, status, body);
+		test_answer_store_call_now(store, connection, status, body);
 }
 
 /*
@@ -122,7 +132,7 @@
 			"{\"events\":[],\"storeRevision\":%" G_GUINT64_FORMAT
 			"}",
 			store->revision);
-	answer_now(store, connection, status, body);
+	test_answer_store_call_now(store, connection, status, body);
 	g_free(body);
 }
 
@@ -278,7 +288,7 @@
 	    g_get_monotonic_time() < store->hold_watches_until_us)
 		add_waiter(store, connection, prefix, after, wait_us, 410,
 			   "{}");
-	else if (after < store->compacted_revision)
+	else if (after < store->compacted_revision || after > store->revision)
 		test_answer_store_call(store, connection, 410, "{}");
 	else
 		add_waiter(store, connection, prefix, after, wait_us, 200,
@@ -309,14 +319,14 @@
 	    connection->server->reset)
 		return;
 	if (store->state == TEST_STORE_BUSY) {
-		test_reply_to(connection, 503, "", "{}", false);
+		reply(store, connection, 503, "{}");
 		return;
 	}
 	for (gsize i = 0; i < G_N_ELEMENTS(calls); i++) {
 		if (!g_str_has_prefix(connection->path, calls[i].path))
 			continue;
 		if (test_rate_limit_call(&store->rate, calls[i].write))
-			test_reply_to(connection, 429, "", "{}", false);
+			reply(store, connection, 429, "{}");
 		else
 			calls[i].handle(store, connection);
 		return;
@@ -339,7 +349,7 @@
 	}
 }
 
-static void close_connections(struct test_store *store)
+void test_close_store_connections(struct test_store *store)
 {
 	while (store->server.connections->len)
 		test_close_connection(
@@ -353,7 +363,7 @@
 		g_get_monotonic_time() + HOLD_WATCHES_MS * 1000;
 	store->watches_muted = false;
 	g_ptr_array_set_size(store->changes, 0);
-	close_connections(store);
+	test_close_store_connections(store);
 }
 
 void test_store_set_state(struct test_store *store, enum test_store_state state)
@@ -361,7 +371,7 @@
 	store->state = state;
 	store->server.reset = state == TEST_STORE_RESET;
 	/* Calls made while the store was down are never answered. */
-	close_connections(store);
+	test_close_store_connections(store);
 }
 
 bool test_store_has_current_watch(const struct test_store *store)
@@ -392,6 +402,7 @@
 		},
 		/* Non-zero even before the first write. */
 		.revision = 1,
+		.era = 1,
 	};
 	store->rand = g_rand_new_with_seed(seed);
 	store->items = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -407,10 +418,11 @@
 void test_close_store(struct test_store *store)
 {
 	test_set_listening(&store->server, false);
-	close_connections(store);
+	test_close_store_connections(store);
 	g_ptr_array_unref(store->server.connections);
 	g_source_remove(store->timer);
 	g_ptr_array_unref(store->waiters);
+	test_drop_store_copy(store->copy);
 	g_ptr_array_unref(store->changes);
 	g_hash_table_unref(store->items);
 	g_hash_table_unref(store->leases);
--- a/tests/support/standin-store.h
+++ b/tests/support/standin-store.h
@@ -40,6 +40,9 @@
 	uint64_t calls; /* calls answered */
 	/* Internal state. */
 	uint64_t revision;
+	/* Number of restores from a copy, plus one; stated in all answers. */
+	uint64_t era;
+	struct test_store_copy *copy; /* NULL: none was made */
 	/* Changes up to this revision were removed. */
 	uint64_t compacted_revision;
 	int64_t hold_watches_until_us;
@@ -92,6 +95,17 @@
  * because its revision was compacted.
  */
 void test_compact_store(struct test_store *store);
+/*
+ * Copy the store's present content, for test_restore_store(); an earlier copy
+ * is dropped.
+ */
+void test_copy_store(struct test_store *store);
+/*
+ * Restore the store from its copy: later changes and leases are lost, their
+ * revisions are given out again, the era rises by one, and all connections are
+ * closed.  Keys of operators and replicas are to be written again by the caller.
+ */
+void test_restore_store(struct test_store *store);
 /* Set the state and close all connections. */
 void test_store_set_state(struct test_store *store,
 			  enum test_store_state state);
