--- a/tests/test-feed-restore.c
+++ b/tests/test-feed-restore.c
@@ -263,6 +263,7 @@
 static void test_fleet_follows_restored_store(void **state)
 {
 	enum { N_INSTANCES = 300, N_ZONES = 5, BOUND_MS = 6000 };
+	enum { N_LOST_WRITES = 200 };
 	struct fleet *fleet = fleet_new(N_INSTANCES, N_ZONES, 540);
 	int64_t written_us;
 
@@ -271,6 +272,8 @@
 	fleet_run(fleet, 20 * FLEET_S);
 	for (uint64_t version = 4; version <= 6; version++)
 		fleet_write_routes(fleet, version);
+	for (guint i = 0; i < N_LOST_WRITES; i++)
+		fleet_write_replica(fleet, i);
 	fleet_run(fleet, 3 * FLEET_S);
 	fleet->store_down = true;
 	fleet_run(fleet, 2 * FLEET_S);
@@ -278,7 +281,6 @@
 	fleet_restore_store(fleet, 6 * FLEET_S);
 	fleet->billed_calls = 0;
 	fleet_run(fleet, 2 * FLEET_S);
-	/* One revision less than the lost ones. */
 	fleet_write_routes(fleet, 6);
 	fleet_write_routes(fleet, 7);
 	written_us = fleet->now_us;
