--- a/bench/gate/emulated-fault.c
+++ b/bench/gate/emulated-fault.c
@@ -83,9 +83,11 @@
 		struct instance *instance =
 			g_ptr_array_index(emulation->instances, i);
 
-		rr_gate_set_evacuation(instance->ctx, instance->gate,
-				       emulation->now_us, name,
-				       (uint64_t)emulation->now_us, active);
+		rr_gate_set_evacuation(
+			instance->ctx, instance->gate, emulation->now_us, name,
+			(struct rr_store_cursor){
+				.revision = (uint64_t)emulation->now_us },
+			active);
 		schedule_tick(instance);
 	}
 }
--- a/fuzz/entries.c
+++ b/fuzz/entries.c
@@ -88,7 +88,7 @@
 static void check_change_feed_round_trip(const char *key, const char *text,
 					 size_t length)
 {
-	struct rr_change_feed_request call = { .after_revision = 1 };
+	struct rr_change_feed_request call = { .after.revision = 1 };
 	GArray *items =
 		g_array_new(FALSE, FALSE, sizeof(struct rr_feed_change));
 	char *value = g_base64_encode((const guchar *)text, length);
--- a/include/ragwort/counter-list.h
+++ b/include/ragwort/counter-list.h
@@ -48,6 +48,7 @@
 RR_COUNTER(RR_N_STORE_FAILURES, "store_failures_total", "calls to the platform that got no usable reply")
 RR_COUNTER(RR_N_STORE_VALUES_INVALID, "entries_unreadable_total", "invalid values in the store, which are ignored")
 RR_COUNTER(RR_N_STORE_ITEMS_OUTDATED, "store_items_outdated_total", "items read that were left out because their key is known at a higher revision")
+RR_COUNTER(RR_N_STORE_RESTORES, "store_restores_total", "restores of the store from a copy that were noticed, after which all items are read again")
 RR_COUNTER(RR_N_CLAIMS, "claims_total", "reservation claims acquired")
 RR_COUNTER(RR_N_CLAIMS_DUPLICATE, "claims_duplicate_total", "reservations that were already claimed")
 RR_COUNTER(RR_N_CLAIMS_UNRESOLVED, "claims_unsettled_total", "claims abandoned while the result of their write was unknown")
--- a/include/ragwort/feed.h
+++ b/include/ragwort/feed.h
@@ -19,6 +19,7 @@
 #include "ragwort/gate.h"
 #include "ragwort/quarantine.h"
 #include "ragwort/route.h"
+#include "ragwort/store-cursor.h"
 
 enum rr_feed_call_kind {
 	RR_FEED_RANGE,	       /* read a page of all items */
@@ -47,8 +48,9 @@
 	const char *after_key; /* range: last key received; NULL: start */
 	/* range: a copy of the store that is some seconds old is accepted */
 	bool allow_stale;
-	/* watch: revision after which changes are wanted */
+	/* watch: revision after which changes are wanted, and its era */
 	uint64_t after_revision;
+	uint64_t era;
 	uint32_t wait_ms;	/* watch: longest wait before an empty reply */
 	uint32_t ttl_ms;	/* grant */
 	uint64_t lease;		/* renew, write, revoke; 0: the peer's lease */
@@ -73,6 +75,7 @@
 };
 
 struct rr_feed_item {
+	int extra_refs; /* references besides that of its reply */
 	enum rr_feed_item_kind kind;
 	char *key;
 	/* Id of a replica or instance, name of a zone, or fingerprint. */
@@ -132,11 +135,11 @@
 	void (*instance)(void *data, const char *id,
 			 const struct rr_instance *instance);
 	/*
-	 * The operators evacuate a zone, or end its evacuation; `revision` is
+	 * The operators evacuate a zone, or end its evacuation; `cursor` is
 	 * the store's at that change, or a later one.
 	 */
-	void (*evacuation)(void *data, const char *zone, uint64_t revision,
-			   bool in_force);
+	void (*evacuation)(void *data, const char *zone,
+			   struct rr_store_cursor cursor, bool in_force);
 	/* The entry of a query of death; NULL if it was removed. */
 	void (*quarantine)(void *data, const struct rr_fingerprint *fingerprint,
 			   const struct rr_quarantine_entry *entry);
@@ -209,17 +212,30 @@
  * are served.
  */
 int64_t rr_feed_serve_grace_end_us(const struct rr_feed *feed);
-/* Return the revision up to which changes are known. */
-uint64_t rr_feed_revision(const struct rr_feed *feed);
 /*
- * List the changes after revision `after_revision` as struct rr_feed_change, as
- * many as an instance applies without delaying its callers; for 0, all items.
- * *revision is set to the revision up to which they are complete.  They point
- * into the feed and are valid until its next event; release the array with
- * g_array_unref().  Return NULL if some changes since then are no longer kept.
+ * Whether all items can be served to a peer: they have been read at least once,
+ * and none is of an earlier era of the store.
+ */
+bool rr_feed_can_serve_items(const struct rr_feed *feed);
+/* Return the position up to which changes are known. */
+struct rr_store_cursor rr_feed_cursor(const struct rr_feed *feed);
+/*
+ * Whether a peer that knows the changes up to `after` need not wait: there are
+ * later ones, or it has to read all items, since `after` is of another era.
+ */
+bool rr_feed_has_changes_after(const struct rr_feed *feed,
+			       struct rr_store_cursor after);
+/*
+ * List the changes after `after` as struct rr_feed_change, as many as an
+ * instance applies without delaying its callers; for revision 0, all items.
+ * *upto is set to the position up to which they are complete.  They point into
+ * the feed and are valid until its next event; release the array with
+ * g_array_unref().  Return NULL if some changes since then are no longer kept,
+ * or if `after` is of another era.
  */
-GArray *rr_feed_changes(const struct rr_feed *feed, uint64_t after_revision,
-			uint64_t *revision);
+GArray *rr_feed_changes(const struct rr_feed *feed,
+			struct rr_store_cursor after,
+			struct rr_store_cursor *upto);
 /*
  * Register another instance in the store on its request, which it repeats every
  * few seconds.  Return false if this instance does not do so now.
@@ -231,6 +247,8 @@
 void rr_feed_deregister_instance(struct rr_feed *feed, int64_t now_us,
 				 const char *id);
 
+/* Keep an item beyond its reply; release it with rr_free_feed_item(). */
+struct rr_feed_item *rr_keep_feed_item(struct rr_feed_item *item);
 void rr_free_feed_item(gpointer item);
 /*
  * Copy an instance, to be freed with rr_free_instance(); strings that are NULL
--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -27,6 +27,7 @@
 #include "ragwort/gate-policy.h"
 #include "ragwort/quarantine.h"
 #include "ragwort/route.h"
+#include "ragwort/store-cursor.h"
 
 /* An entry of the replica list; strings are copied. */
 struct rr_endpoint_info {
@@ -239,12 +240,12 @@
  * sent to its replicas, and parts waiting for them are sent elsewhere or
  * rejected; requests that a replica has received run to completion.  After an
  * end, the zone's share of the work grows over the time for which its replicas
- * may be cold.  `revision` is that of the store; a revision older than the
- * latest known is ignored.  The zone need not be known yet.
+ * may be cold.  `cursor` is the position in the store; an update that is not later
+ * than the latest known one is ignored.  The zone need not be known yet.
  */
 void rr_gate_set_evacuation(struct rr_context *ctx, struct rr_gate *gate,
-			    int64_t now_us, const char *zone, uint64_t revision,
-			    bool active);
+			    int64_t now_us, const char *zone,
+			    struct rr_store_cursor cursor, bool active);
 
 /* An entry of the list of instances; strings are copied. */
 struct rr_gate_instance {
--- a/source/core/change-log.c
+++ b/source/core/change-log.c
@@ -93,6 +93,41 @@
 		drop_removals(change_log);
 }
 
+static struct rr_feed_change as_change(const struct logged_change *logged)
+{
+	return (struct rr_feed_change){
+		.key = logged->key,
+		.value = logged->value,
+		.compressed = logged->compressed,
+		.revision = logged->revision,
+	};
+}
+
+void rr_merge_change_log(struct rr_change_log *change_log,
+			 const struct rr_change_log *later)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, later->items);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct rr_feed_change change = as_change(value);
+
+		rr_put_change(change_log, &change);
+	}
+}
+
+bool rr_find_change(const struct rr_change_log *change_log, const char *key,
+		    struct rr_feed_change *change)
+{
+	const struct logged_change *logged =
+		g_hash_table_lookup(change_log->items, key);
+
+	if (logged)
+		*change = as_change(logged);
+	return logged != NULL;
+}
+
 /*
  * Guards against a reader whose items are older than those this log started
  * with: it would never receive the removal of a replica in between.
@@ -127,12 +162,7 @@
 	g_hash_table_iter_init(&iter, change_log->items);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct logged_change *logged = value;
-		struct rr_feed_change item = {
-			.key = logged->key,
-			.value = logged->value,
-			.compressed = logged->compressed,
-			.revision = logged->revision,
-		};
+		struct rr_feed_change item = as_change(logged);
 
 		if (logged->revision > after && (after || logged->value))
 			g_array_append_val(items, item);
--- a/source/core/change-log.h
+++ b/source/core/change-log.h
@@ -23,6 +23,15 @@
  */
 void rr_put_change(struct rr_change_log *change_log,
 		   const struct rr_feed_change *item);
+/* Record all changes of another log, which are later. */
+void rr_merge_change_log(struct rr_change_log *change_log,
+			 const struct rr_change_log *later);
+/*
+ * Find the latest change of a key.  Its strings are valid until the log changes.
+ * Return false if there is none.
+ */
+bool rr_find_change(const struct rr_change_log *change_log, const char *key,
+		    struct rr_feed_change *change);
 /*
  * Declare the log complete for changes after `revision`.  Earlier removals, and
  * those at `revision`, are not known.
--- a/source/core/evacuation.c
+++ b/source/core/evacuation.c
@@ -4,13 +4,13 @@
 #include "core/evacuation.h"
 
 bool rr_update_evacuation(struct rr_evacuation *evacuation, int64_t now_us,
-			  uint64_t revision, bool active)
+			  struct rr_store_cursor cursor, bool active)
 {
 #ifndef RR_MUTANT_EVACUATION_GOES_BACK
-	if (revision <= evacuation->revision)
+	if (!rr_is_later_cursor(cursor, evacuation->cursor))
 		return false;
 #endif
-	evacuation->revision = revision;
+	evacuation->cursor = cursor;
 	if (active == evacuation->active)
 		return false;
 	evacuation->active = active;
--- a/source/core/evacuation.h
+++ b/source/core/evacuation.h
@@ -10,11 +10,13 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "ragwort/store-cursor.h"
+
 /* All zero: the zone was never evacuated. */
 struct rr_evacuation {
-	bool active;	    /* no requests are sent to the zone */
-	bool ended;	    /* was evacuated, and is so no longer */
-	uint64_t revision;  /* store revision of the latest known change */
+	bool active;		       /* no requests are sent to the zone */
+	bool ended;		       /* was evacuated, and is so no longer */
+	struct rr_store_cursor cursor; /* of the latest known change */
 	int64_t changed_us; /* when this instance received that change */
 };
 
@@ -25,7 +27,7 @@
  * state before one that is active.
  */
 bool rr_update_evacuation(struct rr_evacuation *evacuation, int64_t now_us,
-			  uint64_t revision, bool active);
+			  struct rr_store_cursor cursor, bool active);
 
 /*
  * Return the share of its usual traffic that a zone gets, 0 to 1.  It grows
--- a/source/core/feed-entry.c
+++ b/source/core/feed-entry.c
@@ -229,6 +229,21 @@
 	}
 }
 
+void rr_reset_feed_entry(struct rr_feed *feed)
+{
+	if (feed->registrar || feed->leaving)
+		return;
+	if (feed->entry.call_id)
+		feed->actions.cancel(feed->actions.data, feed->entry.call_id);
+	feed->entry.call_id = 0;
+	feed->entry.due_us = feed->now_us;
+#ifndef RR_MUTANT_FEED_KEEPS_LOST_LEASE
+	feed->lease = 0;
+#endif
+	feed->is_registered = false;
+	rr_rewrite_all_registrations(feed->registrations);
+}
+
 bool rr_feed_register_instance(struct rr_context *ctx, struct rr_feed *feed,
 			       int64_t now_us,
 			       const struct rr_instance *instance)
--- a/source/core/feed-items.c
+++ b/source/core/feed-items.c
@@ -6,10 +6,18 @@
 #include "ragwort/counters.h"
 #include "ragwort/log.h"
 
+struct rr_feed_item *rr_keep_feed_item(struct rr_feed_item *item)
+{
+	item->extra_refs++;
+	return item;
+}
+
 void rr_free_feed_item(gpointer data)
 {
 	struct rr_feed_item *item = data;
 
+	if (item->extra_refs--)
+		return;
 	rr_drop_route_table(item->routes);
 	if (item->replica) {
 		g_free((char *)item->replica->id);
@@ -68,13 +76,15 @@
 			  const struct rr_feed_key_state *state,
 			  uint64_t revision)
 {
+	struct rr_store_cursor cursor = { feed->era, revision };
+
 	if (state->kind == RR_FEED_REPLICA)
 		feed->actions.replica_unlisted(feed->actions.data, state->id);
 	else if (state->kind == RR_FEED_INSTANCE)
 		remove_instance(feed, state->id);
 	else if (state->kind == RR_FEED_EVACUATION)
-		feed->actions.evacuation(feed->actions.data, state->id,
-					 revision, false);
+		feed->actions.evacuation(feed->actions.data, state->id, cursor,
+					 false);
 	else if (state->kind == RR_FEED_QUARANTINE)
 		remove_quarantine(feed, state->id);
 }
@@ -87,7 +97,8 @@
 	state->is_valid = is_valid;
 }
 
-static void remove_key(struct rr_feed *feed, const char *key, uint64_t revision)
+void rr_remove_feed_key(struct rr_feed *feed, const char *key,
+			uint64_t revision)
 {
 	struct rr_feed_key_state *state = g_hash_table_lookup(feed->keys, key);
 	struct rr_feed_change change = { .key = key, .revision = revision };
@@ -137,10 +148,11 @@
 			     struct rr_feed_key_state *state,
 			     const struct rr_feed_item *item)
 {
+	struct rr_store_cursor cursor = { feed->era, item->revision };
+
 	if (item->decode_error)
 		report_decode_error(ctx, state, item);
-	feed->actions.evacuation(feed->actions.data, item->id, item->revision,
-				 true);
+	feed->actions.evacuation(feed->actions.data, item->id, cursor, true);
 }
 
 static void apply_item(struct rr_context *ctx, struct rr_feed *feed,
@@ -183,7 +195,7 @@
 	}
 }
 
-static void log_change(struct rr_feed *feed, const struct rr_feed_item *item)
+void rr_log_feed_change(struct rr_feed *feed, const struct rr_feed_item *item)
 {
 	struct rr_feed_change change = {
 		.key = item->key,
@@ -196,17 +208,13 @@
 		rr_put_change(feed->change_log, &change);
 }
 
-void rr_apply_feed_item(struct rr_context *ctx, struct rr_feed *feed,
+void rr_apply_held_item(struct rr_context *ctx, struct rr_feed *feed,
 			const struct rr_feed_item *item)
 {
 	struct rr_feed_key_state *state =
 		g_hash_table_lookup(feed->keys, item->key);
+	bool is_known;
 
-	if (item->kind == RR_FEED_OTHER)
-		return;
-	if (item->kind == RR_FEED_INSTANCE)
-		rr_observe_registration(feed->registrations, item->id,
-					item->revision, item->removed);
 #ifndef RR_MUTANT_FEED_OLD_NEWS
 	if (state && item->revision < state->revision) {
 		feed->n_outdated++;
@@ -214,9 +222,10 @@
 	}
 #endif
 	if (item->removed) {
-		remove_key(feed, item->key, item->revision);
+		rr_remove_feed_key(feed, item->key, item->revision);
 		return;
 	}
+	is_known = state && rr_has_prior_value(feed, item);
 	if (!state) {
 		state = g_new0(struct rr_feed_key_state, 1);
 		state->kind = item->kind;
@@ -224,27 +233,52 @@
 		g_hash_table_insert(feed->keys, g_strdup(item->key), state);
 	}
 	state->seen = true;
+	state->is_missing = false;
 	if (state->revision == item->revision)
 		return;
 	state->revision = item->revision;
-	log_change(feed, item);
-	apply_item(ctx, feed, state, item);
+	rr_log_feed_change(feed, item);
+	if (!is_known)
+		apply_item(ctx, feed, state, item);
 }
 
-void rr_remove_unseen_keys(struct rr_feed *feed)
+void rr_apply_feed_item(struct rr_context *ctx, struct rr_feed *feed,
+			struct rr_feed_item *item)
+{
+	if (item->kind == RR_FEED_OTHER)
+		return;
+	if (item->kind == RR_FEED_INSTANCE)
+		rr_observe_registration(feed->registrations, item->id,
+					item->revision, item->removed);
+	if (!rr_hold_restored_item(feed, item))
+		rr_apply_held_item(ctx, feed, item);
+}
+
+uint32_t rr_handle_unseen_keys(struct rr_feed *feed)
 {
 	GPtrArray *unseen = g_ptr_array_new_with_free_func(g_free);
+	uint32_t n_missing = 0;
 	GHashTableIter iter;
 	gpointer key;
-	gpointer state;
+	gpointer value;
 
 	g_hash_table_iter_init(&iter, feed->keys);
-	while (g_hash_table_iter_next(&iter, &key, &state)) {
-		if (!((struct rr_feed_key_state *)state)->seen)
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		struct rr_feed_key_state *state = value;
+
+		if (state->seen)
+			continue;
+#ifndef RR_MUTANT_FEED_DROPS_MISSING
+		state->is_missing |= feed->restore.reading;
+#endif
+		if (state->is_missing)
+			n_missing++;
+		else
 			g_ptr_array_add(unseen, g_strdup(key));
 	}
 	for (guint i = 0; i < unseen->len; i++)
-		remove_key(feed, g_ptr_array_index(unseen, i),
-			   feed->range_revision);
+		rr_remove_feed_key(feed, g_ptr_array_index(unseen, i),
+				   feed->range_revision);
 	g_ptr_array_unref(unseen);
+	return n_missing;
 }
--- a/source/core/feed-private.h
+++ b/source/core/feed-private.h
@@ -24,12 +24,29 @@
 	enum rr_feed_item_kind kind;
 	char *id;
 	uint64_t revision;
-	bool seen;		  /* found by the current range read */
+	bool seen; /* found by the current range read */
+	/* the store lost it in a restore, and it may be written again */
+	bool is_missing;
 	const char *decode_error; /* of its last value; NULL: none */
 	/* the last value was decoded; not set for evacuations */
 	bool is_valid;
 };
 
+/* What is kept from before a restore of the store, see feed-restore.c. */
+struct rr_feed_restore {
+	bool was_restored; /* since this process started */
+	/* the items of the present era have not all been read yet */
+	bool reading;
+	uint64_t prior_revision;
+	int64_t started_us;
+	/* changes of earlier eras; NULL: the restore is settled */
+	struct rr_change_log *prior_log;
+	GHashTable *held; /* key -> struct held_item */
+	/* 0: settled, or not yet known */
+	int64_t replicas_settled_us;
+	int64_t settled_us;
+};
+
 struct rr_feed {
 	struct rr_feed_actions actions;
 	uint64_t last_call_id;
@@ -62,9 +79,13 @@
 	/* when to read again after finding no peers; 0: not scheduled */
 	int64_t peer_recheck_us;
 	uint64_t revision; /* revision up to which changes are known */
+	uint64_t era;	   /* of `revision`; 0: unknown */
 	GHashTable *keys;  /* key -> struct rr_feed_key_state */
 	/* items of the current reply that were older than the known ones */
 	uint32_t n_outdated;
+	/* the read in flight accepts a stale copy */
+	bool read_is_stale;
+	struct rr_feed_restore restore;
 	/* Registration. */
 	struct rr_feed_call_state entry;
 	/* other instances registered by this one */
@@ -94,6 +115,8 @@
 void rr_start_feed_call(struct rr_context *ctx, struct rr_feed *feed,
 			struct rr_feed_call_state *state,
 			struct rr_feed_call *call);
+/* Cancel the read in flight, if any, and send another. */
+void rr_restart_feed_read(struct rr_feed *feed);
 void rr_log_feed_call(struct rr_context *ctx, const struct rr_feed *feed,
 		      const struct rr_feed_call_state *state, const char *peer,
 		      const struct rr_feed_reply *reply);
@@ -123,8 +146,13 @@
 				const struct rr_feed_reply *reply);
 int64_t rr_feed_entry_wake_us(const struct rr_feed *feed);
 
+/* Drop the lease and register all again, since the store was restored. */
+void rr_reset_feed_entry(struct rr_feed *feed);
+
 /* feed-report.c: publishing queries of death */
 struct rr_report_queue *rr_new_report_queue(void);
+/* Drop the lease and the known revisions, since the store was restored. */
+void rr_reset_report_queue(struct rr_report_queue *queue);
 void rr_drop_report_queue(struct rr_report_queue *queue);
 /* Send the next call if one is due. */
 void rr_tick_report_queue(struct rr_context *ctx, struct rr_feed *feed);
@@ -133,6 +161,42 @@
 			    const struct rr_feed_reply *reply);
 int64_t rr_report_queue_wake_us(const struct rr_feed *feed);
 
+/* feed-restore.c: a store that is restored from a copy */
+void rr_init_feed_restore(struct rr_feed *feed);
+void rr_clear_feed_restore(struct rr_feed *feed);
+enum rr_era_match {
+	RR_ERA_SAME,
+	RR_ERA_EARLIER, /* the reply must not be used */
+	RR_ERA_LATER,
+};
+/* Compare the era of a reply, from a peer or from the store, with the known. */
+enum rr_era_match rr_match_feed_era(const struct rr_feed *feed,
+				    const struct rr_feed_reply *reply,
+				    bool from_peer);
+/*
+ * Begin a new era, learnt from a reply of the store, or of the peer of the last
+ * read: read all items again from there.
+ */
+void rr_begin_feed_era(struct rr_context *ctx, struct rr_feed *feed,
+		       const struct rr_feed_reply *reply, bool from_peer);
+/* All items of the new era have been read. */
+void rr_finish_feed_reread(struct rr_context *ctx, struct rr_feed *feed);
+/*
+ * Whether an item is held back, since it was removed before the restore.  An
+ * item that was held back and has changed is not any more.
+ */
+bool rr_hold_restored_item(struct rr_feed *feed, struct rr_feed_item *item);
+/* Whether an item has the value that its key had before the restore. */
+bool rr_has_prior_value(const struct rr_feed *feed,
+			const struct rr_feed_item *item);
+/* A range starts: no item held back has been seen by it. */
+void rr_start_held_range(struct rr_feed *feed);
+/* A range is complete: drop the items held back that it did not contain. */
+void rr_drop_unseen_held_items(struct rr_feed *feed);
+/* Apply what is held back and remove what is missing, once that is due. */
+void rr_tick_feed_restore(struct rr_context *ctx, struct rr_feed *feed);
+int64_t rr_feed_restore_wake_us(const struct rr_feed *feed);
+
 /* feed-items.c: state of the store's keys */
 /*
  * Apply an item, unless its key is known at a higher revision.  Guards against
@@ -140,9 +204,20 @@
  * was removed would be listed again.
  */
 void rr_apply_feed_item(struct rr_context *ctx, struct rr_feed *feed,
+			struct rr_feed_item *item);
+/*
+ * Handle the keys that a complete range did not contain: they are removed, or
+ * marked as missing after a restore.  Return the number of the latter.
+ */
+uint32_t rr_handle_unseen_keys(struct rr_feed *feed);
+/* Remove a key and report its object as removed. */
+void rr_remove_feed_key(struct rr_feed *feed, const char *key,
+			uint64_t revision);
+/* Apply an item, whether or not it is held back. */
+void rr_apply_held_item(struct rr_context *ctx, struct rr_feed *feed,
 			const struct rr_feed_item *item);
-/* Remove the keys that a complete range did not contain. */
-void rr_remove_unseen_keys(struct rr_feed *feed);
+/* Record an item as a change to be served to peers. */
+void rr_log_feed_change(struct rr_feed *feed, const struct rr_feed_item *item);
 
 /* feed-count.c: the instance count */
 /*
--- a/source/core/feed-range.c
+++ b/source/core/feed-range.c
@@ -23,6 +23,7 @@
 
 	feed->range_active = true;
 	g_clear_pointer(&feed->after_key, g_free);
+	rr_start_held_range(feed);
 	g_hash_table_iter_init(&iter, feed->keys);
 	while (g_hash_table_iter_next(&iter, NULL, &state))
 		((struct rr_feed_key_state *)state)->seen = false;
@@ -79,17 +80,22 @@
 
 static void finish_range(struct rr_context *ctx, struct rr_feed *feed)
 {
-	rr_remove_unseen_keys(feed);
+	uint32_t n_missing = rr_handle_unseen_keys(feed);
+
+	rr_drop_unseen_held_items(feed);
 	g_clear_pointer(&feed->after_key, g_free);
 	feed->range_active = false;
 	feed->range_from_peer = false;
 	feed->revision = feed->range_revision;
 	rr_start_change_log(feed->change_log, feed->revision);
 	feed->reading.due_us = feed->now_us;
-	rr_log(ctx, RR_LOG_INFO, "store-read",
+	rr_log(ctx, RR_LOG_INFO, "store-read", RR_FIELD_U64("era", feed->era),
 	       RR_FIELD_U64("revision", feed->revision),
-	       RR_FIELD_U64("items", g_hash_table_size(feed->keys)));
+	       RR_FIELD_U64("items", g_hash_table_size(feed->keys)),
+	       RR_FIELD_U64("missing", n_missing));
 	feed->has_synced = true;
+	if (feed->restore.reading)
+		rr_finish_feed_reread(ctx, feed);
 	if (!feed->found_no_peers && !feed->read_peer && has_no_peers(feed))
 		schedule_peer_recheck(ctx, feed);
 	else
@@ -99,7 +105,7 @@
 void rr_handle_feed_page(struct rr_context *ctx, struct rr_feed *feed,
 			 const struct rr_feed_reply *reply)
 {
-	const struct rr_feed_item *last = NULL;
+	struct rr_feed_item *last = NULL;
 
 	/* Pages may come from stale copies of different age. */
 	feed->range_revision =
@@ -133,8 +139,13 @@
 {
 	bool from_store = !feed->read_peer;
 
-	if (feed->has_synced &&
-	    (feed->range_from_peer || feed->found_no_peers)) {
+	if (feed->restore.reading) {
+		/* The known items are of an earlier era: continue nowhere. */
+		feed->range_from_peer = false;
+		end_peer_recheck(feed);
+		rr_start_feed_range(feed);
+	} else if (feed->has_synced &&
+		   (feed->range_from_peer || feed->found_no_peers)) {
 		abandon_range(feed);
 		end_peer_recheck(feed);
 	} else {
--- a/source/core/feed-report.c
+++ b/source/core/feed-report.c
@@ -69,6 +69,12 @@
 	g_free(queue);
 }
 
+void rr_reset_report_queue(struct rr_report_queue *queue)
+{
+	queue->lease = 0;
+	g_hash_table_remove_all(queue->written);
+}
+
 /*
  * Find a queued report with the same fingerprint that a new one replaces: no
  * claim, and not in flight.
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -98,6 +98,7 @@
 	feed->last_registered_us = now_us;
 	feed->count_due_us = rr_initial_count_due_us(now_us);
 	feed->store_reachable = true;
+	rr_init_feed_restore(feed);
 	return feed;
 }
 
@@ -108,6 +109,7 @@
 	g_hash_table_unref(feed->keys);
 	rr_drop_sources(feed->sources);
 	rr_drop_change_log(feed->change_log);
+	rr_clear_feed_restore(feed);
 	rr_drop_registrations(feed->registrations);
 	rr_drop_report_queue(feed->report_queue);
 	rr_free_instance(feed->self);
@@ -259,13 +261,18 @@
 		 * the changes it lacks.  So may the range that is read again
 		 * because the one before found no peers: no watch runs between
 		 * the two, so no newer changes are known.  Any other stale
-		 * range would remove items added after the copy was made.
+		 * range would remove items added after the copy was made, and
+		 * after a restore the copy may be of an earlier era.
 		 */
-		call.allow_stale = !feed->has_synced || feed->found_no_peers;
+		call.allow_stale =
+			(!feed->has_synced || feed->found_no_peers) &&
+			!feed->restore.was_restored;
 	} else {
 		call.after_revision = feed->revision;
+		call.era = feed->era;
 		call.wait_ms = next_watch_ms(feed, call.peer != NULL);
 	}
+	feed->read_is_stale = call.allow_stale;
 	rr_start_feed_call(ctx, feed, &feed->reading, &call);
 }
 
@@ -337,6 +344,17 @@
 	return feed->range_active && reply->revision < feed->revision;
 }
 
+/*
+ * Whether a read shows that the store was restored although it states no later
+ * era: the store itself never goes back otherwise.
+ */
+static bool shows_restore(const struct rr_feed *feed,
+			  const struct rr_feed_reply *reply)
+{
+	return reply->status == RR_FEED_OK && is_behind(feed, reply) &&
+	       !feed->read_peer && !feed->read_is_stale && !feed->after_key;
+}
+
 /* Log how many items of a reply were older than the known ones. */
 static void log_outdated_items(struct rr_context *ctx, struct rr_feed *feed,
 			       const struct rr_feed_reply *reply)
@@ -375,10 +393,11 @@
 static void log_read_failure(struct rr_context *ctx, const struct rr_feed *feed,
 			     const struct rr_feed_reply *reply)
 {
-	const char *reason = reply->status == RR_FEED_COMPACTED ?
-				     "history-forgotten" :
-			     reply->status == RR_FEED_OK ? "older-than-known" :
-							   "no-answer";
+	const char *reason =
+		reply->status == RR_FEED_COMPACTED   ? "history-forgotten" :
+		reply->status == RR_FEED_OK	     ? "older-than-known" :
+		reply->era && reply->era < feed->era ? "earlier-era" :
+						       "no-answer";
 
 	rr_count(ctx, RR_N_STORE_FAILURES, 1);
 	rr_log(ctx, RR_LOG_INFO, "read-failed",
@@ -418,7 +437,84 @@
 		rr_handle_feed_range_failure(ctx, feed);
 }
 
-static void restart_read(struct rr_feed *feed)
+/*
+ * Handle a reply of a later era.  The first page of a range in that era is used;
+ * of any other reply only the era is.
+ */
+static void handle_later_era(struct rr_context *ctx, struct rr_feed *feed,
+			     const struct rr_feed_reply *reply)
+{
+	bool is_first_page = feed->range_active && !feed->after_key &&
+			     reply->status == RR_FEED_OK;
+
+	feed->reading.call_id = 0;
+	rr_begin_feed_era(ctx, feed, reply, feed->read_peer != NULL);
+	if (is_first_page)
+		handle_read_success(ctx, feed, reply);
+}
+
+static void handle_read(struct rr_context *ctx, struct rr_feed *feed,
+			const struct rr_feed_reply *reply)
+{
+	struct rr_feed_reply unusable = *reply;
+
+	switch (rr_match_feed_era(feed, reply, feed->read_peer != NULL)) {
+	case RR_ERA_EARLIER:
+		unusable.status = RR_FEED_FAILED;
+		handle_read_reply(ctx, feed, &unusable);
+		return;
+	case RR_ERA_LATER:
+		handle_later_era(ctx, feed, reply);
+		return;
+	case RR_ERA_SAME:
+		if (shows_restore(feed, reply))
+			handle_later_era(ctx, feed, reply);
+		else
+			handle_read_reply(ctx, feed, reply);
+		return;
+	}
+}
+
+/*
+ * Handle the reply to a registration call.  What a store of another era grants
+ * or confirms is not valid in the known one.
+ */
+static void handle_entry_reply(struct rr_context *ctx, struct rr_feed *feed,
+			       const struct rr_feed_reply *reply)
+{
+	struct rr_feed_reply unusable = *reply;
+
+	feed->entry.call_id = 0;
+	unusable.status = RR_FEED_FAILED;
+	switch (feed->registrar ? RR_ERA_SAME :
+				  rr_match_feed_era(feed, reply, false)) {
+	case RR_ERA_EARLIER:
+		rr_handle_feed_entry_reply(ctx, feed, &unusable);
+		return;
+	case RR_ERA_LATER:
+		rr_begin_feed_era(ctx, feed, reply, false);
+		return;
+	case RR_ERA_SAME:
+		rr_handle_feed_entry_reply(ctx, feed, reply);
+		return;
+	}
+}
+
+/* Handle the reply to a report in the same way. */
+static void handle_report_reply(struct rr_context *ctx, struct rr_feed *feed,
+				const struct rr_feed_reply *reply)
+{
+	enum rr_era_match match = rr_match_feed_era(feed, reply, false);
+	struct rr_feed_reply unusable = *reply;
+
+	unusable.status = RR_FEED_FAILED;
+	if (match == RR_ERA_LATER)
+		rr_begin_feed_era(ctx, feed, reply, false);
+	rr_handle_report_reply(ctx, feed,
+			       match == RR_ERA_SAME ? reply : &unusable);
+}
+
+void rr_restart_feed_read(struct rr_feed *feed)
 {
 	if (feed->reading.call_id)
 		feed->actions.cancel(feed->actions.data, feed->reading.call_id);
@@ -444,7 +540,7 @@
 	preferred = rr_pick_source(feed->sources, feed->now_us, false, &due_us);
 	if (preferred &&
 	    strcmp(preferred, feed->read_peer ? feed->read_peer : ""))
-		restart_read(feed);
+		rr_restart_feed_read(feed);
 }
 
 void rr_end_watch_suspicion(struct rr_context *ctx, struct rr_feed *feed)
@@ -463,7 +559,7 @@
 #endif
 	if (!feed->read_peer &&
 	    (!feed->reading.call_id || feed->reading.kind == RR_FEED_WATCH))
-		restart_read(feed);
+		rr_restart_feed_read(feed);
 }
 
 void rr_feed_reply(struct rr_context *ctx, struct rr_feed *feed, int64_t now_us,
@@ -473,13 +569,13 @@
 	if (reply->call_id && reply->call_id == feed->reading.call_id) {
 		rr_log_feed_call(ctx, feed, &feed->reading, feed->read_peer,
 				 reply);
-		handle_read_reply(ctx, feed, reply);
+		handle_read(ctx, feed, reply);
 	} else if (reply->call_id && reply->call_id == feed->entry.call_id) {
 		rr_log_feed_call(ctx, feed, &feed->entry, feed->registrar,
 				 reply);
-		rr_handle_feed_entry_reply(ctx, feed, reply);
+		handle_entry_reply(ctx, feed, reply);
 	} else {
-		rr_handle_report_reply(ctx, feed, reply);
+		handle_report_reply(ctx, feed, reply);
 	}
 }
 
@@ -487,6 +583,7 @@
 {
 	feed->now_us = now_us;
 	switch_to_preferred(feed);
+	rr_tick_feed_restore(ctx, feed);
 	if (!feed->reading.call_id && feed->reading.due_us <= now_us)
 		start_read(ctx, feed);
 	rr_update_instance_count(feed);
@@ -502,6 +599,7 @@
 		wake_us = feed->reading.due_us;
 	wake_us = MIN(wake_us, rr_feed_entry_wake_us(feed));
 	wake_us = MIN(wake_us, rr_report_queue_wake_us(feed));
+	wake_us = MIN(wake_us, rr_feed_restore_wake_us(feed));
 	if (feed->has_synced && !feed->reported_count)
 		wake_us =
 			MIN(wake_us, MAX(feed->count_due_us, feed->now_us + 1));
@@ -559,20 +657,50 @@
 	return !feed->leaving && until_us != INT64_MAX && now_us < until_us;
 }
 
-uint64_t rr_feed_revision(const struct rr_feed *feed)
+bool rr_feed_can_serve_items(const struct rr_feed *feed)
+{
+	return feed->has_synced && !feed->restore.reading;
+}
+
+struct rr_store_cursor rr_feed_cursor(const struct rr_feed *feed)
+{
+	return (struct rr_store_cursor){ feed->era, feed->revision };
+}
+
+/*
+ * Whether a position is of another era.  One without an era is of an instance
+ * of an earlier version; it counts as known while no restore was seen.
+ */
+static bool is_of_other_era(const struct rr_feed *feed,
+			    struct rr_store_cursor cursor)
+{
+#ifdef RR_MUTANT_FEED_SERVES_OTHER_ERA
+	return false;
+#endif
+	return cursor.era ? cursor.era != feed->era :
+			    feed->restore.was_restored;
+}
+
+bool rr_feed_has_changes_after(const struct rr_feed *feed,
+			       struct rr_store_cursor after)
 {
-	return feed->revision;
+	return is_of_other_era(feed, after) || feed->revision > after.revision;
 }
 
-GArray *rr_feed_changes(const struct rr_feed *feed, uint64_t after_revision,
-			uint64_t *revision)
+GArray *rr_feed_changes(const struct rr_feed *feed,
+			struct rr_store_cursor after,
+			struct rr_store_cursor *upto)
 {
-	GArray *items = rr_list_changes_after(feed->change_log, after_revision);
-	uint64_t last_revision =
-		items && after_revision ?
-			rr_truncate_changes(items, MAX_SERVED_CHANGES) :
-			0;
+	uint64_t last_revision = 0;
+	GArray *items;
 
-	*revision = last_revision ? last_revision : feed->revision;
+	*upto = rr_feed_cursor(feed);
+	if (after.revision && is_of_other_era(feed, after))
+		return NULL;
+	items = rr_list_changes_after(feed->change_log, after.revision);
+	if (items && after.revision)
+		last_revision = rr_truncate_changes(items, MAX_SERVED_CHANGES);
+	if (last_revision)
+		upto->revision = last_revision;
 	return items;
 }
--- a/source/core/gate-evacuate.c
+++ b/source/core/gate-evacuate.c
@@ -131,14 +131,14 @@
 }
 
 void rr_gate_set_evacuation(struct rr_context *ctx, struct rr_gate *gate,
-			    int64_t now_us, const char *zone, uint64_t revision,
-			    bool active)
+			    int64_t now_us, const char *zone,
+			    struct rr_store_cursor cursor, bool active)
 {
 	guint remaining = 0;
 
 	gate->now_us = now_us;
-	if (!rr_update_evacuation(rr_get_evacuation(gate, zone), now_us,
-				  revision, active))
+	if (!rr_update_evacuation(rr_get_evacuation(gate, zone), now_us, cursor,
+				  active))
 		return;
 #ifdef RR_MUTANT_GATE_SENDS_AFTER_EVACUATION
 	return;
@@ -150,8 +150,8 @@
 	rr_set_gauge(ctx, RR_G_ZONES_EVACUATED, count_evacuated(gate));
 	rr_log(ctx, RR_LOG_WARNING,
 	       active ? "zone-evacuated" : "zone-taken-back",
-	       RR_FIELD_STRING("zone", zone),
-	       RR_FIELD_U64("revision", revision),
+	       RR_FIELD_STRING("zone", zone), RR_FIELD_U64("era", cursor.era),
+	       RR_FIELD_U64("revision", cursor.revision),
 	       RR_FIELD_U64("endpoints", count_endpoints(gate, zone)),
 	       RR_FIELD_U64("in_flight", remaining));
 }
--- a/source/gateway/gateway-change-feed.c
+++ b/source/gateway/gateway-change-feed.c
@@ -23,25 +23,41 @@
 	rr_send_http_response(caller, &answer);
 }
 
+/* Send a status or, with 200, a body, with the era that it is valid in. */
+static void send_with_era(struct rr_gateway *gateway,
+			  struct rr_caller_conn *caller, uint16_t status,
+			  const GString *body)
+{
+	char era[G_ASCII_DTOSTR_BUF_SIZE];
+	struct rr_http_header header = { rr_platform_names()->store_era, era };
+	struct rr_http_response answer = { .status = status,
+					   .headers = &header };
+
+	answer.n_headers = rr_feed_cursor(gateway->feed).era ? 1 : 0;
+	g_snprintf(era, sizeof(era), "%" G_GUINT64_FORMAT,
+		   rr_feed_cursor(gateway->feed).era);
+	if (body) {
+		answer.body = (const uint8_t *)body->str;
+		answer.length = body->len;
+	}
+	rr_send_http_response(caller, &answer);
+}
+
 static void send_changes(struct rr_gateway *gateway,
 			 struct rr_caller_conn *caller,
 			 const struct rr_change_feed_request *request)
 {
-	uint64_t revision;
-	GArray *changes = rr_feed_changes(gateway->feed,
-					  request->after_revision, &revision);
-	struct rr_http_response answer = { .status = 200 };
+	struct rr_store_cursor upto;
+	GArray *changes = rr_feed_changes(gateway->feed, request->after, &upto);
 	GString *body;
 
 	if (!changes) {
-		send_rejection(gateway, caller, rr_compacted_status());
+		send_with_era(gateway, caller, rr_compacted_status(), NULL);
 		return;
 	}
-	body = rr_encode_change_feed_reply(request, changes, revision);
-	answer.body = (const uint8_t *)body->str;
-	answer.length = body->len;
+	body = rr_encode_change_feed_reply(request, changes, upto.revision);
 	rr_count(gateway->ctx, RR_N_FEED_REPLIES_SERVED, 1);
-	rr_send_http_response(caller, &answer);
+	send_with_era(gateway, caller, 200, body);
 	g_string_free(body, TRUE);
 	g_array_unref(changes);
 }
@@ -60,7 +76,7 @@
 		       bool timed_out)
 {
 	if (request->wants_snapshot) {
-		if (rr_feed_has_synced(gateway->feed))
+		if (rr_feed_can_serve_items(gateway->feed))
 			send_changes(gateway, caller, request);
 		else
 			send_rejection(gateway, caller, 503);
@@ -73,8 +89,13 @@
 		send_rejection(gateway, caller, 503);
 		return true;
 	}
+	/* The peer has learnt of a restore of the store first. */
+	if (request->after.era > rr_feed_cursor(gateway->feed).era) {
+		send_rejection(gateway, caller, 503);
+		return true;
+	}
 	if (!timed_out &&
-	    rr_feed_revision(gateway->feed) <= request->after_revision)
+	    !rr_feed_has_changes_after(gateway->feed, request->after))
 		return false;
 	send_changes(gateway, caller, request);
 	return true;
--- a/source/gateway/gateway-store.c
+++ b/source/gateway/gateway-store.c
@@ -131,13 +131,13 @@
 	rr_gate_set_instance_count(gateway->ctx, gateway->gate, instances);
 }
 
-static void set_evacuation(void *data, const char *zone, uint64_t revision,
-			   bool in_force)
+static void set_evacuation(void *data, const char *zone,
+			   struct rr_store_cursor cursor, bool in_force)
 {
 	struct rr_gateway *gateway = data;
 
 	rr_gate_set_evacuation(gateway->ctx, gateway->gate, rr_gateway_now_us(),
-			       zone, revision, in_force);
+			       zone, cursor, in_force);
 }
 
 static void apply_quarantine(void *data,
--- a/tests/support/feed-fixture.c
+++ b/tests/support/feed-fixture.c
@@ -121,14 +121,14 @@
 			       instance ? '+' : '-', id);
 }
 
-static void record_evacuation(void *data, const char *zone, uint64_t revision,
-			      bool in_force)
+static void record_evacuation(void *data, const char *zone,
+			      struct rr_store_cursor cursor, bool in_force)
 {
 	struct feed_fixture *fixture = data;
 
 	g_string_append_printf(fixture->events, "%s %s %u ",
 			       in_force ? "evacuate" : "take-back", zone,
-			       (unsigned)revision);
+			       (unsigned)cursor.revision);
 }
 
 static void record_quarantine(void *data,
@@ -369,7 +369,8 @@
 		item->id = g_strdup(what);
 	}
 	if (!item->removed)
-		item->value = g_strdup("dmFsdWU=");
+		item->value =
+			g_base64_encode((const guchar *)what, strlen(what));
 	if (item->kind == RR_FEED_REPLICA && !item->removed &&
 	    !item->decode_error) {
 		item->replica = g_new0(struct rr_endpoint_info, 1);
--- a/tests/support/feed-fleet.c
+++ b/tests/support/feed-fleet.c
@@ -80,13 +80,17 @@
 static void serve_items(struct fleet_node *peer, struct fleet_call *call)
 {
 	bool range = call->call.kind == RR_FEED_RANGE;
-	uint64_t revision;
-	GArray *items = rr_feed_changes(
-		peer->feed, range ? 0 : call->call.after_revision, &revision);
+	struct rr_store_cursor after = {
+		.era = call->call.era,
+		.revision = range ? 0 : call->call.after_revision,
+	};
+	struct rr_store_cursor upto;
+	GArray *items = rr_feed_changes(peer->feed, after, &upto);
 	struct delivery *delivery = fleet_new_delivery(
 		call, items ? RR_FEED_OK : RR_FEED_COMPACTED);
 
-	delivery->reply.revision = revision;
+	delivery->reply.revision = upto.revision;
+	delivery->reply.era = upto.era;
 	for (guint i = 0; items && i < items->len; i++) {
 		const struct rr_feed_change *item =
 			&g_array_index(items, struct rr_feed_change, i);
@@ -104,6 +108,8 @@
 static bool answer_waiting_call(struct fleet_node *peer,
 				struct fleet_call *call)
 {
+	struct rr_store_cursor after = { call->call.era,
+					 call->call.after_revision };
 	int64_t now_us = peer->fleet->now_us;
 
 	if (!rr_feed_can_serve_changes(peer->feed)) {
@@ -112,8 +118,12 @@
 		fleet_fail(peer->fleet, call);
 		return true;
 	}
+	if (after.era > rr_feed_cursor(peer->feed).era) {
+		fleet_fail(peer->fleet, call);
+		return true;
+	}
 	if (call->deadline_us > now_us &&
-	    rr_feed_revision(peer->feed) <= call->call.after_revision)
+	    !rr_feed_has_changes_after(peer->feed, after))
 		return false;
 	serve_items(peer, call);
 	return true;
@@ -155,8 +165,11 @@
 		fleet_fail(peer->fleet, call);
 	else if (call->call.kind == RR_FEED_WRITE_ENTRIES)
 		register_for(peer, call);
-	else if (call->call.kind == RR_FEED_RANGE)
+	else if (call->call.kind == RR_FEED_RANGE &&
+		 rr_feed_can_serve_items(peer->feed))
 		serve_items(peer, call);
+	else if (call->call.kind == RR_FEED_RANGE)
+		fleet_fail(peer->fleet, call);
 	else
 		g_ptr_array_add(peer->waiting_calls, fleet_keep_call(call));
 	if (peer->feed)
--- a/tests/test-feed-peers.c
+++ b/tests/test-feed-peers.c
@@ -290,16 +290,18 @@
 	struct feed_fixture *fixture = new_following_fixture();
 	struct feed_fixture *watcher;
 	GArray *changes;
-	uint64_t revision;
+	struct rr_store_cursor upto;
 
 	assert_false(rr_feed_can_serve_changes(fixture->feed));
 	feed_drop_fixture(fixture);
 	watcher = feed_new_synced_fixture();
 	assert_true(rr_feed_can_serve_changes(watcher->feed));
 	feed_answer_ok(watcher, RR_FEED_WATCH, "-r1@21 r3@22", 22);
-	assert_int_equal(rr_feed_revision(watcher->feed), 22);
-	changes = rr_feed_changes(watcher->feed, 20, &revision);
-	assert_int_equal(revision, 22);
+	assert_int_equal(rr_feed_cursor(watcher->feed).revision, 22);
+	changes = rr_feed_changes(watcher->feed,
+				  (struct rr_store_cursor){ .revision = 20 },
+				  &upto);
+	assert_int_equal(upto.revision, 22);
 	assert_int_equal(changes->len, 2);
 	assert_null(g_array_index(changes, struct rr_feed_change, 0).value);
 	assert_string_equal(
@@ -337,13 +339,15 @@
 {
 	struct feed_fixture *fixture = new_second_level_fixture();
 	GArray *changes;
-	uint64_t revision;
+	struct rr_store_cursor upto;
 
 	(void)state;
 	assert_true(reads_from_peer(fixture));
 	feed_answer_ok(fixture, RR_FEED_WATCH, "r2@101", 101);
 	assert_true(rr_feed_can_serve_changes(fixture->feed));
-	changes = rr_feed_changes(fixture->feed, 100, &revision);
+	changes = rr_feed_changes(fixture->feed,
+				  (struct rr_store_cursor){ .revision = 100 },
+				  &upto);
 	assert_int_equal(changes->len, 1);
 	g_array_unref(changes);
 	feed_answer(fixture, feed_find_call(fixture, RR_FEED_WATCH),
--- a/tests/test-feed-report.c
+++ b/tests/test-feed-report.c
@@ -200,12 +200,14 @@
 static void test_entry_is_served_to_peers(void **state)
 {
 	struct feed_fixture *fixture = new_fixture();
-	uint64_t revision;
+	struct rr_store_cursor upto;
 	GArray *changes;
 
 	(void)state;
 	feed_answer_ok(fixture, RR_FEED_WATCH, "quarantined/5@21", 21);
-	changes = rr_feed_changes(fixture->feed, 20, &revision);
+	changes = rr_feed_changes(fixture->feed,
+				  (struct rr_store_cursor){ .revision = 20 },
+				  &upto);
 	assert_int_equal(changes->len, 1);
 	g_array_unref(changes);
 	feed_drop_fixture(fixture);
--- a/tests/test-feed-restore.c
+++ b/tests/test-feed-restore.c
@@ -101,6 +101,7 @@
 	feed_assert_events(fixture, "");
 	feed_advance(fixture, 2000 * MS);
 	feed_answer_ok(fixture, RR_FEED_WATCH, "r1@16", 16);
+	feed_assert_events(fixture, "+r1 ");
 	feed_advance(fixture, (REPLICAS_SETTLED_MS - 2000 - 100) * MS);
 	feed_assert_events(fixture, "");
 	feed_advance(fixture, 200 * MS);
@@ -147,6 +148,7 @@
 	/* Once more, by a watch that overlaps the read. */
 	feed_answer_ok(fixture, RR_FEED_WATCH, "r1@11", 20);
 	feed_assert_events(fixture, "");
+	feed_advance(fixture, 400 * MS);
 	/* It is removed again, or it runs and writes its entry. */
 	feed_answer_ok(fixture, RR_FEED_WATCH, "-r1@21 r2@22", 22);
 	feed_assert_events(fixture, "+r2 ");
@@ -210,8 +212,9 @@
 
 	(void)state;
 	fixture->era = 1;
-	feed_answer_ok(fixture, RR_FEED_RANGE,
-		       "routes3@10 r1@11 inst1/z/9@13 inst2/z/8@14", 20);
+	feed_answer_ok(
+		fixture, RR_FEED_RANGE,
+		"routes3@10 r1@11 inst1/z/9@13 inst2/z/8@14 inst3/z/7@14", 20);
 	call = feed_find_call(fixture, RR_FEED_WATCH);
 	assert_non_null(call->peer);
 	peer = g_strdup(call->peer);
@@ -220,18 +223,72 @@
 	call = feed_find_call(fixture, RR_FEED_RANGE);
 	assert_string_equal(call->peer, peer);
 	feed_answer(fixture, call, RR_FEED_OK,
-		    "routes4@10 r1@11 inst1/z/9@13 inst2/z/8@14", 15, false);
-	feed_assert_events(fixture, "routes 3 +r1 routes 4 ");
+		    "routes4@10 r1@11 inst1/z/9@13 inst2/z/8@14 inst3/z/7@14",
+		    15, false);
+	feed_assert_events(fixture, "routes 3 +r1 instances 3 routes 4 ");
 	/* Another peer that has not learnt of the restore yet. */
 	fixture->era = 1;
 	feed_answer(fixture, feed_find_call(fixture, RR_FEED_WATCH), RR_FEED_OK,
 		    "routes5@30", 30, false);
 	feed_assert_events(fixture, "");
-	assert_int_equal(rr_feed_revision(fixture->feed), 15);
+	assert_int_equal(rr_feed_cursor(fixture->feed).revision, 15);
 	g_free(peer);
 	feed_drop_fixture(fixture);
 }
 
+/*
+ * Guards against changes after a revision of the era before that are served to
+ * a peer, which would miss those at the same revisions.
+ */
+static void test_peer_of_earlier_era_reads_all_items(void **state)
+{
+	struct feed_fixture *fixture = new_fixture();
+	struct rr_store_cursor upto;
+	GArray *changes;
+
+	(void)state;
+	restore_store(fixture);
+	assert_false(rr_feed_can_serve_items(fixture->feed));
+	assert_false(rr_feed_can_serve_changes(fixture->feed));
+	feed_answer_ok(fixture, RR_FEED_RANGE,
+		       "routes3@5 r1@6 inst1@7 inst2@8 inst3@9", 15);
+	assert_true(rr_feed_can_serve_items(fixture->feed));
+	for (uint64_t era = 0; era <= 1; era++) {
+		struct rr_store_cursor after = { era, 18 };
+
+		assert_true(rr_feed_has_changes_after(fixture->feed, after));
+		assert_null(rr_feed_changes(fixture->feed, after, &upto));
+	}
+	assert_false(rr_feed_has_changes_after(
+		fixture->feed, (struct rr_store_cursor){ 2, 15 }));
+	changes = rr_feed_changes(fixture->feed, (struct rr_store_cursor){ 0 },
+				  &upto);
+	assert_int_equal(changes->len, 5);
+	assert_int_equal(upto.era, 2);
+	assert_int_equal(upto.revision, 15);
+	g_array_unref(changes);
+	feed_drop_fixture(fixture);
+}
+
+/*
+ * Guards against an instance that stays behind a store which goes back without
+ * stating an era.
+ */
+static void test_store_without_eras_goes_back(void **state)
+{
+	struct feed_fixture *fixture = new_fixture();
+
+	(void)state;
+	feed_answer(fixture, feed_find_call(fixture, RR_FEED_WATCH),
+		    RR_FEED_COMPACTED, NULL, 0, false);
+	feed_answer_ok(fixture, RR_FEED_RANGE,
+		       "routes4@9 r1@5 r2@6 inst1@7 inst2@8 inst3@4", 15);
+	feed_assert_events(fixture, "routes 4 ");
+	assert_int_equal(feed_find_call(fixture, RR_FEED_WATCH)->after_revision,
+			 15);
+	feed_drop_fixture(fixture);
+}
+
 /* Guards against state of the first restore that hides the second one. */
 static void test_second_restore_during_the_first(void **state)
 {
@@ -310,6 +367,8 @@
 			test_removed_replica_that_stays_in_copy_is_used),
 		cmocka_unit_test(test_lease_of_earlier_era_is_not_renewed),
 		cmocka_unit_test(test_reader_of_peers_reads_from_the_same_peer),
+		cmocka_unit_test(test_peer_of_earlier_era_reads_all_items),
+		cmocka_unit_test(test_store_without_eras_goes_back),
 		cmocka_unit_test(test_second_restore_during_the_first),
 		cmocka_unit_test(test_fleet_follows_restored_store),
 	};
--- a/tests/test-feed.c
+++ b/tests/test-feed.c
@@ -254,13 +254,15 @@
 {
 	struct feed_fixture *fixture = feed_new_synced_fixture();
 	GArray *changes;
-	uint64_t revision;
+	struct rr_store_cursor upto;
 
 	(void)state;
 	feed_answer_ok(fixture, RR_FEED_WATCH, "evacuate/z1@21", 21);
 	feed_assert_events(fixture, "evacuate z1 21 ");
 	/* Served to peers. */
-	changes = rr_feed_changes(fixture->feed, 20, &revision);
+	changes = rr_feed_changes(fixture->feed,
+				  (struct rr_store_cursor){ .revision = 20 },
+				  &upto);
 	assert_int_equal(changes->len, 1);
 	g_array_unref(changes);
 	feed_advance(fixture, 2000 * MS);
--- a/tests/test-gate-cold.c
+++ b/tests/test-gate-cold.c
@@ -138,9 +138,11 @@
 	(void)state;
 	test_list_replica(fixture, "s.a", "s", "a");
 	rr_gate_set_evacuation(fixture->ctx, fixture->gate, fixture->now_us,
-			       "a", 5, true);
+			       "a", (struct rr_store_cursor){ .revision = 5 },
+			       true);
 	rr_gate_set_evacuation(fixture->ctx, fixture->gate, fixture->now_us,
-			       "a", 6, false);
+			       "a", (struct rr_store_cursor){ .revision = 6 },
+			       false);
 	assert_int_equal(serve_for_a_second(fixture, "s.a"), 11);
 	test_free_gate(fixture);
 }
--- a/tests/test-gate-evacuate.c
+++ b/tests/test-gate-evacuate.c
@@ -15,15 +15,17 @@
 static void evacuate(struct gate_fixture *fixture, const char *zone,
 		     uint64_t revision)
 {
-	rr_gate_set_evacuation(fixture->ctx, fixture->gate, fixture->now_us,
-			       zone, revision, true);
+	rr_gate_set_evacuation(
+		fixture->ctx, fixture->gate, fixture->now_us, zone,
+		(struct rr_store_cursor){ .revision = revision }, true);
 }
 
 static void end_evacuation(struct gate_fixture *fixture, const char *zone,
 			   uint64_t revision)
 {
-	rr_gate_set_evacuation(fixture->ctx, fixture->gate, fixture->now_us,
-			       zone, revision, false);
+	rr_gate_set_evacuation(
+		fixture->ctx, fixture->gate, fixture->now_us, zone,
+		(struct rr_store_cursor){ .revision = revision }, false);
 }
 
 /* Counts the attempts to replicas of a zone, starting at index `from`. */
--- a/tests/test-platform-entries.c
+++ b/tests/test-platform-entries.c
@@ -259,7 +259,7 @@
 					   bool compressed,
 					   bool accepts_compressed)
 {
-	struct rr_change_feed_request request = { .after_revision = 1,
+	struct rr_change_feed_request request = { .after.revision = 1,
 						  .accepts_compressed =
 							  accepts_compressed };
 	GArray *changes =
--- a/tests/test-platform-formats.c
+++ b/tests/test-platform-formats.c
@@ -330,7 +330,7 @@
 
 	assert_true(rr_parse_change_feed_request(words[1], &request));
 	assert_false(request.wants_snapshot);
-	assert_int_equal(request.after_revision, 7);
+	assert_int_equal(request.after.revision, 7);
 	assert_int_equal(request.wait_ms, 750);
 	g_array_append_vals(items, changes, G_N_ELEMENTS(changes));
 	body = rr_encode_change_feed_reply(&request, items, 11);
@@ -504,6 +504,36 @@
 	assert_true(request.wants_snapshot);
 }
 
+/*
+ * Guards against a revision whose era is lost between instances, and against
+ * an era in a request to the store or from an instance of an earlier version.
+ */
+static void test_era_between_instances(void **state)
+{
+	struct rr_feed_call call = { .kind = RR_FEED_WATCH,
+				     .peer = "10.0.0.1:9",
+				     .after_revision = 7,
+				     .era = 3,
+				     .wait_ms = 750 };
+	struct rr_change_feed_request parsed;
+	struct rr_store_request request;
+
+	(void)state;
+	rr_make_feed_request(&request, &call);
+	assert_true(rr_parse_change_feed_request(request.path, &parsed));
+	assert_int_equal(parsed.after.era, 3);
+	assert_int_equal(parsed.after.revision, 7);
+	assert_int_equal(parsed.wait_ms, 750);
+	assert_true(parsed.accepts_compressed);
+	rr_clear_store_request(&request);
+	call.peer = NULL;
+	rr_make_feed_request(&request, &call);
+	assert_null(strstr(request.path, "era"));
+	assert_true(rr_parse_change_feed_request(request.path, &parsed));
+	assert_int_equal(parsed.after.era, 0);
+	rr_clear_store_request(&request);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -522,6 +552,7 @@
 		cmocka_unit_test(test_undecompressable_value),
 		cmocka_unit_test(test_other_targets),
 		cmocka_unit_test(test_stale_ranges),
+		cmocka_unit_test(test_era_between_instances),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test-process-restore.c
+++ b/tests/test-process-restore.c
@@ -162,7 +162,8 @@
 	test_copy_store(&fixture->store);
 	for (int version = 4; version <= 8; version++)
 		write_config(fixture, version);
-	expect_next_version(fixture, 3, 8);
+	while (!all_have_version(fixture, 8))
+		raw_run_for(SAMPLE_US);
 	raw_run_for(1000 * 1000);
 	test_restore_store(&fixture->store);
 	raw_run_for(2000 * 1000);
