feed: publish queries of death again that a restored store has lost

Replicas would crash once more under a request that was quarantined a few seconds before a restore: its entry is gone, and 12 s later the instances release it as removed. A released one is back in the same way, and its callers are rejected until the next trial.

An instance that reads all items of the new era from the store publishes the entries that the copy lacks, and removes those that had been released. Writes are conditional on the revision in the new era (none, or that in the copy), so several instances that do it at once cost a conflict each.

--- a/include/ragwort/feed.h
+++ b/include/ragwort/feed.h
@@ -143,6 +143,12 @@
 	/* The entry of a query of death; NULL if it was removed. */
 	void (*quarantine)(void *data, const struct rr_fingerprint *fingerprint,
 			   const struct rr_quarantine_entry *entry);
+	/*
+	 * A restore of the store has lost the entry of a query of death; it is
+	 * to be published again.
+	 */
+	void (*quarantine_lost)(void *data,
+				const struct rr_fingerprint *fingerprint);
 	/* The outcome of a claim that was passed to rr_feed_report(). */
 	void (*claim_decided)(void *data,
 			      const struct rr_quarantine_entry *entry,
--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -303,6 +303,9 @@
 			      int64_t now_us,
 			      const struct rr_fingerprint *fingerprint,
 			      const struct rr_quarantine_entry *entry);
+/* Publish what is known of a query of death again, since its entry was lost. */
+void rr_gate_republish_quarantine(struct rr_gate *gate, int64_t now_us,
+				  const struct rr_fingerprint *fingerprint);
 /* Pass the outcome of a claim: whether this instance may send one canary. */
 void rr_gate_handle_trial_claim_result(struct rr_context *ctx,
 				       struct rr_gate *gate, int64_t now_us,
--- a/source/core/feed-private.h
+++ b/source/core/feed-private.h
@@ -189,6 +189,8 @@
 /* Whether an item has the value that its key had before the restore. */
 bool rr_has_prior_value(const struct rr_feed *feed,
 			const struct rr_feed_item *item);
+/* Return the revision of an item that is held back; 0: it is not. */
+uint64_t rr_held_revision(const struct rr_feed *feed, const char *id);
 /* A range starts: no item held back has been seen by it. */
 void rr_start_held_range(struct rr_feed *feed);
 /* A range is complete: drop the items held back that it did not contain. */
--- a/source/core/feed-report.c
+++ b/source/core/feed-report.c
@@ -148,7 +148,7 @@
 {
 	const uint64_t *written =
 		g_hash_table_lookup(feed->report_queue->written, text);
-	uint64_t known_revision = 0;
+	uint64_t known_revision = rr_held_revision(feed, text);
 	GHashTableIter iter;
 	gpointer value;
 
--- a/source/core/feed-restore.c
+++ b/source/core/feed-restore.c
@@ -143,10 +143,66 @@
 	rr_reset_report_queue(feed->report_queue);
 }
 
+/* Publish the entries of queries of death again that the store has lost. */
+static uint32_t republish_lost_entries(struct rr_feed *feed)
+{
+	uint32_t n_lost = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, feed->keys);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rr_feed_key_state *state = value;
+		struct rr_fingerprint fingerprint;
+
+		if (!state->is_missing || state->kind != RR_FEED_QUARANTINE ||
+		    !rr_parse_fingerprint(state->id, &fingerprint))
+			continue;
+		feed->actions.quarantine_lost(feed->actions.data, &fingerprint);
+		n_lost++;
+	}
+	return n_lost;
+}
+
+/* Remove the entries again that were released before the restore. */
+static uint32_t release_entries_again(struct rr_feed *feed)
+{
+	uint32_t n_released = 0;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, feed->restore.held);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rr_feed_item *item =
+			((struct held_item *)value)->item;
+		struct rr_quarantine_report report = {
+			.entry = item->quarantine,
+			.released = true,
+		};
+
+		if (!item->quarantine)
+			continue;
+		rr_feed_report(feed, feed->now_us, &report);
+		n_released++;
+	}
+	return n_released;
+}
+
 void rr_finish_feed_reread(struct rr_context *ctx, struct rr_feed *feed)
 {
 	struct rr_feed_restore *restore = &feed->restore;
+	bool writes = !feed->read_peer;
+	uint32_t n_lost = 0;
+	uint32_t n_released = 0;
 
+#ifdef RR_MUTANT_FEED_LOSES_QUARANTINE
+	writes = false;
+#endif
+	/* Peers that read from this instance leave that to it. */
+	if (writes) {
+		n_lost = republish_lost_entries(feed);
+		n_released = release_entries_again(feed);
+	}
 	restore->reading = false;
 	restore->replicas_settled_us = feed->now_us + REPLICAS_SETTLE_US;
 	restore->settled_us = feed->now_us + SETTLE_US;
@@ -155,6 +211,8 @@
 	       RR_FIELD_U64("revision", feed->revision),
 	       RR_FIELD_U64("revision_before", restore->prior_revision),
 	       RR_FIELD_U64("held_back", g_hash_table_size(restore->held)),
+	       RR_FIELD_U64("published_again", n_lost),
+	       RR_FIELD_U64("released_again", n_released),
 	       RR_FIELD_I64("took_us", feed->now_us - restore->started_us));
 }
 
@@ -217,6 +275,22 @@
 	       !g_strcmp0(change.value, item->value);
 }
 
+uint64_t rr_held_revision(const struct rr_feed *feed, const char *id)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, feed->restore.held);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct rr_feed_item *item =
+			((struct held_item *)value)->item;
+
+		if (!g_strcmp0(item->id, id))
+			return item->revision;
+	}
+	return 0;
+}
+
 void rr_start_held_range(struct rr_feed *feed)
 {
 	GHashTableIter iter;
--- a/source/core/gate-quarantine.c
+++ b/source/core/gate-quarantine.c
@@ -521,3 +521,14 @@
 	if (record)
 		publish_if_due(gate, record);
 }
+
+void rr_gate_republish_quarantine(struct rr_gate *gate, int64_t now_us,
+				  const struct rr_fingerprint *fingerprint)
+{
+	struct rr_quarantine_record *record =
+		rr_find_quarantine_record(gate->quarantine, fingerprint);
+
+	gate->now_us = now_us;
+	if (record)
+		publish_record(gate, record, false);
+}
--- a/source/gateway/gateway-store.c
+++ b/source/gateway/gateway-store.c
@@ -150,6 +150,15 @@
 				 rr_gateway_now_us(), fingerprint, entry);
 }
 
+static void republish_quarantine(void *data,
+				 const struct rr_fingerprint *fingerprint)
+{
+	struct rr_gateway *gateway = data;
+
+	rr_gate_republish_quarantine(gateway->gate, rr_gateway_now_us(),
+				     fingerprint);
+}
+
 static void handle_claim_result(void *data,
 				const struct rr_quarantine_entry *entry,
 				bool granted)
@@ -172,6 +181,7 @@
 		.instance = update_instance,
 		.evacuation = set_evacuation,
 		.quarantine = apply_quarantine,
+		.quarantine_lost = republish_quarantine,
 		.claim_decided = handle_claim_result,
 		.data = gateway,
 	};
--- a/tests/support/feed-fixture.c
+++ b/tests/support/feed-fixture.c
@@ -144,6 +144,14 @@
 	g_free(name);
 }
 
+static void record_lost(void *data, const struct rr_fingerprint *fingerprint)
+{
+	struct feed_fixture *fixture = data;
+
+	g_string_append_printf(fixture->events, "lost %" G_GUINT64_FORMAT " ",
+			       fingerprint->low);
+}
+
 static void record_claim(void *data, const struct rr_quarantine_entry *entry,
 			 bool granted)
 {
@@ -169,6 +177,7 @@
 			.instance = record_instance,
 			.evacuation = record_evacuation,
 			.quarantine = record_quarantine,
+			.quarantine_lost = record_lost,
 			.claim_decided = record_claim,
 			.data = fixture,
 		},
--- a/tests/support/feed-fixture.h
+++ b/tests/support/feed-fixture.h
@@ -36,8 +36,8 @@
 	GString *instance_events; /* "+instance", "-instance" */
 	/*
 	 * "+id", "-id", "routes N", "instances N"; for queries of death
-	 * "suspected N", "quarantined N", "released N", "granted N" and
-	 * "not-granted N", where N is the low half of the fingerprint.
+	 * "suspected N", "quarantined N", "released N", "lost N", "granted N"
+	 * and "not-granted N", where N is the low half of the fingerprint.
 	 */
 	GString *events;
 };
--- a/tests/test-feed-restore.c
+++ b/tests/test-feed-restore.c
@@ -289,6 +289,53 @@
 	feed_drop_fixture(fixture);
 }
 
+/*
+ * Guards against a query of death that is let loose, since the restore has lost
+ * its entry, and against a report that relies on a revision from before.
+ */
+static void test_lost_quarantine_is_published_again(void **state)
+{
+	struct feed_fixture *fixture = new_fixture();
+	struct recorded_call *report;
+
+	(void)state;
+	feed_answer_ok(fixture, RR_FEED_WATCH, "quarantined/5@21", 21);
+	feed_advance(fixture, 400 * MS);
+	restore_store(fixture);
+	feed_answer_ok(fixture, RR_FEED_RANGE,
+		       "routes3@5 r1@6 r2@7 inst1@7 inst2@8 inst3@9", 20);
+	feed_assert_events(fixture, "quarantined 5 lost 5 ");
+	feed_report(fixture, 5, true);
+	report = feed_find_call(fixture, RR_FEED_REPORT);
+	assert_string_equal(report->report, "quarantined 5");
+	assert_int_equal(report->expected_revision, 0);
+	feed_drop_fixture(fixture);
+}
+
+/* Guards against a request that is rejected again, though it was released. */
+static void test_released_quarantine_in_copy_is_removed(void **state)
+{
+	struct feed_fixture *fixture = new_fixture();
+	struct recorded_call *report;
+
+	(void)state;
+	feed_answer_ok(fixture, RR_FEED_WATCH, "quarantined/5@21", 21);
+	feed_advance(fixture, 400 * MS);
+	feed_answer_ok(fixture, RR_FEED_WATCH, "-quarantined/5@22", 22);
+	feed_assert_events(fixture, "quarantined 5 released 5 ");
+	feed_advance(fixture, 400 * MS);
+	restore_store(fixture);
+	feed_answer_ok(fixture, RR_FEED_RANGE,
+		       "quarantined/5@18 routes3@5 r1@6 r2@7 inst1@7 inst2@8 "
+		       "inst3@9",
+		       20);
+	feed_assert_events(fixture, "");
+	report = feed_find_call(fixture, RR_FEED_REPORT);
+	assert_string_equal(report->report, "released 5");
+	assert_int_equal(report->expected_revision, 18);
+	feed_drop_fixture(fixture);
+}
+
 /* Guards against state of the first restore that hides the second one. */
 static void test_second_restore_during_the_first(void **state)
 {
@@ -369,6 +416,8 @@
 		cmocka_unit_test(test_reader_of_peers_reads_from_the_same_peer),
 		cmocka_unit_test(test_peer_of_earlier_era_reads_all_items),
 		cmocka_unit_test(test_store_without_eras_goes_back),
+		cmocka_unit_test(test_lost_quarantine_is_published_again),
+		cmocka_unit_test(test_released_quarantine_in_copy_is_removed),
 		cmocka_unit_test(test_second_restore_during_the_first),
 		cmocka_unit_test(test_fleet_follows_restored_store),
 	};
--- a/tests/test-gate-quarantine.c
+++ b/tests/test-gate-quarantine.c
@@ -505,6 +505,24 @@
 	test_free_gate(fixture);
 }
 
+/* Guards against a quarantine that ends with the loss of its entry. */
+static void test_lost_entry_is_published_again(void **state)
+{
+	struct gate_fixture *fixture = new_fixture(&test_search_route);
+	struct rr_fingerprint other = { .low = 1 };
+
+	(void)state;
+	apply_quarantine(fixture);
+	assert_null(test_last_report(fixture));
+	rr_gate_republish_quarantine(fixture->gate, fixture->now_us, &other);
+	assert_null(test_last_report(fixture));
+	rr_gate_republish_quarantine(fixture->gate, fixture->now_us, &crashing);
+	assert_true(test_last_report(fixture)->entry->quarantined);
+	assert_false(test_last_report(fixture)->released);
+	assert_rejected(fixture, "/search/1");
+	test_free_gate(fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -527,6 +545,7 @@
 		cmocka_unit_test(test_trial_needs_a_claim),
 		cmocka_unit_test(test_forwarded_request_is_finally_rejected),
 		cmocka_unit_test(test_removed_entry_releases),
+		cmocka_unit_test(test_lost_entry_is_published_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
