--- a/soak/soak-fault.c
+++ b/soak/soak-fault.c
@@ -13,13 +13,10 @@
 /* Time after which a stopped or killed process is started again. */
 #define MIN_DOWN_MS 50
 #define MAX_DOWN_MS 900
-#define DRAIN_MS 4500 /* a draining replica serves this long, then stops */
-/* Longer than the time after which no request may arrive in the zone. */
-#define EVACUATION_MS 6500
-#define WATCH_MUTE_MS 1000 /* from muting watches to compacting the history */
+#define DRAIN_MS 4500	   /* a draining replica serves this long, then stops */
 #define MAX_DOWN_SHARE 0.7 /* of the instances, at the same time */
 
-static uint32_t random_fault_ms(struct soak *soak)
+uint32_t soak_random_fault_ms(struct soak *soak)
 {
 	return MIN_FAULT_MS +
 	       soak_random_below(soak, MAX_FAULT_MS - MIN_FAULT_MS);
@@ -47,7 +44,7 @@
 	instance->last_fault_us = g_get_monotonic_time();
 }
 
-static void record_fault(struct soak *soak)
+void soak_record_fault(struct soak *soak)
 {
 	soak->last_fault_us = g_get_monotonic_time();
 }
@@ -136,7 +133,7 @@
 	record_instance_fault(instance);
 	instance->frozen = true;
 	test_signal_process(instance->process, SIGSTOP);
-	g_timeout_add(random_fault_ms(soak), resume_instance, instance);
+	g_timeout_add(soak_random_fault_ms(soak), resume_instance, instance);
 }
 
 static void send_hangup(struct soak *soak)
@@ -171,7 +168,7 @@
 	record_instance_fault(instance);
 	soak_set_link_state(instance->store_link, random_link_state(soak),
 			    soak_random_below(soak, 200));
-	g_timeout_add(random_fault_ms(soak), restore_store_link, instance);
+	g_timeout_add(soak_random_fault_ms(soak), restore_store_link, instance);
 }
 
 static gboolean restore_replica(gpointer data)
@@ -183,14 +180,15 @@
 	replica->shed_share = 0;
 	replica->lost_answer_share = 0;
 	replica->corrupt_answer_share = 0;
-	record_fault(replica->soak);
+	soak_record_fault(replica->soak);
 	return G_SOURCE_REMOVE;
 }
 
 static void schedule_replica_restore(struct soak_replica *replica)
 {
-	record_fault(replica->soak);
-	g_timeout_add(random_fault_ms(replica->soak), restore_replica, replica);
+	soak_record_fault(replica->soak);
+	g_timeout_add(soak_random_fault_ms(replica->soak), restore_replica,
+		      replica);
 }
 
 static void disturb_replica_link(struct soak *soak)
@@ -204,7 +202,7 @@
 
 static void reset_replica_link(struct soak *soak)
 {
-	record_fault(soak);
+	soak_record_fault(soak);
 	soak_close_link_conns(random_replica(soak)->link);
 }
 
@@ -236,7 +234,7 @@
 
 static void pause_replica(struct soak *soak)
 {
-	record_fault(soak);
+	soak_record_fault(soak);
 	random_replica(soak)->paused_until_us =
 		g_get_monotonic_time() +
 		(50 + soak_random_below(soak, 250)) * MS;
@@ -271,7 +269,7 @@
 	struct soak_replica *replica = data;
 	char service[sizeof(replica->service)];
 
-	record_fault(replica->soak);
+	soak_record_fault(replica->soak);
 	g_strlcpy(service, replica->service, sizeof(service));
 	if (!replica->up)
 		soak_restart_replica(replica, service);
@@ -284,9 +282,10 @@
 
 	if (!replica->up || replica->draining_since_us)
 		return;
-	record_fault(soak);
+	soak_record_fault(soak);
 	soak_crash_replica(replica);
-	g_timeout_add(random_fault_ms(soak), restart_crashed_replica, replica);
+	g_timeout_add(soak_random_fault_ms(soak), restart_crashed_replica,
+		      replica);
 }
 
 /* Crash two replicas and restart each with the other's service. */
@@ -299,7 +298,7 @@
 	if (one == other || !one->up || !other->up || one->draining_since_us ||
 	    other->draining_since_us)
 		return;
-	record_fault(soak);
+	soak_record_fault(soak);
 	soak_crash_replica(one);
 	soak_crash_replica(other);
 	g_strlcpy(service, one->service, sizeof(service));
@@ -337,7 +336,7 @@
 {
 	struct soak_replica *replica = data;
 
-	record_fault(replica->soak);
+	soak_record_fault(replica->soak);
 	if (replica->up)
 		soak_register_replica(replica);
 	return G_SOURCE_REMOVE;
@@ -347,104 +346,9 @@
 {
 	struct soak_replica *replica = random_replica(soak);
 
-	record_fault(soak);
+	soak_record_fault(soak);
 	soak_write_invalid_entry(replica);
-	g_timeout_add(random_fault_ms(soak), register_again, replica);
-}
-
-/* The store. */
-
-static gboolean restore_store(gpointer data)
-{
-	struct soak *soak = data;
-
-	test_store_set_state(&soak->store, TEST_STORE_UP);
-	soak->store.answer_delay_ms = 0;
-	soak->store.lost_write_share = 0;
-	soak->store.leases_expire_down = false;
-	record_fault(soak);
-	return G_SOURCE_REMOVE;
-}
-
-static void disturb_store(struct soak *soak)
-{
-	record_fault(soak);
-	soak->store.leases_expire_down = soak_chance(soak, 0.5);
-	test_store_set_state(
-		&soak->store,
-		(enum test_store_state)(
-			1 + soak_random_below(soak, TEST_STORE_BUSY)));
-	g_timeout_add(random_fault_ms(soak), restore_store, soak);
-}
-
-static void slow_store(struct soak *soak)
-{
-	record_fault(soak);
-	soak->store.answer_delay_ms = 50 + soak_random_below(soak, 400);
-	soak->store.lost_write_share = 0.3;
-	g_timeout_add(random_fault_ms(soak), restore_store, soak);
-}
-
-static gboolean compact_history(gpointer data)
-{
-	struct soak *soak = data;
-
-	record_fault(soak);
-	test_compact_store(&soak->store);
-	return G_SOURCE_REMOVE;
-}
-
-/* Mute watches, then compact the history, so that missed events are lost. */
-static void mute_watches(struct soak *soak)
-{
-	record_fault(soak);
-	soak->store.watches_muted = true;
-	g_timeout_add(WATCH_MUTE_MS, compact_history, soak);
-}
-
-/* Zones evacuated by the operators. */
-
-static char *evacuation_key(uint32_t zone)
-{
-	return g_strdup_printf("op/evacuate/z%u", zone);
-}
-
-static void end_zone_evacuation(struct soak *soak, uint32_t zone)
-{
-	char *key = evacuation_key(zone);
-
-	if (soak->evacuated_since_us[zone])
-		test_store_remove(&soak->store, key);
-	soak->evacuated_since_us[zone] = 0;
-	g_free(key);
-}
-
-/* End the evacuations that have lasted EVACUATION_MS. */
-static gboolean end_old_evacuations(gpointer data)
-{
-	struct soak *soak = data;
-
-	for (uint32_t zone = 0; zone < ZONES; zone++) {
-		if (soak->evacuated_since_us[zone] &&
-		    g_get_monotonic_time() - soak->evacuated_since_us[zone] >=
-			    EVACUATION_MS * MS)
-			end_zone_evacuation(soak, zone);
-	}
-	return G_SOURCE_REMOVE;
-}
-
-static void evacuate_zone(struct soak *soak)
-{
-	uint32_t zone = soak_random_below(soak, ZONES);
-	char *key = evacuation_key(zone);
-
-	if (!soak->evacuated_since_us[zone]) {
-		test_store_put(&soak->store, key,
-			       soak_chance(soak, 0.2) ? "odd" : "{}");
-		soak->evacuated_since_us[zone] = g_get_monotonic_time();
-		g_timeout_add(EVACUATION_MS + 1, end_old_evacuations, soak);
-	}
-	g_free(key);
+	g_timeout_add(soak_random_fault_ms(soak), register_again, replica);
 }
 
 /* The configuration. */
@@ -505,6 +409,8 @@
 			     "\"maxBodyBytes\":65536,\"headerTimeoutMs\":5000,"
 			     "\"idleTimeoutMs\":15000}}");
 	test_store_put(&soak->store, "op/config", out->str);
+	g_free(soak->config_text);
+	soak->config_text = g_strdup(out->str);
 	g_string_free(shards, TRUE);
 	g_string_free(out, TRUE);
 	g_free(single);
@@ -544,10 +450,11 @@
 		corrupt_answers,      crash_replica,
 		crash_replica,	      swap_addresses,
 		drain_replica,	      drain_replica,
-		disturb_store,	      slow_store,
-		mute_watches,	      change_config,
+		soak_disturb_store,   soak_slow_store,
+		soak_restore_store,   soak_restore_store,
+		soak_mute_watches,    change_config,
 		change_config,	      write_many_configs,
-		write_invalid_entry,  evacuate_zone,
+		write_invalid_entry,  soak_evacuate_zone,
 	};
 	static void (*const stops[])(struct soak * soak) = {
 		stop_instance,
@@ -560,8 +467,8 @@
 		write_many_configs,
 	};
 	static void (*const evacuations[])(struct soak * soak) = {
-		evacuate_zone,
-		evacuate_zone,
+		soak_evacuate_zone,
+		soak_evacuate_zone,
 		change_config,
 	};
 
@@ -585,9 +492,9 @@
 
 void soak_clear_faults(struct soak *soak)
 {
-	restore_store(soak);
+	soak_end_store_faults(soak);
 	for (uint32_t zone = 0; zone < ZONES; zone++)
-		end_zone_evacuation(soak, zone);
+		soak_end_evacuation(soak, zone);
 	for (guint i = 0; i < soak->replicas->len; i++)
 		restore_replica(g_ptr_array_index(soak->replicas, i));
 	for (guint i = 0; i < soak->instances->len; i++) {
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -193,6 +193,7 @@
 	for (guint i = 0; i < soak->replicas->len; i++)
 		soak_drop_replica(g_ptr_array_index(soak->replicas, i));
 	test_close_store(&soak->store);
+	g_free(soak->config_text);
 	g_hash_table_unref(soak->requests);
 	g_hash_table_unref(soak->queries_of_death);
 	g_ptr_array_unref(soak->callers);
@@ -230,11 +231,12 @@
 				      "no service after the faults");
 	printf("soak: seed=%u %s faults=%u requests=%u whole=%u partial=%u "
 	       "refused=%u unknown=%u cut=%u runs=%u crashes=%u "
-	       "violations=%u\n",
+	       "restores=%u violations=%u\n",
 	       options->seed, soak.violations ? "FAILED" : "ok", soak.n_faults,
 	       (unsigned int)g_hash_table_size(soak.requests), soak.complete,
 	       soak.partial, soak.rejected, soak.unknown_outcome,
-	       soak.unanswered, soak.executions, soak.crashes, soak.violations);
+	       soak.unanswered, soak.executions, soak.crashes, soak.n_restores,
+	       soak.violations);
 	fflush(stdout);
 	free_all(&soak);
 	return soak.violations ? 1 : 0;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -134,6 +134,8 @@
 	uint32_t last_incarnation;
 	uint64_t last_request_number;
 	uint64_t config_version;
+	char *config_text;		   /* as last written */
+	uint32_t n_restores;		   /* of the store, from a copy */
 	bool use_second_shards;		   /* in the current version */
 	bool use_second_service;	   /* for single requests, likewise */
 	int64_t evacuated_since_us[ZONES]; /* 0: not evacuated */
@@ -220,7 +222,20 @@
 void soak_crash_on_query_of_death(struct soak_replica *replica,
 				  const char *request_id);
 
+/* soak-store.c */
+void soak_disturb_store(struct soak *soak);
+void soak_slow_store(struct soak *soak);
+void soak_mute_watches(struct soak *soak);
+/* Restore the store from a copy; its operators and replicas write again. */
+void soak_restore_store(struct soak *soak);
+void soak_end_store_faults(struct soak *soak);
+void soak_evacuate_zone(struct soak *soak);
+void soak_end_evacuation(struct soak *soak, uint32_t zone);
+
 /* soak-fault.c */
+uint32_t soak_random_fault_ms(struct soak *soak);
+/* Record that the store or a replica has a fault now. */
+void soak_record_fault(struct soak *soak);
 enum soak_phase {
 	SOAK_RANDOM_FAULTS,    /* any fault */
 	SOAK_INSTANCE_STOPS,   /* planned: instances restart, routes change */
