program: block SIGHUP until its handler is installed

A SIGHUP while a daemon started ended it without a message (KNOWN-RED, found by the soak once): the default action applies until the main loop's sources are attached, after the start file was read and the listeners opened. The signal is now blocked from the start of rr_run_program() and let through once the handler is there; one that came before is handled then.

--- a/include/ragwort/program.h
+++ b/include/ragwort/program.h
@@ -34,6 +34,11 @@
  * rr_program_exit.
  */
 int rr_run_program(const struct rr_program *program, int argc, char **argv);
+/*
+ * Let SIGHUP be delivered, once its handler is installed.  It is blocked from
+ * the start of rr_run_program(), so that one sent before is handled then.
+ */
+void rr_unblock_reload_signal(void);
 
 /*
  * Return the wall-clock time in microseconds since 1970.  It can be the clock
--- a/source/base/program.c
+++ b/source/base/program.c
@@ -5,6 +5,7 @@
 
 #include <argtable2.h>
 #include <glib.h>
+#include <signal.h>
 #include <stdio.h>
 
 #include "ragwort/version.h"
@@ -34,6 +35,20 @@
 					   NULL;
 }
 
+static void mask_reload_signal(int how)
+{
+	sigset_t signals;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGHUP);
+	pthread_sigmask(how, &signals, NULL);
+}
+
+void rr_unblock_reload_signal(void)
+{
+	mask_reload_signal(SIG_UNBLOCK);
+}
+
 int rr_run_program(const struct rr_program *program, int argc, char **argv)
 {
 	struct arg_file *file =
@@ -50,6 +65,7 @@
 	const char *name = find_start_file(program, file);
 	enum rr_program_exit code = RR_PROGRAM_OK;
 
+	mask_reload_signal(SIG_BLOCK);
 	if (help->count) {
 		print_help(program, table);
 	} else if (version->count) {
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -16,6 +16,7 @@
 #include "ragwort/net-peer.h"
 #include "ragwort/net-platform.h"
 #include "ragwort/net-upstream.h"
+#include "ragwort/program.h"
 #include "ragwort/record.h"
 
 /*
@@ -484,6 +485,7 @@
 	daemon->signal_sources[1] =
 		g_unix_signal_add(SIGINT, start_drain, daemon);
 	daemon->signal_sources[2] = g_unix_signal_add(SIGHUP, reload, daemon);
+	rr_unblock_reload_signal();
 }
 
 struct rr_daemon *rr_new_daemon(struct rr_context *ctx, const char *start_file,
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -12,6 +12,7 @@
 #include "gateway/log-writer.h"
 #include "platform/platform.h"
 #include "ragwort/counters.h"
+#include "ragwort/program.h"
 
 /* Log lines are buffered for this long and written in one go. */
 #define LOG_FLUSH_DELAY_US (200 * 1000)
@@ -414,6 +415,7 @@
 		g_unix_signal_add(SIGINT, handle_stop_signal, gateway);
 	gateway->signal_sources[2] =
 		g_unix_signal_add(SIGHUP, handle_reload_signal, gateway);
+	rr_unblock_reload_signal();
 }
 
 struct rr_gateway *rr_new_gateway(struct rr_context *ctx,
