emulator, soak: a restore of the store, and a check of the configuration

The emulator restores the store (kind restore): its era rises, revisions start again, and the entries of a share of the replicas are gone until its end. The scenario restored.yaml evacuates the same zone before and after: no request may arrive there. A gate that compares revisions only sends some (mutant EVACUATION_IGNORES_ERA).

Half of the restores are followed by a change at once, at a revision that was known before.

--- a/bench/gate/emulated-fault.c
+++ b/bench/gate/emulated-fault.c
@@ -12,6 +12,30 @@
 	GPtrArray *targets; /* struct replica; those it applies to */
 };
 
+/* Remove a replica's entry from the lists of all instances, or add it again. */
+static void set_entry_lost(struct replica *replica, bool lost)
+{
+	struct emulation *emulation = replica->emulation;
+
+	for (guint i = 0; i < emulation->instances->len; i++) {
+		struct instance *instance =
+			g_ptr_array_index(emulation->instances, i);
+
+		if (lost)
+			rr_gate_unlist_endpoint(instance->ctx, instance->gate,
+						emulation->now_us, replica->id);
+		else
+			announce_replica(instance, replica, false);
+	}
+}
+
+/* Revisions start again in the new era. */
+static void restore_store(struct emulation *emulation)
+{
+	emulation->store.era++;
+	emulation->store.revision = 0;
+}
+
 static void set_replica_fault(struct replica *replica,
 			      const struct emulated_fault *fault, bool active)
 {
@@ -45,6 +69,9 @@
 	case FAULT_EVACUATE:
 	case N_FAULT_KINDS:
 		return;
+	case FAULT_RESTORE:
+		set_entry_lost(replica, active);
+		return;
 	}
 }
 
@@ -79,15 +106,14 @@
 	g_snprintf(name, sizeof(name), "z%u", zone);
 	emulation->evacuated_zone = active ? (int)zone : -1;
 	emulation->evacuation_changed_us = emulation->now_us;
+	emulation->store.revision++;
 	for (guint i = 0; i < emulation->instances->len; i++) {
 		struct instance *instance =
 			g_ptr_array_index(emulation->instances, i);
 
-		rr_gate_set_evacuation(
-			instance->ctx, instance->gate, emulation->now_us, name,
-			(struct rr_store_cursor){
-				.revision = (uint64_t)emulation->now_us },
-			active);
+		rr_gate_set_evacuation(instance->ctx, instance->gate,
+				       emulation->now_us, name,
+				       emulation->store, active);
 		schedule_tick(instance);
 	}
 }
@@ -175,6 +201,8 @@
 		emulation->load_factor = MAX(fault->x, 0.01);
 	if (fault->kind == FAULT_EVACUATE)
 		set_evacuation(emulation, (uint32_t)fault->x, true);
+	if (fault->kind == FAULT_RESTORE)
+		restore_store(emulation);
 	if (fault->kind == FAULT_QUERY_OF_DEATH)
 		start_queries_of_death(emulation, fault);
 	for (guint i = 0; i < emulation->replicas->len; i++) {
--- a/bench/gate/emulator-private.h
+++ b/bench/gate/emulator-private.h
@@ -96,7 +96,8 @@
 	GPtrArray *instances; /* struct instance */
 	int isolated_zone;    /* -1: none */
 	double load_factor;
-	int evacuated_zone; /* -1: none */
+	int evacuated_zone;	      /* -1: none */
+	struct rr_store_cursor store; /* the store's last change */
 	int64_t evacuation_changed_us;
 	uint64_t last_request_number;
 	uint64_t query_of_death_crashes;
--- a/bench/gate/emulator.h
+++ b/bench/gate/emulator.h
@@ -44,6 +44,11 @@
 	/* A query of death on the first route every x seconds. */
 	FAULT_QUERY_OF_DEATH,
 	FAULT_EVACUATE, /* zone number x is evacuated */
+	/*
+	 * The store is restored from a copy that lacks the entries of a share
+	 * of the replicas; these are written again at the end.
+	 */
+	FAULT_RESTORE,
 	N_FAULT_KINDS,
 };
 
--- a/bench/gate/scenario.c
+++ b/bench/gate/scenario.c
@@ -68,7 +68,7 @@
 	[FAULT_ERRORS] = "fail",       [FAULT_ZONE_ISOLATED] = "cut",
 	[FAULT_BURST] = "burst",       [FAULT_RESTART] = "reborn",
 	[FAULT_CRASH] = "crash",       [FAULT_QUERY_OF_DEATH] = "deadly",
-	[FAULT_EVACUATE] = "evacuate",
+	[FAULT_EVACUATE] = "evacuate", [FAULT_RESTORE] = "restore",
 };
 
 void init_scenario(struct emulated_scenario *scenario)
--- a/include/ragwort/store-cursor.h
+++ b/include/ragwort/store-cursor.h
@@ -20,6 +20,9 @@
 static inline bool rr_is_later_cursor(struct rr_store_cursor cursor,
 				      struct rr_store_cursor other)
 {
+#ifdef RR_MUTANT_EVACUATION_IGNORES_ERA
+	return cursor.revision > other.revision;
+#endif
 	return cursor.era != other.era ? cursor.era > other.era :
 					 cursor.revision > other.revision;
 }
--- a/soak/soak-fault.c
+++ b/soak/soak-fault.c
@@ -411,12 +411,13 @@
 	test_store_put(&soak->store, "op/config", out->str);
 	g_free(soak->config_text);
 	soak->config_text = g_strdup(out->str);
+	soak->config_written_us = g_get_monotonic_time();
 	g_string_free(shards, TRUE);
 	g_string_free(out, TRUE);
 	g_free(single);
 }
 
-static void change_config(struct soak *soak)
+void soak_change_config(struct soak *soak)
 {
 	soak->use_second_shards = soak_chance(soak, 0.5);
 	soak->use_second_service = soak_chance(soak, 0.5);
@@ -426,7 +427,7 @@
 static void write_many_configs(struct soak *soak)
 {
 	for (int i = 0; i < 8; i++)
-		change_config(soak);
+		soak_change_config(soak);
 }
 
 static void inject_one(struct soak *soak, void (*const *faults)(struct soak *),
@@ -452,24 +453,24 @@
 		drain_replica,	      drain_replica,
 		soak_disturb_store,   soak_slow_store,
 		soak_restore_store,   soak_restore_store,
-		soak_mute_watches,    change_config,
-		change_config,	      write_many_configs,
+		soak_mute_watches,    soak_change_config,
+		soak_change_config,   write_many_configs,
 		write_invalid_entry,  soak_evacuate_zone,
 	};
 	static void (*const stops[])(struct soak * soak) = {
 		stop_instance,
 		send_hangup,
-		change_config,
+		soak_change_config,
 	};
 	static void (*const drains[])(struct soak * soak) = {
 		drain_replica,
-		change_config,
+		soak_change_config,
 		write_many_configs,
 	};
 	static void (*const evacuations[])(struct soak * soak) = {
 		soak_evacuate_zone,
 		soak_evacuate_zone,
-		change_config,
+		soak_change_config,
 	};
 
 	switch (phase) {
--- a/soak/soak-replica.c
+++ b/soak/soak-replica.c
@@ -189,6 +189,33 @@
 			(int)((now_us - replica->draining_since_us) / MS));
 }
 
+/* Whether the present configuration sends requests of that kind here. */
+static bool is_current_service(const struct soak *soak,
+			       enum soak_request_kind kind, const char *service)
+{
+	if (kind == SOAK_SEARCH)
+		return service[0] == (soak->use_second_shards ? 't' : 's');
+	return service[0] == (soak->use_second_service ? 'b' : 'a');
+}
+
+/* Same limit as for a drain: both are changes in the store. */
+static void check_config(struct soak_replica *replica,
+			 const struct soak_request *request)
+{
+	struct soak *soak = replica->soak;
+	int64_t age_us = request->sent_us - soak->config_written_us;
+
+	if (!soak->options.check_timing || age_us < DRAIN_GRACE_US ||
+	    is_current_service(soak, request->kind, replica->service))
+		return;
+	if (soak_is_fault_free_since(soak, NULL, request->sent_us))
+		soak_report_violation(soak, "CONFIG",
+				      "%s ran at %s, %d ms after a "
+				      "configuration without it",
+				      request->id, replica->service,
+				      (int)(age_us / MS));
+}
+
 /* Same limit as for a drain: both are changes in the store. */
 static void check_evacuation(struct soak_replica *replica, const char *id)
 {
@@ -297,6 +324,7 @@
 	}
 	check_drain(replica, id);
 	check_evacuation(replica, id);
+	check_config(replica, request);
 	check_cold(replica, id);
 	if (soak_chance(replica->soak, replica->shed_share)) {
 		test_reply_to(connection, 503, "Not-Executed: 1\r\n", "",
--- a/soak/soak-store.c
+++ b/soak/soak-store.c
@@ -170,6 +170,9 @@
 		g_free(key);
 	}
 	test_store_put(&soak->store, "op/config", soak->config_text);
+	soak->config_written_us = g_get_monotonic_time();
+	if (soak_chance(soak, 0.5))
+		soak_change_config(soak);
 	return G_SOURCE_REMOVE;
 }
 
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -134,6 +134,7 @@
 	uint32_t last_incarnation;
 	uint64_t last_request_number;
 	uint64_t config_version;
+	int64_t config_written_us;
 	char *config_text;		   /* as last written */
 	uint32_t n_restores;		   /* of the store, from a copy */
 	bool use_second_shards;		   /* in the current version */
@@ -250,5 +251,7 @@
 void soak_clear_faults(struct soak *soak);
 /* Write the next version of the configuration. */
 void soak_write_config(struct soak *soak);
+/* Write the next version, with services drawn at random. */
+void soak_change_config(struct soak *soak);
 
 #endif
--- a/tests/test-gate-emulated.c
+++ b/tests/test-gate-emulated.c
@@ -182,6 +182,26 @@
 	}
 }
 
+/*
+ * Guards against work for a zone that is evacuated after a restore of the
+ * store, at a lower revision, and against replicas that are dropped while their
+ * entries are lost.
+ */
+static void test_evacuation_after_restore(void **state)
+{
+	struct emulated_scenario scenario;
+	struct emulated_result result;
+
+	(void)state;
+	load_named_scenario("restored", &scenario);
+	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
+		emulate_scenario(&scenario, NULL, seed, &result);
+		assert_int_equal(result.evacuated_arrivals, 0);
+		assert_int_equal(result.cold_excess, 0);
+		clear_emulated_result(&result);
+	}
+}
+
 static void test_emulation_is_deterministic(void **state)
 {
 	assert_true(measure_value("few-quick", NULL, NULL) ==
@@ -230,6 +250,7 @@
 		cmocka_unit_test(test_query_of_death_is_quarantined),
 		cmocka_unit_test(test_random_crashes_quarantine_nothing),
 		cmocka_unit_test(test_evacuated_zones_and_cold_replicas),
+		cmocka_unit_test(test_evacuation_after_restore),
 		cmocka_unit_test(test_emulation_is_deterministic),
 		cmocka_unit_test(test_invalid_scenarios),
 	};
