feed: reads of the store in a file of their own

Moved, nothing else: feed-read.c has the ranges and watches, feed.c the calls, the other replies and what is served to peers.

--- a/source/core/feed-private.h
+++ b/source/core/feed-private.h
@@ -115,8 +115,7 @@
 void rr_start_feed_call(struct rr_context *ctx, struct rr_feed *feed,
 			struct rr_feed_call_state *state,
 			struct rr_feed_call *call);
-/* Cancel the read in flight, if any, and send another. */
-void rr_restart_feed_read(struct rr_feed *feed);
+int64_t rr_max_staleness_us(const struct rr_feed *feed);
 void rr_log_feed_call(struct rr_context *ctx, const struct rr_feed *feed,
 		      const struct rr_feed_call_state *state, const char *peer,
 		      const struct rr_feed_reply *reply);
@@ -131,6 +130,19 @@
  */
 void rr_end_watch_suspicion(struct rr_context *ctx, struct rr_feed *feed);
 
+/* feed-read.c: ranges and watches */
+/* Send the next read, unless no source is to be asked now. */
+void rr_start_feed_read(struct rr_context *ctx, struct rr_feed *feed);
+void rr_handle_feed_read(struct rr_context *ctx, struct rr_feed *feed,
+			 const struct rr_feed_reply *reply);
+/* Cancel the read in flight, if any, and send another. */
+void rr_restart_feed_read(struct rr_feed *feed);
+/*
+ * Cancel the current watch when a preferred source has appeared or recovered: a
+ * peer instead of the store, or the store instead of a peer.
+ */
+void rr_switch_to_preferred_source(struct rr_feed *feed);
+
 /* feed-range.c: paged range reads */
 /* Start reading all items from the first page. */
 void rr_start_feed_range(struct rr_feed *feed);
