platform client: read the record again after a restore of the store

An instance of ragwortd would miss a pushed configuration: the restored store writes the record at a revision up to which the instance has watched already, and the watch after it reports nothing.

A later era in any reply of the store makes the client read the record anew, its watch is ended, and the instance registers again under a new lease. The stand-in takes copy and restore. test_record_of_restored_store_is_read times out after 30 s on the client before.

--- a/source/net/platform-private.h
+++ b/source/net/platform-private.h
@@ -26,6 +26,8 @@
 	/* Store revision up to which the record was read. */
 	uint64_t record_revision;
 	bool record_read;
+	struct rr_exchange *record_exchange; /* in flight; NULL: none */
+	uint64_t era; /* highest one that the store has stated; 0: none */
 	guint registration_timer;
 	uint64_t lease; /* 0: no lease */
 	bool is_registered;
@@ -36,13 +38,17 @@
  * Start a request to the platform. `call` is cleared; `done` is called once,
  * later.
  */
-void rr_start_platform_call(
+struct rr_exchange *rr_start_platform_call(
 	struct rr_platform_client *client, struct rr_store_request *call,
 	uint32_t timeout_ms,
 	void (*done)(void *data, const struct rr_exchange_result *result),
 	void *data);
-/* Return the era that the store states in a reply; 0: none. */
-uint64_t rr_find_exchange_era(const struct rr_exchange_result *result);
+/*
+ * Return the era that the store states in a reply; 0: none.  In a later era than
+ * the known one, the record is read again, and the instance registered again.
+ */
+uint64_t rr_note_platform_era(struct rr_platform_client *client,
+			      const struct rr_exchange_result *result);
 /* Count and log a call without a usable reply. */
 void rr_log_platform_failure(struct rr_platform_client *client,
 			     const char *what,
@@ -50,7 +56,8 @@
 /*
  * Decode the reply of a feed call from an exchange; the caller frees its items.
  */
-void rr_decode_platform_reply(enum rr_feed_call_kind kind,
+void rr_decode_platform_reply(struct rr_platform_client *client,
+			      enum rr_feed_call_kind kind,
 			      const struct rr_exchange_result *result,
 			      struct rr_feed_reply *reply);
 /* Start to watch the record and read the list. */
--- a/source/net/platform-registration.c
+++ b/source/net/platform-registration.c
@@ -36,7 +36,12 @@
 	enum rr_feed_call_kind kind = next_call(client);
 	struct rr_feed_reply reply;
 
-	rr_decode_platform_reply(kind, result, &reply);
+	rr_decode_platform_reply(client, kind, result, &reply);
+	if (next_call(client) != kind) {
+		/* The lease was of an earlier era of the store. */
+		schedule_registration(client, 0);
+		return;
+	}
 	switch (reply.status) {
 	case RR_FEED_OK:
 		if (kind == RR_FEED_LEASE_GRANT)
--- a/source/net/platform-watch.c
+++ b/source/net/platform-watch.c
@@ -24,7 +24,8 @@
 	client->list_timer = g_timeout_add(delay_ms, read_list, client);
 }
 
-void rr_decode_platform_reply(enum rr_feed_call_kind kind,
+void rr_decode_platform_reply(struct rr_platform_client *client,
+			      enum rr_feed_call_kind kind,
 			      const struct rr_exchange_result *result,
 			      struct rr_feed_reply *reply)
 {
@@ -33,7 +34,7 @@
 		rr_decode_feed_reply(kind, (uint16_t)result->status,
 				     (const uint8_t *)result->body,
 				     result->length, reply);
-	reply->era = rr_find_exchange_era(result);
+	reply->era = rr_note_platform_era(client, result);
 }
 
 /* Reports the newest value of the record key itself, if there is one. */
@@ -62,12 +63,17 @@
 				const struct rr_exchange_result *result)
 {
 	struct rr_platform_client *client = data;
+	bool is_watch = client->record_read;
 	struct rr_feed_reply reply;
 
-	rr_decode_platform_reply(client->record_read ? RR_FEED_WATCH :
-						       RR_FEED_RANGE,
+	client->record_exchange = NULL;
+	rr_decode_platform_reply(client,
+				 is_watch ? RR_FEED_WATCH : RR_FEED_RANGE,
 				 result, &reply);
-	if (reply.status == RR_FEED_OK) {
+	if (is_watch && !client->record_read) {
+		/* The watch was of an earlier era of the store. */
+		schedule_watch(client, 0);
+	} else if (reply.status == RR_FEED_OK) {
 		client->record_read = true;
 		client->record_revision = reply.revision;
 		report_record(client, reply.items);
@@ -109,8 +115,8 @@
 	} else {
 		rr_make_range_request(&call, RR_CONFIG_RECORD_KEY, NULL);
 	}
-	rr_start_platform_call(client, &call, timeout_ms, handle_record_reply,
-			       client);
+	client->record_exchange = rr_start_platform_call(
+		client, &call, timeout_ms, handle_record_reply, client);
 	return G_SOURCE_REMOVE;
 }
 
@@ -176,7 +182,7 @@
 	struct rr_feed_reply reply;
 	bool ok;
 
-	rr_decode_platform_reply(RR_FEED_RANGE, result, &reply);
+	rr_decode_platform_reply(client, RR_FEED_RANGE, result, &reply);
 	ok = reply.status == RR_FEED_OK;
 	if (!ok)
 		rr_log_platform_failure(client, "instance-list-not-read",
--- a/source/net/platform.c
+++ b/source/net/platform.c
@@ -40,7 +40,7 @@
 				    reply);
 }
 
-uint64_t rr_find_exchange_era(const struct rr_exchange_result *result)
+static uint64_t find_era(const struct rr_exchange_result *result)
 {
 	return result->headers ?
 		       rr_decode_store_era(soup_message_headers_get_one(
@@ -49,6 +49,27 @@
 		       0;
 }
 
+uint64_t rr_note_platform_era(struct rr_platform_client *client,
+			      const struct rr_exchange_result *result)
+{
+	uint64_t era = find_era(result);
+
+	if (era <= client->era)
+		return era;
+	if (client->era) {
+		rr_log(client->ctx, RR_LOG_WARNING, "store-restored",
+		       RR_FIELD_U64("era", era),
+		       RR_FIELD_U64("era_before", client->era));
+		client->record_read = false;
+		client->lease = 0;
+		client->is_registered = false;
+		if (client->record_exchange)
+			rr_abort_exchange(client->record_exchange);
+	}
+	client->era = era;
+	return era;
+}
+
 static void handle_reply(void *data, const struct rr_exchange_result *result)
 {
 	struct open_call *call = data;
@@ -61,7 +82,7 @@
 	reply.revision = decoded.revision;
 	reply.value = decoded.value;
 	reply.length = decoded.length;
-	reply.era = rr_find_exchange_era(result);
+	reply.era = rr_note_platform_era(client, result);
 	if (reply.status == RR_STORE_UNAVAILABLE ||
 	    reply.status == RR_STORE_UNKNOWN)
 		rr_log_platform_failure(
@@ -83,7 +104,7 @@
 	       RR_FIELD_STRING("error", result->error));
 }
 
-void rr_start_platform_call(
+struct rr_exchange *rr_start_platform_call(
 	struct rr_platform_client *client, struct rr_store_request *call,
 	uint32_t timeout_ms,
 	void (*done)(void *data, const struct rr_exchange_result *result),
@@ -102,9 +123,12 @@
 		.data = data,
 	};
 
+	struct rr_exchange *exchange;
+
 	rr_count(client->ctx, RR_N_STORE_CALLS, 1);
-	rr_start_exchange(client->session, &options);
+	exchange = rr_start_exchange(client->session, &options);
 	rr_clear_store_request(call);
+	return exchange;
 }
 
 static void start_key_call(struct rr_platform_client *client, uint64_t call_id,
--- a/tests/standin/platform.c
+++ b/tests/standin/platform.c
@@ -13,6 +13,8 @@
  *                             after N ms, if its condition still holds;
  *                             "late_effects": the number of such writes
  *     {"rate_limit": N}       writes per second; calls over the limit get 429
+ *     {"copy": true}          copies the store's content
+ *     {"restore": true}       restores it from the copy, in the next era
  *     {"instances": [...]}    replaces the list, with "kind" "entry" for an
  *                             instance and "upstream" for a replica
  *     {"instances_lag_ms": N} delay before such a list takes effect
@@ -184,6 +186,10 @@
 	set_number(object, "late_effects", &store->delay_next_writes);
 	set_number(object, "instances_lag_ms", &platform->list_delay_ms);
 	set_number(object, "rate_limit", &store->rate.max_writes_per_s);
+	if (json_object_has_member(object, "copy"))
+		test_copy_store(store);
+	if (json_object_has_member(object, "restore"))
+		test_restore_store(store);
 	if (json_object_has_member(object, "instances"))
 		set_instances(platform,
 			      json_object_get_member(object, "instances"));
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -257,6 +257,34 @@
 	assert_string_equal(f->record, "second");
 }
 
+/*
+ * Guards against a record that is never read: the restored store writes it at
+ * the revision up to which the instance has watched before.
+ */
+static void test_record_of_restored_store_is_read(void **state)
+{
+	struct fixture *f = *state;
+	uint64_t revision;
+
+	assert_int_equal(swap(f, RR_CONFIG_RECORD_KEY, 0, "first"),
+			 RR_STORE_OK);
+	revision = f->reply.revision;
+	test_post_control(f->platform->control_port, "{\"copy\":true}");
+	assert_int_equal(swap(f, RR_CONFIG_RECORD_KEY, revision, "second"),
+			 RR_STORE_OK);
+	while (g_strcmp0(f->record, "second"))
+		g_main_context_iteration(NULL, TRUE);
+	test_post_control(f->platform->control_port, "{\"restore\":true}");
+	while (swap(f, RR_CONFIG_RECORD_KEY, revision, "third") != RR_STORE_OK)
+		assert_int_equal(f->reply.status, RR_STORE_UNKNOWN);
+	assert_int_equal(f->reply.era, 2);
+	f->record_read = false;
+	while (g_strcmp0(f->record, "third")) {
+		f->record_read = false;
+		test_run_until(&f->record_read);
+	}
+}
+
 static void register_instance(struct fixture *f)
 {
 	test_post_control(f->platform->control_port,
@@ -366,6 +394,7 @@
 		TEST(test_refused_connection_is_unavailable),
 		TEST(test_unresponsive_platform_is_unknown),
 		TEST(test_watch_sees_each_record),
+		TEST(test_record_of_restored_store_is_read),
 		TEST(test_reads_once_without_watching),
 		TEST(test_reads_the_list),
 		TEST(test_slow_list_period_without_watching),
