--- a/soak/soak.c
+++ b/soak/soak.c
@@ -20,6 +20,8 @@
 /* Time limit for searches to succeed again, also on a slow machine. */
 #define RECOVERY_LIMIT_MS 60000
 #define REPLICAS_PER_SINGLE_SERVICE 3
+/* The first ones show the fault; the total is reported at the end. */
+#define MAX_PRINTED_VIOLATIONS 20
 
 void soak_report_violation(struct soak *soak, const char *rule,
 			   const char *format, ...)
@@ -27,11 +29,12 @@
 	char *text;
 	va_list args;
 
+	if (soak->violations++ >= MAX_PRINTED_VIOLATIONS)
+		return;
 	va_start(args, format);
 	text = g_strdup_vprintf(format, args);
 	va_end(args);
 	printf("soak: seed=%u broken %s: %s\n", soak->options.seed, rule, text);
-	soak->violations++;
 	g_free(text);
 }
 
