config: a change that a restore of the store has lost is written back

An accepted push would be lost for instances that start later, and the next push would take its revision: those that have the lost one leave it out.

Where the record that was read from the store is older than the one in force, the first watcher of each zone writes the latter back, on condition that the key is as it was read. test_lost_config_change_is_written_back fails without it (30 s, the store stays at revision 1).

--- a/bench/watch.c
+++ b/bench/watch.c
@@ -41,7 +41,8 @@
 
 static struct run *current_run;
 
-static void handle_record(void *data, const char *record, size_t length)
+static void handle_record(void *data, const char *record, size_t length,
+			  uint64_t key_revision)
 {
 	(void)data;
 	current_run->records_seen++;
--- a/include/ragwort/core.h
+++ b/include/ragwort/core.h
@@ -102,6 +102,15 @@
 bool rr_core_set_config(struct rr_context *ctx, struct rr_core *core,
 			int64_t now_us, struct rr_config *config,
 			const char *record, size_t length);
+/*
+ * Write the record in force back to the store, which holds an older one with
+ * this key revision: it was restored from a copy and has lost the change.  Does
+ * nothing if the key has changed since, or if this instance does not watch the
+ * record.
+ */
+void rr_core_write_config_back(struct rr_context *ctx, struct rr_core *core,
+			       int64_t now_us, uint64_t key_revision,
+			       uint64_t stored_revision);
 
 /*
  * Handle a caller's request.
--- a/include/ragwort/net-platform.h
+++ b/include/ragwort/net-platform.h
@@ -27,8 +27,12 @@
 	 * the main loop.
 	 */
 	void (*replied)(void *data, const struct rr_store_reply *reply);
-	/* The configuration record was read; it may be unchanged. */
-	void (*record_received)(void *data, const char *record, size_t length);
+	/*
+	 * The configuration record was read; it may be unchanged.
+	 * `key_revision` is that of its key in the store.
+	 */
+	void (*record_received)(void *data, const char *record, size_t length,
+				uint64_t key_revision);
 	/* The instance list contains another instance. */
 	void (*member_listed)(void *data, const char *name, const char *zone,
 			      const char *address);
--- a/source/core/config-apply.c
+++ b/source/core/config-apply.c
@@ -6,11 +6,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "ragwort/record.h"
+
 /* Token budget capacities of a service; see set_budgets(). */
 #define MIN_TOKEN_CAPACITY 10.0
 #define INITIAL_HEDGE_TOKENS 3.0
 /* Minimum interval between requests for a record, answered or not. */
 #define REQUEST_PERIOD_US G_USEC_PER_SEC
+/* Number of instances of a zone that write a lost record back. */
+#define CONFIG_WRITERS_PER_ZONE 1
 
 static int compare_shards(const void *a, const void *b)
 {
@@ -238,6 +242,26 @@
 	return true;
 }
 
+void rr_core_write_config_back(struct rr_context *ctx, struct rr_core *core,
+			       int64_t now_us, uint64_t key_revision,
+			       uint64_t stored_revision)
+{
+	core->ctx = ctx;
+	core->now_us = MAX(core->now_us, now_us);
+	if (!core->config_record ||
+	    stored_revision >= rr_core_config_revision(core) ||
+	    !rr_core_is_config_watcher(core, CONFIG_WRITERS_PER_ZONE))
+		return;
+	rr_log(ctx, RR_LOG_WARNING, "config-written-back",
+	       RR_FIELD_U64("revision", rr_core_config_revision(core)),
+	       RR_FIELD_U64("stored", stored_revision));
+	/* The reply is not needed: the watch reports what the store holds. */
+	core->store.compare_and_swap(core->store.data, core->next_call_id++,
+				     RR_CONFIG_RECORD_KEY, key_revision,
+				     core->config_record,
+				     core->config_record_length, NULL);
+}
+
 uint64_t rr_core_config_revision(const struct rr_core *core)
 {
 	return core->config ? core->config->revision : 0;
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -130,9 +130,13 @@
 				address);
 }
 
-/* Apply a configuration record; a malformed one is logged and ignored. */
+/*
+ * Apply a configuration record; a malformed one is logged and ignored.
+ * `key_revision` is that of its key if it comes from the store, 0 if from a
+ * peer.
+ */
 static void apply_record(struct rr_daemon *daemon, const char *text,
-			 size_t length)
+			 size_t length, uint64_t key_revision)
 {
 	GPtrArray *diagnostics = rr_new_diagnostics();
 	struct rr_config *config = NULL;
@@ -149,6 +153,11 @@
 				       length))
 			rr_apply_log_settings(daemon->ctx, &daemon->start_log,
 					      &config->log);
+		else if (key_revision)
+			rr_core_write_config_back(daemon->ctx, daemon->core,
+						  g_get_monotonic_time(),
+						  key_revision,
+						  config->revision);
 		update_after_event(daemon);
 	} else {
 		const struct rr_diagnostic *diagnostic =
@@ -180,7 +189,7 @@
 	daemon->record_source = 0;
 	while ((record = g_queue_pop_head(&daemon->records))) {
 		text = g_bytes_get_data(record, &length);
-		apply_record(daemon, text, length);
+		apply_record(daemon, text, length, 0);
 		g_bytes_unref(record);
 	}
 	return G_SOURCE_REMOVE;
@@ -264,9 +273,10 @@
 	update_after_event(daemon);
 }
 
-static void handle_record(void *data, const char *record, size_t length)
+static void handle_record(void *data, const char *record, size_t length,
+			  uint64_t key_revision)
 {
-	apply_record(data, record, length);
+	apply_record(data, record, length, key_revision);
 }
 
 static void handle_member(void *data, const char *name, const char *zone,
--- a/source/net/platform-watch.c
+++ b/source/net/platform-watch.c
@@ -55,7 +55,8 @@
 		return;
 	value = g_base64_decode(newest->value, &length);
 	client->options.record_received(client->options.data,
-					(const char *)value, length);
+					(const char *)value, length,
+					newest->revision);
 	g_free(value);
 }
 
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -49,7 +49,8 @@
 	f->replied = true;
 }
 
-static void on_record_received(void *data, const char *record, size_t length)
+static void on_record_received(void *data, const char *record, size_t length,
+			       uint64_t key_revision)
 {
 	struct fixture *f = data;
 
--- a/tests/test-process-change.c
+++ b/tests/test-process-change.c
@@ -11,6 +11,8 @@
 #include <string.h>
 #include <cmocka.h>
 
+#include "platform/platform.h"
+#include "ragwort/record.h"
 #include "support/deployment.h"
 
 #define SETTINGS "    deadline_ms: 5000\n    attempt_timeout_ms: 5000\n"
@@ -221,12 +223,71 @@
 	test_drop_deployment(d);
 }
 
+/* Return the revision of the record in the store; 0 if there is none. */
+static uint64_t read_stored_revision(const struct test_deployment *d)
+{
+	struct rr_config_record *record = NULL;
+	struct rr_key_reply stored;
+	struct rr_store_request call;
+	struct test_http_reply *reply;
+	uint64_t revision = 0;
+
+	rr_make_get_request(&call, RR_CONFIG_RECORD_KEY);
+	reply = test_http_request(call.method, d->platform->port, call.path,
+				  NULL, NULL);
+	rr_decode_get_reply((uint16_t)reply->status, reply->body,
+			    strlen(reply->body), &stored);
+	if (stored.value)
+		record = rr_decode_config_record(stored.value, stored.length,
+						 NULL);
+	if (record)
+		revision = rr_config_record_revision(record);
+	rr_drop_config_record(record);
+	rr_clear_key_reply(&stored);
+	rr_clear_store_request(&call);
+	test_drop_reply(reply);
+	return revision;
+}
+
+struct stored_revision {
+	const struct test_deployment *d;
+	uint64_t expected;
+};
+
+static bool has_stored_revision(void *data)
+{
+	const struct stored_revision *stored = data;
+
+	return read_stored_revision(stored->d) == stored->expected;
+}
+
+/*
+ * Guards against an accepted change that a restore of the store has lost: new
+ * instances would start without it, and the next change would take its revision
+ * and be left out by those that have it.
+ */
+static void test_lost_config_change_is_written_back(void **state)
+{
+	struct test_deployment *d = start_deployment(2, 1);
+	struct stored_revision stored = { .d = d };
+
+	test_post_control(d->platform->control_port, "{\"copy\":true}");
+	stored.expected = test_change_settings(d, SETTINGS "    slots: 3\n");
+	wait_for_revision(d, stored.expected);
+	test_post_control(d->platform->control_port, "{\"restore\":true}");
+	assert_int_not_equal(read_stored_revision(d), stored.expected);
+	assert_true(test_wait_until(has_stored_revision, &stored));
+	wait_for_revision(d, test_change_settings(d, SETTINGS));
+	test_drop_deployment(d);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(
 			test_config_change_reaches_instances_without_watch),
 		cmocka_unit_test(test_new_instance_gets_config_from_peers),
+		cmocka_unit_test(test_lost_config_change_is_written_back),
 		cmocka_unit_test(
 			test_single_instance_without_platform_is_not_ready),
 		cmocka_unit_test(test_draining_upstreams_get_no_new_work),
