feed: a short watch after the store has closed an idle connection

A configuration was not in force for up to 25 s: a watch that is opened while the store compacts its history may receive nothing until its end, and a long watch follows every pause between two watches (an eighth of the bound). The first watch after a failed call is short for that reason, but where the history goes during the pause no call fails: only idle connections are closed.

An idle connection that the store closes now counts as such a failure: the next watch lasts 1 s, and one that was opened just before is opened again. Mutant FEED_IGNORES_DISCONNECT, by test_watch_after_disconnect_is_short.

--- a/include/ragwort/feed.h
+++ b/include/ragwort/feed.h
@@ -184,6 +184,12 @@
 /* Handle a reply to a call that was not cancelled. */
 void rr_feed_reply(struct rr_context *ctx, struct rr_feed *feed, int64_t now_us,
 		   const struct rr_feed_reply *reply);
+/*
+ * The store has closed an idle connection.  Guards against a store
+ * that compacts its history between two watches: the one opened after it may
+ * receive nothing until its end, and no call has failed.
+ */
+void rr_feed_handle_disconnect(struct rr_feed *feed, int64_t now_us);
 void rr_feed_tick(struct rr_context *ctx, struct rr_feed *feed, int64_t now_us);
 int64_t rr_feed_wake_us(const struct rr_feed *feed);
 /*
--- a/source/core/feed-read.c
+++ b/source/core/feed-read.c
@@ -327,3 +327,15 @@
 	    strcmp(preferred, feed->read_peer ? feed->read_peer : ""))
 		rr_restart_feed_read(feed);
 }
+
+void rr_feed_handle_disconnect(struct rr_feed *feed, int64_t now_us)
+{
+	feed->now_us = now_us;
+#ifdef RR_MUTANT_FEED_IGNORES_DISCONNECT
+	return;
+#endif
+	feed->needs_short_watch = true;
+	if (!feed->read_peer && feed->reading.call_id &&
+	    feed->reading.kind == RR_FEED_WATCH)
+		rr_restart_feed_read(feed);
+}
--- a/source/gateway/gateway-private.h
+++ b/source/gateway/gateway-private.h
@@ -108,6 +108,7 @@
 struct rr_feed_actions rr_gateway_feed_actions(struct rr_gateway *gateway);
 void rr_handle_gateway_store_reply(void *data,
 				   const struct rr_gate_reply *reply);
+void rr_handle_store_disconnect(void *data, const char *endpoint);
 
 /* gateway-change-feed.c: store changes for other instances */
 void rr_handle_change_feed_request(
--- a/source/gateway/gateway-store.c
+++ b/source/gateway/gateway-store.c
@@ -3,6 +3,8 @@
  */
 #include "gateway/gateway-private.h"
 
+#include <string.h>
+
 #include "platform/platform.h"
 
 /* Endpoint name of the store; other instances are named by address. */
@@ -81,6 +83,14 @@
 		g_ptr_array_unref(decoded.items);
 }
 
+void rr_handle_store_disconnect(void *data, const char *endpoint)
+{
+	struct rr_gateway *gateway = data;
+
+	if (!strcmp(endpoint, STORE_ENDPOINT))
+		rr_feed_handle_disconnect(gateway->feed, rr_gateway_now_us());
+}
+
 static void set_routes(void *data, struct rr_route_table *table)
 {
 	struct rr_gateway *gateway = data;
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -337,6 +337,7 @@
 	struct rr_replica_client_options store = {
 		.poller = gateway->poller,
 		.replied = rr_handle_gateway_store_reply,
+		.idle_closed = rr_handle_store_disconnect,
 		.data = gateway,
 	};
 
--- a/source/net/replica-client.c
+++ b/source/net/replica-client.c
@@ -63,6 +63,7 @@
 	client->parse_load = options->parse_load;
 	client->replied = options->replied;
 	client->probed = options->probed;
+	client->idle_closed = options->idle_closed;
 	client->data = options->data;
 	client->pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
--- a/source/net/replica-client.h
+++ b/source/net/replica-client.h
@@ -34,6 +34,8 @@
 	void (*replied)(void *data, const struct rr_gate_reply *reply);
 	/* Reports the result of rr_probe_replica(); NULL if never used. */
 	void (*probed)(void *data, const char *incarnation, bool reached);
+	/* The other side has closed an idle connection; NULL: not reported. */
+	void (*idle_closed)(void *data, const char *incarnation);
 	void *data;
 };
 
--- a/source/net/replica-conn.c
+++ b/source/net/replica-conn.c
@@ -289,6 +289,18 @@
 	}
 }
 
+/* The other side has closed an idle connection. */
+static void close_idle_conn(struct rr_replica_conn *conn)
+{
+	struct rr_replica_client *client = conn->client;
+	char *incarnation = g_strdup(conn->pool->incarnation);
+
+	rr_close_replica_conn(conn);
+	if (client->idle_closed)
+		client->idle_closed(client->data, incarnation);
+	g_free(incarnation);
+}
+
 static void on_ended(void *data, enum rr_stream_end end)
 {
 	struct rr_replica_conn *conn = data;
@@ -306,7 +318,7 @@
 		return;
 	}
 	if (conn->state == CONN_IDLE) {
-		rr_close_replica_conn(conn);
+		close_idle_conn(conn);
 		return;
 	}
 	started = rr_http_is_started(conn->reader);
--- a/source/net/replica-conn.h
+++ b/source/net/replica-conn.h
@@ -59,6 +59,7 @@
 	bool (*parse_load)(const char *text, struct rr_gate_load *load);
 	void (*replied)(void *data, const struct rr_gate_reply *reply);
 	void (*probed)(void *data, const char *incarnation, bool reached);
+	void (*idle_closed)(void *data, const char *incarnation);
 	void *data;
 	int64_t now_us;
 	GHashTable *pools;    /* incarnation -> struct rr_conn_pool */
--- a/tests/test-feed.c
+++ b/tests/test-feed.c
@@ -512,6 +512,29 @@
 	feed_drop_fixture(fixture);
 }
 
+/*
+ * Guards against a long watch that receives nothing, since the store compacted
+ * its history while no watch was open: only its idle connections show that.
+ */
+static void test_watch_after_disconnect_is_short(void **state)
+{
+	struct feed_fixture *fixture = feed_new_synced_fixture();
+
+	(void)state;
+	feed_answer_ok(fixture, RR_FEED_WATCH, "r3@21", 21);
+	rr_feed_handle_disconnect(fixture->feed, fixture->now_us);
+	feed_advance(fixture, 400 * MS);
+	assert_int_equal(feed_find_call(fixture, RR_FEED_WATCH)->wait_ms, 1000);
+	feed_answer_ok(fixture, RR_FEED_WATCH, NULL, 21);
+	assert_true(feed_find_call(fixture, RR_FEED_WATCH)->wait_ms > 20000);
+	/* A watch that may have been opened just before is opened again. */
+	rr_feed_handle_disconnect(fixture->feed, fixture->now_us);
+	assert_null(feed_find_call(fixture, RR_FEED_WATCH));
+	rr_feed_tick(fixture->ctx, fixture->feed, fixture->now_us);
+	assert_int_equal(feed_find_call(fixture, RR_FEED_WATCH)->wait_ms, 1000);
+	feed_drop_fixture(fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -524,6 +547,7 @@
 		cmocka_unit_test(test_watch_after_failure_is_short),
 		cmocka_unit_test(test_older_changes_are_ignored),
 		cmocka_unit_test(test_bursts_are_merged),
+		cmocka_unit_test(test_watch_after_disconnect_is_short),
 		cmocka_unit_test(test_many_instances_merge_more),
 		cmocka_unit_test(test_backlog_is_read_without_pauses),
 		cmocka_unit_test(test_evacuations),
--- a/tests/test-process-restore.c
+++ b/tests/test-process-restore.c
@@ -222,9 +222,31 @@
 	assert_true(all_have_version(fixture, 3));
 }
 
+/*
+ * Guards against a watch that reports nothing for its whole wait, since it was
+ * opened while the store compacted its history, and no call had failed.
+ */
+static void test_compaction_between_watches(void **state)
+{
+	struct fixture *fixture = *state;
+
+	write_config(fixture, 4);
+	while (!has_version(fixture, 0, 4))
+		raw_run_for(1000);
+	/* The next watch follows an eighth of the bound after the last one. */
+	raw_run_for(BOUND_US / 8 - 85 * 1000);
+	test_store_put(&fixture->store, "op/other", "{}");
+	test_compact_store(&fixture->store);
+	raw_run_for(400 * 1000);
+	write_config(fixture, 5);
+	expect_next_version(fixture, 4, 5);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(test_compaction_between_watches,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			test_configuration_below_known_revision, set_up,
 			tear_down),
