--- a/tests/test-process-stop.c
+++ b/tests/test-process-stop.c
@@ -212,6 +212,28 @@
 	return reported;
 }
 
+/*
+ * Make a reservation at the first instance, so that the next write of the
+ * ledger is that of a claim: the first one of all records the store's era.
+ * Return the number of writes.
+ */
+static int64_t use_ledger(struct test_deployment *d)
+{
+	char *id = test_new_idempotency_key("first-use");
+	struct test_http_reply *reply = test_reserve(d, 0, id);
+	int64_t writes;
+
+	assert_int_equal(reply->status, 200);
+	test_drop_reply(reply);
+	g_free(id);
+	/* The result is written after the reply: wait until writes cease. */
+	do {
+		writes = count_ledger_writes(d);
+		g_usleep(300 * 1000);
+	} while (count_ledger_writes(d) != writes);
+	return writes;
+}
+
 /*
  * Guards against a claim that is taken over from a paused instance.  The
  * instance has claimed a reservation and is paused before it sends the
@@ -227,8 +249,10 @@
 	struct repeated_request repeated_request = { d, id };
 	struct test_pending_request *pending;
 	struct test_http_reply *reply;
+	int64_t writes;
 	int64_t runs;
 
+	writes = use_ledger(d);
 	/*
 	 * The reply to the claim is lost and the holder reads the claim back,
 	 * which takes long enough to pause it.  If it sends the attempt before
@@ -240,7 +264,7 @@
 	pending =
 		test_start_request(d->caller_ports[0], TEST_SERVICE "/reserve",
 				   "Idempotency-Key", id, "{\"key\":0}");
-	while (!count_ledger_writes(d))
+	while (count_ledger_writes(d) == writes)
 		g_usleep(1000);
 	test_signal_process(d->instances[0], SIGSTOP);
 	test_post_control(d->platform->control_port, "{\"slow_ms\":0}");
