ledger: a record written for an earlier era does not set the floor

Found in the last read: the era can be learnt from a bucket's reply while the record is being written for the era before. Where that write takes effect in the later era, its floor, from before the restore, was taken for the new one, and an id that the restore lost could be claimed. It is read again now, and replaced as of an earlier era.

--- a/source/core/ledger-era.c
+++ b/source/core/ledger-era.c
@@ -172,7 +172,10 @@
 				now_us +
 				(1 + rr_random_below(ctx, RETRY_MS)) * 1000;
 	} else if (era->is_write) {
-		adopt_record(ctx, ledger, &era->written, reply->revision);
+		/* One that was written for an earlier era is read again. */
+		if (era->written.era == era->known)
+			adopt_record(ctx, ledger, &era->written,
+				     reply->revision);
 	} else {
 		handle_read_reply(ctx, ledger, now_us, reply);
 	}
