feed: a long watch of the store only follows one that was answered

Cause: a watch that is opened within about 100 ms of a compaction, from a revision that was compacted, receives nothing until its end. The first watch after a failure or a closed idle connection is short for that reason, but an instance that starts has neither: its first range may be of a stale copy, up to seconds old, so its revision may be compacted when the watch begins. The same after any other range, which counted as a sign that the store answers watches, and when an instance that read from a peer becomes a watcher.

Evidence: feed-random, new, plays drawn orders of restores, compactions, outages, restarts, freezes and rejections to nine feeds in virtual time, and checks that each version is in force within the bound.

Now only an answered watch of the store lets a long one follow. It costs one more call of 1 s after a start and after each range.

--- a/source/core/feed-private.h
+++ b/source/core/feed-private.h
@@ -61,8 +61,8 @@
 	bool range_from_peer; /* the current range continues at the same peer */
 	bool last_read_ok;    /* the last read succeeded */
 	/*
-	 * Set when a read or registration call has failed, until the store
-	 * answers a read; see next_watch_ms().
+	 * Whether anything but an answered watch of the store came before the
+	 * next one; see next_watch_ms().
 	 */
 	bool needs_short_watch;
 	bool has_synced;
--- a/source/core/feed-read.c
+++ b/source/core/feed-read.c
@@ -15,8 +15,9 @@
  */
 #define WATCH_MS 25000
 /*
- * Wait time of the first watch after a failed read: the period during which a
- * store that compacts its history may leave watches without any reply.
+ * Wait time of the first watch after a failed or another read: the period
+ * during which a store that compacts its history may leave watches without any
+ * reply.
  */
 #define SHORT_WATCH_MS 1000
 /*
@@ -48,8 +49,8 @@
 /*
  * Return the wait time of the next watch.  A watch that is opened while the
  * store compacts its history may receive nothing until it ends, although
- * renewals are answered.  Hence the first watch after a failure is short, and a
- * long one follows once it has been answered.
+ * renewals are answered.  Hence a long watch only follows a watch of the store
+ * that was answered.
  */
 static uint32_t next_watch_ms(struct rr_feed *feed, bool peer)
 {
@@ -199,6 +200,19 @@
 	feed->n_outdated = 0;
 }
 
+/*
+ * Whether the next watch of the store is the first one after another read.  A
+ * range may be of a stale copy, and a peer's reply says nothing of the store:
+ * it may have compacted its history in the meantime.
+ */
+static bool is_first_watch_next(const struct rr_feed *feed)
+{
+#ifdef RR_MUTANT_FEED_FIRST_WATCH_LONG
+	return false;
+#endif
+	return feed->read_peer || feed->range_active;
+}
+
 static void handle_read_success(struct rr_context *ctx, struct rr_feed *feed,
 				const struct rr_feed_reply *reply)
 {
@@ -206,10 +220,9 @@
 			       feed->read_peer ? feed->read_peer : "");
 	feed->last_read_ok = true;
 	feed->last_read_us = feed->now_us;
-	if (!feed->read_peer) {
-		feed->needs_short_watch = false;
+	feed->needs_short_watch = is_first_watch_next(feed);
+	if (!feed->read_peer)
 		rr_set_store_reachable(ctx, feed, true);
-	}
 	if (feed->range_active)
 		rr_handle_feed_page(ctx, feed, reply);
 	else
--- a/tests/support/feed-fleet-private.h
+++ b/tests/support/feed-fleet-private.h
@@ -28,11 +28,14 @@
 	struct fleet_node *node;
 	struct fleet_node *peer; /* NULL: the store */
 	uint32_t incarnation;
+	uint32_t n_closed; /* connections closed before it was sent */
 	struct rr_feed_call call;
 	char *after_key;
 	GPtrArray *entered; /* struct rr_instance */
 	GPtrArray *removed; /* char */
 	int64_t deadline_us;
+	bool is_held; /* a watch that gets no reply until its deadline */
+	bool timed_out;
 	bool done;
 	guint refs;
 };
@@ -51,6 +54,9 @@
 void fleet_answer(struct fleet *fleet, struct delivery *delivery);
 void fleet_fail(struct fleet *fleet, struct fleet_call *call);
 
+/* Close the store's connections: its instances notice their idle ones. */
+void fleet_close_store_conns(struct fleet *fleet);
+
 /* feed-fleet-store.c */
 void fleet_free_change(gpointer data);
 struct rr_feed_item *fleet_make_item(const char *key, const char *value,
--- a/tests/support/feed-fleet-store.c
+++ b/tests/support/feed-fleet-store.c
@@ -6,6 +6,9 @@
 
 #include <string.h>
 
+/* How long new watches are held after a compaction. */
+#define HOLD_WATCHES_US (100 * FLEET_MS)
+
 void fleet_free_change(gpointer data)
 {
 	struct fleet_change *change = data;
@@ -252,7 +255,8 @@
 
 static void answer_watch(struct fleet *fleet, struct fleet_call *call)
 {
-	bool lost = call->call.after_revision > fleet->revision;
+	bool lost = call->call.after_revision > fleet->revision ||
+		    call->call.after_revision < fleet->compacted_revision;
 	struct delivery *delivery =
 		fleet_new_delivery(call, lost ? RR_FEED_COMPACTED : RR_FEED_OK);
 
@@ -270,9 +274,9 @@
 		struct fleet_call *call = g_ptr_array_index(fleet->watches, i);
 
 		if (!call->done && !call->node->rejected_by_store &&
-		    !fleet->store_down &&
-		    fleet->revision == call->call.after_revision &&
-		    call->deadline_us > fleet->now_us) {
+		    !fleet->store_down && call->deadline_us > fleet->now_us &&
+		    (call->is_held ||
+		     fleet->revision == call->call.after_revision)) {
 			i++;
 			continue;
 		}
@@ -294,6 +298,9 @@
 		return;
 	}
 	if (call->call.kind == RR_FEED_WATCH) {
+		call->is_held =
+			call->call.after_revision < fleet->compacted_revision &&
+			fleet->now_us < fleet->hold_watches_until_us;
 		g_ptr_array_add(fleet->watches, fleet_keep_call(call));
 		fleet_answer_watches(fleet);
 		return;
@@ -382,10 +389,23 @@
 	g_ptr_array_set_size(fleet->history, (gint)n);
 	g_ptr_array_unref(items);
 	drop_later_leases(fleet);
+	fleet->compacted_revision =
+		MIN(fleet->compacted_revision, fleet->revision);
 	fleet->era++;
-	for (guint i = 0; i < fleet->watches->len; i++)
-		fleet_fail(fleet, g_ptr_array_index(fleet->watches, i));
-	g_ptr_array_set_size(fleet->watches, 0);
+	fleet_close_store_conns(fleet);
+}
+
+void fleet_compact_store(struct fleet *fleet)
+{
+	fleet->compacted_revision = fleet->revision;
+	fleet->hold_watches_until_us = fleet->now_us + HOLD_WATCHES_US;
+	fleet_close_store_conns(fleet);
+}
+
+void fleet_set_store_down(struct fleet *fleet, bool down)
+{
+	fleet->store_down = down;
+	fleet_close_store_conns(fleet);
 }
 
 guint fleet_count_entries(struct fleet *fleet)
--- a/tests/support/feed-fleet.c
+++ b/tests/support/feed-fleet.c
@@ -35,13 +35,35 @@
 	g_free(delivery);
 }
 
+/* Whether an event of a frozen instance was put off until it is resumed. */
+static bool put_off(struct fleet_node *node,
+		    void (*handler)(void *context, void *data), void *data)
+{
+	struct fleet *fleet = node->fleet;
+
+	if (node->frozen_until_us <= fleet->now_us || fleet->stopping)
+		return false;
+	push_event(fleet->events, node->frozen_until_us, handler, data);
+	return true;
+}
+
+static bool is_reply_lost(const struct fleet_call *call)
+{
+	return !call->peer && !call->timed_out &&
+	       call->node->replies_lost_until_us > call->node->fleet->now_us;
+}
+
 static void deliver(void *context, void *data)
 {
 	struct delivery *delivery = data;
 	struct fleet_call *call = delivery->call;
 	struct fleet_node *node = call->node;
 
-	if (!call->done && node->feed &&
+	if (put_off(node, deliver, data))
+		return;
+	if (!call->peer)
+		node->has_store_conn = true;
+	if (!call->done && node->feed && !is_reply_lost(call) &&
 	    node->incarnation == call->incarnation && !node->fleet->stopping) {
 		call->done = true;
 		delivery->reply.call_id = call->call.id;
@@ -181,11 +203,15 @@
 	struct fleet *fleet = context;
 	struct fleet_call *call = data;
 
+	if (call->peer && put_off(call->peer, arrive, data))
+		return;
 	call->deadline_us = fleet->now_us + (int64_t)call->call.wait_ms * 1000;
 	if (fleet->stopping)
 		call->done = true;
 	else if (call->peer)
 		handle_at_peer(call->peer, call);
+	else if (call->n_closed != call->node->n_closed)
+		fleet_fail(fleet, call);
 	else
 		fleet_handle_at_store(fleet, call);
 	fleet_drop_call(call);
@@ -196,11 +222,42 @@
 	struct fleet *fleet = context;
 	struct fleet_call *call = data;
 
+	call->timed_out = true;
 	if (!call->done && !fleet->stopping)
 		fleet_fail(fleet, call);
 	fleet_drop_call(call);
 }
 
+/* Connections. */
+
+static void notice_close(void *context, void *data)
+{
+	struct fleet_node *node = data;
+
+	if (put_off(node, notice_close, data) || !node->feed ||
+	    node->fleet->stopping)
+		return;
+	rr_feed_handle_disconnect(node->feed, node->fleet->now_us);
+	run_node(node);
+}
+
+void fleet_close_store_conns(struct fleet *fleet)
+{
+	for (guint i = 0; i < fleet->watches->len; i++)
+		fleet_fail(fleet, g_ptr_array_index(fleet->watches, i));
+	g_ptr_array_set_size(fleet->watches, 0);
+	for (guint i = 0; i < fleet->nodes->len; i++) {
+		struct fleet_node *node = g_ptr_array_index(fleet->nodes, i);
+
+		if (!node->has_store_conn)
+			continue;
+		node->has_store_conn = false;
+		node->n_closed++;
+		push_event(fleet->events, fleet->now_us + ONE_WAY_DELAY_US,
+			   notice_close, node);
+	}
+}
+
 /* Nodes. */
 
 static struct fleet_node *find_peer(const struct fleet *fleet,
@@ -223,6 +280,7 @@
 	call->refs = 2;
 	call->node = node;
 	call->incarnation = node->incarnation;
+	call->n_closed = node->n_closed;
 	call->call = *feed_call;
 	call->peer = feed_call->peer ? find_peer(fleet, feed_call->peer) : NULL;
 	call->after_key = g_strdup(feed_call->after_key);
@@ -279,7 +337,8 @@
 {
 	struct fleet_node *node = data;
 
-	if (node->next_tick_us > node->fleet->now_us || node->fleet->stopping)
+	if (node->next_tick_us > node->fleet->now_us || node->fleet->stopping ||
+	    put_off(node, tick, data))
 		return;
 	node->next_tick_us = INT64_MAX;
 	if (node->feed)
@@ -329,9 +388,11 @@
 		.max_staleness_ms = MAX_STALENESS_MS,
 	};
 
-	if (node->fleet->stopping)
+	if (node->fleet->stopping || node->feed)
 		return;
 	node->started_us = node->fleet->now_us;
+	node->frozen_until_us = 0;
+	node->has_store_conn = false;
 	node->synced_us = 0;
 	node->routes_version = 0;
 	node->next_tick_us = INT64_MAX;
@@ -412,17 +473,34 @@
 			   start_node, g_ptr_array_index(fleet->nodes, i));
 }
 
+static void kill_node(struct fleet_node *node)
+{
+	rr_drop_feed(node->feed);
+	node->feed = NULL;
+	node->incarnation++;
+	node->self.started_ms++;
+	g_ptr_array_set_size(node->waiting_calls, 0);
+}
+
 void fleet_kill_all(struct fleet *fleet)
 {
-	for (guint i = 0; i < fleet->nodes->len; i++) {
-		struct fleet_node *node = g_ptr_array_index(fleet->nodes, i);
+	for (guint i = 0; i < fleet->nodes->len; i++)
+		kill_node(g_ptr_array_index(fleet->nodes, i));
+}
 
-		rr_drop_feed(node->feed);
-		node->feed = NULL;
-		node->incarnation++;
-		node->self.started_ms++;
-		g_ptr_array_set_size(node->waiting_calls, 0);
-	}
+void fleet_restart_node(struct fleet *fleet, guint index, int64_t down_us)
+{
+	struct fleet_node *node = g_ptr_array_index(fleet->nodes, index);
+
+	kill_node(node);
+	push_event(fleet->events, fleet->now_us + down_us, start_node, node);
+}
+
+void fleet_freeze_node(struct fleet *fleet, guint index, int64_t us)
+{
+	struct fleet_node *node = g_ptr_array_index(fleet->nodes, index);
+
+	node->frozen_until_us = MAX(node->frozen_until_us, fleet->now_us + us);
 }
 
 void fleet_run(struct fleet *fleet, int64_t us)
--- a/tests/support/feed-fleet.h
+++ b/tests/support/feed-fleet.h
@@ -22,6 +22,12 @@
 	struct rr_feed *feed;	/* NULL: not running */
 	uint32_t incarnation;	/* replies to an earlier one are dropped */
 	bool rejected_by_store; /* the store rejects its calls at once */
+	int64_t frozen_until_us;
+	/* Replies of the store are lost until then. */
+	int64_t replies_lost_until_us;
+	/* It has a connection to the store, the `n_closed + 1`st. */
+	bool has_store_conn;
+	uint32_t n_closed;
 	int64_t started_us;
 	int64_t synced_us;    /* when all items were first read; 0: not yet */
 	int64_t next_tick_us; /* time of the next queued tick */
@@ -41,6 +47,10 @@
 	uint64_t revision;
 	uint64_t era; /* rises by one with each restore */
 	uint64_t next_lease;
+	/* Changes up to this revision were removed. */
+	uint64_t compacted_revision;
+	/* Watches of removed changes get no reply if they begin before. */
+	int64_t hold_watches_until_us;
 	bool store_down;
 	bool stopping; /* queued events are dropped */
 	/* Calls as billed: stale range reads and renewals count as a tenth. */
@@ -60,6 +70,10 @@
 /* Start all within the next `within_us` microseconds. */
 void fleet_start_all(struct fleet *fleet, int64_t within_us);
 void fleet_kill_all(struct fleet *fleet);
+/* Kill an instance and start it again `down_us` later. */
+void fleet_restart_node(struct fleet *fleet, guint index, int64_t down_us);
+/* Let an instance neither receive nor send anything for a while. */
+void fleet_freeze_node(struct fleet *fleet, guint index, int64_t us);
 void fleet_run(struct fleet *fleet, int64_t us);
 /*
  * Write the next version of the routes, as the operators do.  What instances
@@ -72,6 +86,14 @@
  * are lost, and their revisions are given out again.
  */
 void fleet_restore_store(struct fleet *fleet, int64_t age_us);
+/*
+ * Compact the store: drop all changes so far and close all connections.  A
+ * watch of these changes that is opened shortly afterwards gets no reply until
+ * its end.
+ */
+void fleet_compact_store(struct fleet *fleet);
+/* Make the store unreachable, or reachable again; closes all connections. */
+void fleet_set_store_down(struct fleet *fleet, bool down);
 /* Number of instances with an entry. */
 guint fleet_count_entries(struct fleet *fleet);
 /*
