feed: compare an open watch of the store with another zone's

What callers saw: requests by a configuration replaced up to 25 s before, at the instances of one zone, after an answer of the store to a watch was lost.

Cause: an open watch that receives nothing looks like one without changes. Each guard so far finds one way to it (a failed call, a closed idle connection, a first watch); a renewal that fails finds some others. An answer that is lost between two renewals fits none of them, so nothing bounds the delay but the watch's own 25 s.

Evidence: feed-random with lost replies.

While it waits for the store, a watcher asks a watcher of each other zone in turn, once in a third of the staleness bound, what it has beyond its own revision. If there is something, the watch is opened again, as a short one. That finds a deaf watch whatever made it so, unless the watchers of all other zones are deaf to the same change.

New: feed-check.c, the call RR_FEED_CHECK (a watch without a wait on the wire), the log line watch-behind, store_watches_behind_total, mutant FEED_CHECKS_NOTHING.

--- a/include/ragwort/counter-list.h
+++ b/include/ragwort/counter-list.h
@@ -47,6 +47,7 @@
 RR_COUNTER(RR_N_FEED_REPLIES_SERVED, "news_passed_on_total", "replies with changes of the store sent to other instances")
 RR_COUNTER(RR_N_STORE_FAILURES, "store_failures_total", "calls to the platform that got no usable reply")
 RR_COUNTER(RR_N_STORE_VALUES_INVALID, "entries_unreadable_total", "invalid values in the store, which are ignored")
+RR_COUNTER(RR_N_WATCHES_BEHIND, "store_watches_behind_total", "watches of the store that had not reported changes known in another zone, and were opened again")
 RR_COUNTER(RR_N_STORE_ITEMS_OUTDATED, "store_items_outdated_total", "items read that were left out because their key is known at a higher revision")
 RR_COUNTER(RR_N_STORE_RESTORES, "store_restores_total", "restores of the store from a copy that were noticed, after which all items are read again")
 RR_COUNTER(RR_N_CLAIMS, "claims_total", "reservation claims acquired")
--- a/include/ragwort/feed.h
+++ b/include/ragwort/feed.h
@@ -24,6 +24,7 @@
 enum rr_feed_call_kind {
 	RR_FEED_RANGE,	       /* read a page of all items */
 	RR_FEED_WATCH,	       /* wait for changes */
+	RR_FEED_CHECK,	       /* ask a peer for changes, without a wait */
 	RR_FEED_LEASE_GRANT,   /* grant a lease */
 	RR_FEED_LEASE_RENEW,   /* renew a lease */
 	RR_FEED_WRITE_ENTRIES, /* write and remove entries under a lease */
@@ -48,7 +49,7 @@
 	const char *after_key; /* range: last key received; NULL: start */
 	/* range: a copy of the store that is some seconds old is accepted */
 	bool allow_stale;
-	/* watch: revision after which changes are wanted, and its era */
+	/* watch, check: revision after which changes are wanted, and its era */
 	uint64_t after_revision;
 	uint64_t era;
 	uint32_t wait_ms;	/* watch: longest wait before an empty reply */
--- /dev/null
+++ b/source/core/feed-check.c
@@ -0,0 +1,94 @@
+/*
+ * feed-check.c - comparison of an open watch with what another zone knows.
+ *
+ * A watch that receives nothing looks like one without changes, whatever made it
+ * so.  While this instance waits for the store, it asks watchers of other zones
+ * in turn for changes that its own watch has not reported.
+ */
+#include "core/feed-private.h"
+
+#include "ragwort/counters.h"
+#include "ragwort/log.h"
+
+/*
+ * Period of the comparison, as a fraction of the staleness bound; the rest is
+ * left for a new watch.
+ */
+#define CHECK_PERIOD_DIVISOR 3
+
+/* Whether this instance waits for changes from the store. */
+static bool is_watching_store(const struct rr_feed *feed)
+{
+	return feed->reading.call_id && !feed->read_peer &&
+	       feed->reading.kind == RR_FEED_WATCH;
+}
+
+static int64_t next_check_us(const struct rr_feed *feed)
+{
+	return MAX(feed->reading.started_us, feed->checking.started_us) +
+	       rr_max_staleness_us(feed) / CHECK_PERIOD_DIVISOR;
+}
+
+void rr_tick_feed_check(struct rr_context *ctx, struct rr_feed *feed)
+{
+	struct rr_feed_call call = {
+		.kind = RR_FEED_CHECK,
+		.after_revision = feed->revision,
+		.era = feed->era,
+	};
+
+#ifdef RR_MUTANT_FEED_CHECKS_NOTHING
+	return;
+#endif
+	if (feed->now_us < rr_feed_check_wake_us(feed))
+		return;
+	call.peer = rr_find_remote_watcher(feed->sources, feed->check_turn++);
+	if (call.peer)
+		rr_start_feed_call(ctx, feed, &feed->checking, &call);
+	else
+		feed->checking.started_us = feed->now_us;
+}
+
+int64_t rr_feed_check_wake_us(const struct rr_feed *feed)
+{
+	if (feed->checking.call_id || !is_watching_store(feed))
+		return INT64_MAX;
+	return next_check_us(feed);
+}
+
+/* Whether the reply has changes that this instance does not know. */
+static bool has_unknown_changes(const struct rr_feed *feed,
+				const struct rr_feed_reply *reply)
+{
+	switch (rr_match_feed_era(feed, reply, true)) {
+	case RR_ERA_EARLIER:
+		return false;
+	case RR_ERA_LATER:
+		return true;
+	case RR_ERA_SAME:
+		return reply->status == RR_FEED_COMPACTED ||
+		       (reply->status == RR_FEED_OK && reply->items &&
+			reply->items->len && reply->revision > feed->revision);
+	}
+	return false;
+}
+
+void rr_handle_feed_check_reply(struct rr_context *ctx, struct rr_feed *feed,
+				const struct rr_feed_reply *reply)
+{
+	feed->checking.call_id = 0;
+	/* A watch that began after the question may still report them. */
+	if (!is_watching_store(feed) ||
+	    feed->reading.started_us > feed->checking.started_us ||
+	    !has_unknown_changes(feed, reply))
+		return;
+	rr_count(ctx, RR_N_WATCHES_BEHIND, 1);
+	rr_log(ctx, RR_LOG_WARNING, "watch-behind",
+	       RR_FIELD_U64("revision", reply->revision),
+	       RR_FIELD_U64("known", feed->revision),
+	       RR_FIELD_U64("era", reply->era),
+	       RR_FIELD_I64("watch_us",
+			    feed->now_us - feed->reading.started_us));
+	feed->needs_short_watch = true;
+	rr_restart_feed_read(feed);
+}
--- a/source/core/feed-private.h
+++ b/source/core/feed-private.h
@@ -86,6 +86,9 @@
 	/* the read in flight accepts a stale copy */
 	bool read_is_stale;
 	struct rr_feed_restore restore;
+	/* Comparison of the watch with another zone. */
+	struct rr_feed_call_state checking;
+	guint check_turn; /* index of the zone to ask */
 	/* Registration. */
 	struct rr_feed_call_state entry;
 	/* other instances registered by this one */
@@ -151,6 +154,14 @@
 /* Handle a page that failed or came from a copy that is too old. */
 void rr_handle_feed_range_failure(struct rr_context *ctx, struct rr_feed *feed);
 
+/* feed-check.c: comparison of an open watch with another zone */
+/* Ask a watcher of another zone, if that is due. */
+void rr_tick_feed_check(struct rr_context *ctx, struct rr_feed *feed);
+int64_t rr_feed_check_wake_us(const struct rr_feed *feed);
+/* Open the watch again if the reply has changes that it has not reported. */
+void rr_handle_feed_check_reply(struct rr_context *ctx, struct rr_feed *feed,
+				const struct rr_feed_reply *reply);
+
 /* feed-entry.c: registration of this instance and of others */
 /* Send the next registration call if one is due. */
 void rr_tick_feed_entry(struct rr_context *ctx, struct rr_feed *feed);
--- a/source/core/feed-source-order.c
+++ b/source/core/feed-source-order.c
@@ -166,13 +166,18 @@
 	return own;
 }
 
-/* Append one watcher of a zone, chosen by the hash of this instance's id. */
+/* Return one watcher of a zone, chosen by the hash of this instance's id. */
+static const struct rr_instance *pick_watcher(const struct rr_sources *sources,
+					      const struct top_ranked *top)
+{
+	return top
+		->instances[g_str_hash(sources->self.id) % count_watching(top)];
+}
+
 static void append_watcher(GPtrArray *order, const struct rr_sources *sources,
 			   const struct top_ranked *top)
 {
-	const struct rr_instance *instance =
-		top->instances[g_str_hash(sources->self.id) %
-			       count_watching(top)];
+	const struct rr_instance *instance = pick_watcher(sources, top);
 
 	if (*instance->address)
 		rr_append_source(order, sources, instance->address,
@@ -226,6 +231,23 @@
 				       zones, g_ptr_array_index(remote, i)));
 }
 
+static void find_remote_watchers(struct rr_sources *sources, GHashTable *zones)
+{
+	GPtrArray *remote = list_remote_zones(sources, zones);
+
+	g_ptr_array_set_size(sources->remote_watchers, 0);
+	for (guint i = 0; i < remote->len; i++) {
+		const struct rr_instance *instance = pick_watcher(
+			sources, g_hash_table_lookup(
+					 zones, g_ptr_array_index(remote, i)));
+
+		if (*instance->address)
+			g_ptr_array_add(sources->remote_watchers,
+					g_strdup(instance->address));
+	}
+	g_ptr_array_unref(remote);
+}
+
 static uint32_t count_all_watchers(GHashTable *zones)
 {
 	GHashTableIter iter;
@@ -343,6 +365,7 @@
 	else
 		append_store(order, sources);
 	append_seeds(order, sources);
+	find_remote_watchers(sources, zones);
 	find_registrars(sources, g_hash_table_lookup(zones, sources->self.zone),
 			!sources->peers_enabled || own.is_registrar);
 	sources->n_watchers = sources->peers_enabled ?
--- a/source/core/feed-source-private.h
+++ b/source/core/feed-source-private.h
@@ -37,10 +37,12 @@
 	GPtrArray *order;	/* struct source, most preferred first */
 	/* entries have changed since the order was built */
 	bool order_is_stale;
-	GPtrArray *registrars;	 /* addresses, char; empty: registers itself */
-	bool has_children;	 /* its zone's tree has a level below it */
-	bool is_watch_candidate; /* it watches, or does so when others fail */
-	uint32_t n_watchers;	 /* number in all zones */
+	GPtrArray *registrars; /* addresses, char; empty: registers itself */
+	GPtrArray
+		*remote_watchers; /* addresses, char; one of each other zone */
+	bool has_children;	  /* its zone's tree has a level below it */
+	bool is_watch_candidate;  /* it watches, or does so when others fail */
+	uint32_t n_watchers;	  /* number in all zones */
 };
 
 void rr_free_source(gpointer data);
--- a/source/core/feed-source.c
+++ b/source/core/feed-source.c
@@ -93,6 +93,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sources->order = g_ptr_array_new_with_free_func(rr_free_source);
 	sources->registrars = g_ptr_array_new_with_free_func(g_free);
+	sources->remote_watchers = g_ptr_array_new_with_free_func(g_free);
 	for (; seeds && *seeds; seeds++)
 		rr_append_source(sources->order, sources, *seeds, SOURCE_SEED);
 	rr_rebuild_source_order(sources);
@@ -107,6 +108,7 @@
 	g_hash_table_unref(sources->removed_at);
 	g_ptr_array_unref(sources->order);
 	g_ptr_array_unref(sources->registrars);
+	g_ptr_array_unref(sources->remote_watchers);
 	g_free(sources->self.id);
 	g_free(sources->self.zone);
 	g_free(sources);
@@ -272,6 +274,15 @@
 	return n ? g_ptr_array_index(sources->registrars, turn % n) : NULL;
 }
 
+const char *rr_find_remote_watcher(struct rr_sources *sources, guint turn)
+{
+	guint n;
+
+	refresh_order(sources);
+	n = sources->remote_watchers->len;
+	return n ? g_ptr_array_index(sources->remote_watchers, turn % n) : NULL;
+}
+
 bool rr_peer_sources_enabled(const struct rr_sources *sources)
 {
 	return sources->peers_enabled;
--- a/source/core/feed-source.h
+++ b/source/core/feed-source.h
@@ -60,6 +60,11 @@
  * change.  NULL: this instance registers itself.
  */
 const char *rr_find_registrar(struct rr_sources *sources, guint turn);
+/*
+ * Return the address of a watcher of another zone, of each zone in turn; valid
+ * until the sources change.  NULL: there is none.
+ */
+const char *rr_find_remote_watcher(struct rr_sources *sources, guint turn);
 /* Whether peers may be read from, see rr_enable_peer_sources(). */
 bool rr_peer_sources_enabled(const struct rr_sources *sources);
 /* Number of watchers in all zones. */
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -1,7 +1,9 @@
 /*
  * feed.c - following the platform's store.
  *
- * Three activities run side by side: reads (feed-read.c), registration (feed-entry.c) and the instance count (feed-count.c).
+ * Four activities run side by side: reads (feed-read.c), their comparison with
+ * another zone (feed-check.c), registration (feed-entry.c) and the instance
+ * count (feed-count.c).
  * An unreachable store changes none of the known items.
  */
 #include "core/feed-private.h"
@@ -88,9 +90,9 @@
 
 static const char *const call_names[] = {
 	[RR_FEED_RANGE] = "read",	   [RR_FEED_WATCH] = "watch",
-	[RR_FEED_LEASE_GRANT] = "lease",   [RR_FEED_LEASE_RENEW] = "renewal",
-	[RR_FEED_WRITE_ENTRIES] = "entry", [RR_FEED_LEASE_REVOKE] = "leave",
-	[RR_FEED_REPORT] = "report",
+	[RR_FEED_CHECK] = "check",	   [RR_FEED_LEASE_GRANT] = "lease",
+	[RR_FEED_LEASE_RENEW] = "renewal", [RR_FEED_WRITE_ENTRIES] = "entry",
+	[RR_FEED_LEASE_REVOKE] = "leave",  [RR_FEED_REPORT] = "report",
 };
 
 static const enum rr_counter call_counters[] = {
@@ -254,6 +256,8 @@
 		rr_log_feed_call(ctx, feed, &feed->entry, feed->registrar,
 				 reply);
 		handle_entry_reply(ctx, feed, reply);
+	} else if (reply->call_id && reply->call_id == feed->checking.call_id) {
+		rr_handle_feed_check_reply(ctx, feed, reply);
 	} else {
 		handle_report_reply(ctx, feed, reply);
 	}
@@ -266,6 +270,7 @@
 	rr_tick_feed_restore(ctx, feed);
 	if (!feed->reading.call_id && feed->reading.due_us <= now_us)
 		rr_start_feed_read(ctx, feed);
+	rr_tick_feed_check(ctx, feed);
 	rr_update_instance_count(feed);
 	rr_tick_feed_entry(ctx, feed);
 	rr_tick_report_queue(ctx, feed);
@@ -277,6 +282,7 @@
 
 	if (!feed->reading.call_id)
 		wake_us = feed->reading.due_us;
+	wake_us = MIN(wake_us, rr_feed_check_wake_us(feed));
 	wake_us = MIN(wake_us, rr_feed_entry_wake_us(feed));
 	wake_us = MIN(wake_us, rr_report_queue_wake_us(feed));
 	wake_us = MIN(wake_us, rr_feed_restore_wake_us(feed));
--- a/tests/test-feed-random.c
+++ b/tests/test-feed-random.c
@@ -108,6 +108,16 @@
 	fleet_restart_node(play->fleet, index, draw_us(play, MAX_DOWN_US));
 }
 
+static void lose_replies(struct play *play)
+{
+	guint index = draw_node(play);
+	struct fleet_node *node = g_ptr_array_index(play->fleet->nodes, index);
+
+	record(play, "lose-replies", index);
+	node->replies_lost_until_us =
+		play->fleet->now_us + draw_us(play, MAX_FAULT_US);
+}
+
 static void reject_node(struct play *play)
 {
 	guint index = draw_node(play);
@@ -125,6 +135,7 @@
 		struct fleet_node *node = g_ptr_array_index(fleet->nodes, i);
 
 		node->rejected_by_store = false;
+		node->replies_lost_until_us = 0;
 	}
 	if (fleet->store_down)
 		fleet_set_store_down(fleet, false);
@@ -135,10 +146,11 @@
 static void run_round(struct play *play)
 {
 	static void (*const faults[])(struct play * play) = {
-		restore_store, restore_store,	   compact_store,
-		compact_store, compact_store,	   toggle_store,
-		freeze_node,   restart_node,	   restart_node,
-		reject_node,   write_next_version, write_next_version,
+		restore_store,	    restore_store, compact_store,
+		compact_store,	    compact_store, toggle_store,
+		freeze_node,	    restart_node,  restart_node,
+		lose_replies,	    reject_node,   write_next_version,
+		write_next_version,
 	};
 	gint n = g_rand_int_range(play->rand, MIN_FAULTS, MAX_FAULTS + 1);
 
