replica client: report a closed idle connection that a request finds

A disconnect of the store makes the next watch a short one, since the store may have compacted its history. It was reported only where the poller read the end of stream. A request that comes before drops such a connection and opens another, silently: the watch on it may then be a long one that receives nothing (an old configuration for up to 25 s at a zone of instances).

Such closes are now reported at the next tick. test_closed_connection_is_reported fails without it (mutant PORT_DROPS_CLOSED).

--- a/source/net/replica-client.c
+++ b/source/net/replica-client.c
@@ -22,13 +22,15 @@
 #define NO_DEADLINE_US (60 * G_USEC_PER_SEC)
 
 /*
- * A failure to open a connection for an attempt or a probe. It is reported at
- * the next tick, because results are never reported from inside the call that
- * starts the attempt or probe.
+ * A failure to open a connection for an attempt or a probe, or an idle
+ * connection that was found closed. It is reported at the next tick, because
+ * results are never reported from inside the call that starts the attempt or
+ * probe.
  */
 struct deferred_reply {
-	uint64_t attempt; /* 0: failed probe */
+	uint64_t attempt; /* 0: failed probe, or closed connection */
 	char *incarnation;
+	bool idle_closed;
 };
 
 static void free_deferred(gpointer data)
@@ -124,6 +126,26 @@
 	return pool;
 }
 
+/*
+ * Guards against a close by the other side that nobody learns of: the
+ * connection is dropped before its end of stream is read.
+ */
+static void defer_idle_close(struct rr_replica_client *client,
+			     const char *incarnation)
+{
+	struct deferred_reply *deferred_reply;
+
+#ifdef RR_MUTANT_PORT_DROPS_CLOSED
+	return;
+#endif
+	if (!client->idle_closed)
+		return;
+	deferred_reply = g_new0(struct deferred_reply, 1);
+	deferred_reply->incarnation = g_strdup(incarnation);
+	deferred_reply->idle_closed = true;
+	g_queue_push_tail(&client->deferred, deferred_reply);
+}
+
 /*
  * Returns an idle connection that may be reused, NULL if there is none; closes
  * those that may not.
@@ -135,16 +157,20 @@
 	struct rr_replica_conn *conn;
 
 	while ((conn = g_queue_pop_head(&pool->idle))) {
+		bool may_reuse = conn->reuse_until_us > client->now_us;
+
 		/*
 		 * A non-idempotent request is not sent on a connection with
 		 * unread input: an end of stream or unexpected bytes.
 		 */
-		if (conn->reuse_until_us > client->now_us &&
+		if (may_reuse &&
 		    (idempotent || !rr_stream_has_input(conn->stream))) {
 			rr_add_active_conn(conn);
 			rr_mark_conn_busy(conn);
 			return conn;
 		}
+		if (rr_stream_has_input(conn->stream))
+			defer_idle_close(client, pool->incarnation);
 		rr_close_replica_conn(conn);
 	}
 	return NULL;
@@ -310,7 +336,10 @@
 			.unreachable = true,
 		};
 
-		if (deferred_reply->incarnation)
+		if (deferred_reply->idle_closed)
+			client->idle_closed(client->data,
+					    deferred_reply->incarnation);
+		else if (deferred_reply->incarnation)
 			client->probed(client->data,
 				       deferred_reply->incarnation, false);
 		else
--- a/tests/support/replica-fixture.c
+++ b/tests/support/replica-fixture.c
@@ -33,6 +33,13 @@
 	fixture->probe_reached = reached;
 }
 
+static void handle_idle_close(void *data, const char *endpoint)
+{
+	struct replica_fixture *fixture = data;
+
+	fixture->idle_closes++;
+}
+
 struct replica_fixture *replica_new_fixture(void)
 {
 	struct replica_fixture *fixture = g_new0(struct replica_fixture, 1);
@@ -44,6 +51,7 @@
 		.parse_load = rr_decode_load,
 		.replied = handle_reply,
 		.probed = handle_probe,
+		.idle_closed = handle_idle_close,
 		.data = fixture,
 	};
 
--- a/tests/support/replica-fixture.h
+++ b/tests/support/replica-fixture.h
@@ -31,6 +31,7 @@
 	struct rr_gate_load load;
 	char *signature;
 	GString *body;
+	int idle_closes;
 	int probes;
 	bool probe_reached;
 };
--- a/tests/test-replica-pool.c
+++ b/tests/test-replica-pool.c
@@ -31,6 +31,26 @@
 	replica_drop_fixture(fixture);
 }
 
+/*
+ * Guards against a closed connection that is dropped, and not reported, by a
+ * request that comes before its end of stream is read.
+ */
+static void test_closed_connection_is_reported(void **state)
+{
+	struct replica_fixture *fixture = replica_new_fixture();
+	struct raw_peer *peer = replica_serve_once(fixture);
+
+	raw_drop(peer);
+	g_usleep(20000);
+	replica_send(fixture, "POST /2 HTTP/1.1\r\nHost: h\r\n\r\n", NULL,
+		     false, false);
+	assert_int_equal(fixture->idle_closes, 0);
+	assert_int_equal(rr_replica_client_wake_us(fixture->client), 0);
+	rr_tick_replica_client(fixture->client, g_get_monotonic_time());
+	assert_int_equal(fixture->idle_closes, 1);
+	replica_drop_fixture(fixture);
+}
+
 static void test_connection_close_is_obeyed(void **state)
 {
 	struct replica_fixture *fixture = replica_new_fixture();
@@ -209,6 +229,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_closed_connection_is_noticed),
+		cmocka_unit_test(test_closed_connection_is_reported),
 		cmocka_unit_test(test_connection_close_is_obeyed),
 		cmocka_unit_test(test_keep_alive_timeout_is_obeyed),
 		cmocka_unit_test(test_cancelled_attempt),
