soak: a seed repeats its series of faults, and a failed run leaves its trace

A seed did not play its run again: callers, replicas and faults drew from one stream in the order in which real time let them.

Seeds and command lines stay as they are; what a seed plays is another series than before this commit, which was another one each time.

ENDED says how the process ended, how old it was and when the last signal was sent. Checks and bounds are the same.

--- a/soak/soak-fault.c
+++ b/soak/soak-fault.c
@@ -19,24 +19,24 @@
 uint32_t soak_random_fault_ms(struct soak *soak)
 {
 	return MIN_FAULT_MS +
-	       soak_random_below(soak, MAX_FAULT_MS - MIN_FAULT_MS);
+	       soak_fault_below(soak, MAX_FAULT_MS - MIN_FAULT_MS);
 }
 
 static uint32_t random_down_ms(struct soak *soak)
 {
-	return MIN_DOWN_MS + soak_random_below(soak, MAX_DOWN_MS - MIN_DOWN_MS);
+	return MIN_DOWN_MS + soak_fault_below(soak, MAX_DOWN_MS - MIN_DOWN_MS);
 }
 
 static struct soak_instance *random_instance(struct soak *soak)
 {
 	return g_ptr_array_index(soak->instances,
-				 soak_random_below(soak, soak->instances->len));
+				 soak_fault_below(soak, soak->instances->len));
 }
 
 static struct soak_replica *random_replica(struct soak *soak)
 {
 	return g_ptr_array_index(soak->replicas,
-				 soak_random_below(soak, soak->replicas->len));
+				 soak_fault_below(soak, soak->replicas->len));
 }
 
 static void record_instance_fault(struct soak_instance *instance)
@@ -88,10 +88,11 @@
 	if (!is_running(instance) || !may_take_down(soak))
 		return;
 	instance->stop_requested_us = g_get_monotonic_time();
-	test_signal_process(instance->process, SIGTERM);
+	soak_signal_instance(instance, SIGTERM);
+	soak_log_fault(soak, "stop %s", instance->name);
 	/* A second signal must have no effect. */
-	if (soak_chance(soak, 0.2))
-		test_signal_process(instance->process, SIGTERM);
+	if (soak_fault_chance(soak, 0.2))
+		soak_signal_instance(instance, SIGTERM);
 	g_timeout_add(random_down_ms(soak), restart_instance, instance);
 }
 
@@ -103,7 +104,8 @@
 		return;
 	record_instance_fault(instance);
 	instance->killed = true;
-	test_signal_process(instance->process, SIGKILL);
+	soak_log_fault(soak, "kill %s", instance->name);
+	soak_signal_instance(instance, SIGKILL);
 	g_timeout_add(random_down_ms(soak), restart_instance, instance);
 }
 
@@ -117,8 +119,10 @@
 {
 	struct soak_instance *instance = data;
 
+	if (instance->frozen)
+		soak_log_fault(instance->soak, "resume %s", instance->name);
 	if (instance->frozen && instance->process)
-		test_signal_process(instance->process, SIGCONT);
+		soak_signal_instance(instance, SIGCONT);
 	instance->frozen = false;
 	record_instance_fault(instance);
 	return G_SOURCE_REMOVE;
@@ -132,7 +136,8 @@
 		return;
 	record_instance_fault(instance);
 	instance->frozen = true;
-	test_signal_process(instance->process, SIGSTOP);
+	soak_log_fault(soak, "freeze %s", instance->name);
+	soak_signal_instance(instance, SIGSTOP);
 	g_timeout_add(soak_random_fault_ms(soak), resume_instance, instance);
 }
 
@@ -140,8 +145,10 @@
 {
 	struct soak_instance *instance = random_instance(soak);
 
-	if (is_running(instance))
-		test_signal_process(instance->process, SIGHUP);
+	if (!is_running(instance))
+		return;
+	soak_log_fault(soak, "SIGHUP to %s", instance->name);
+	soak_signal_instance(instance, SIGHUP);
 }
 
 /* Links. */
@@ -157,18 +164,22 @@
 
 static enum soak_link_state random_link_state(struct soak *soak)
 {
-	return (enum soak_link_state)soak_random_below(soak,
-						       SOAK_LINK_REFUSED + 1);
+	return (enum soak_link_state)soak_fault_below(soak,
+						      SOAK_LINK_REFUSED + 1);
 }
 
 static void disturb_store_link(struct soak *soak)
 {
 	struct soak_instance *instance = random_instance(soak);
+	enum soak_link_state state = random_link_state(soak);
+	uint32_t delay_ms = soak_fault_below(soak, 200);
+	uint32_t fault_ms = soak_random_fault_ms(soak);
 
+	soak_log_fault(soak, "store link of %s: state %d, %u ms, for %u ms",
+		       instance->name, (int)state, delay_ms, fault_ms);
 	record_instance_fault(instance);
-	soak_set_link_state(instance->store_link, random_link_state(soak),
-			    soak_random_below(soak, 200));
-	g_timeout_add(soak_random_fault_ms(soak), restore_store_link, instance);
+	soak_set_link_state(instance->store_link, state, delay_ms);
+	g_timeout_add(fault_ms, restore_store_link, instance);
 }
 
 static gboolean restore_replica(gpointer data)
@@ -191,12 +202,19 @@
 		      replica);
 }
 
+static void log_replica_fault(struct soak_replica *replica, const char *what)
+{
+	soak_log_fault(replica->soak, "%s %s of %s in z%u", what, replica->id,
+		       replica->service, replica->zone);
+}
+
 static void disturb_replica_link(struct soak *soak)
 {
 	struct soak_replica *replica = random_replica(soak);
 
+	log_replica_fault(replica, "disturb the link of");
 	soak_set_link_state(replica->link, random_link_state(soak),
-			    soak_random_below(soak, 80));
+			    soak_fault_below(soak, 80));
 	schedule_replica_restore(replica);
 }
 
@@ -209,8 +227,9 @@
 /* Stall the links of all replicas of a zone. */
 static void isolate_zone(struct soak *soak)
 {
-	uint32_t zone = soak_random_below(soak, ZONES);
+	uint32_t zone = soak_fault_below(soak, ZONES);
 
+	soak_log_fault(soak, "stall the replicas of z%u", zone);
 	for (guint i = 0; i < soak->replicas->len; i++) {
 		struct soak_replica *replica =
 			g_ptr_array_index(soak->replicas, i);
@@ -228,7 +247,8 @@
 {
 	struct soak_replica *replica = random_replica(soak);
 
-	replica->extra_work_ms = 20 + soak_random_below(soak, 200);
+	log_replica_fault(replica, "slow");
+	replica->extra_work_ms = 20 + soak_fault_below(soak, 200);
 	schedule_replica_restore(replica);
 }
 
@@ -237,13 +257,14 @@
 	soak_record_fault(soak);
 	random_replica(soak)->paused_until_us =
 		g_get_monotonic_time() +
-		(50 + soak_random_below(soak, 250)) * MS;
+		(50 + soak_fault_below(soak, 250)) * MS;
 }
 
 static void shed_at_replica(struct soak *soak)
 {
 	struct soak_replica *replica = random_replica(soak);
 
+	log_replica_fault(replica, "overload");
 	replica->shed_share = 0.6;
 	schedule_replica_restore(replica);
 }
@@ -252,6 +273,7 @@
 {
 	struct soak_replica *replica = random_replica(soak);
 
+	log_replica_fault(replica, "lose answers of");
 	replica->lost_answer_share = 0.3;
 	schedule_replica_restore(replica);
 }
@@ -260,6 +282,7 @@
 {
 	struct soak_replica *replica = random_replica(soak);
 
+	log_replica_fault(replica, "corrupt answers of");
 	replica->corrupt_answer_share = 0.3;
 	schedule_replica_restore(replica);
 }
@@ -282,6 +305,7 @@
 
 	if (!replica->up || replica->draining_since_us)
 		return;
+	log_replica_fault(replica, "crash");
 	soak_record_fault(soak);
 	soak_crash_replica(replica);
 	g_timeout_add(soak_random_fault_ms(soak), restart_crashed_replica,
@@ -298,6 +322,8 @@
 	if (one == other || !one->up || !other->up || one->draining_since_us ||
 	    other->draining_since_us)
 		return;
+	log_replica_fault(one, "swap");
+	log_replica_fault(other, "with");
 	soak_record_fault(soak);
 	soak_crash_replica(one);
 	soak_crash_replica(other);
@@ -326,6 +352,7 @@
 	if (!replica->up || replica->draining_since_us ||
 	    soak->store.state != TEST_STORE_UP)
 		return;
+	log_replica_fault(replica, "drain");
 	replica->draining_since_us = g_get_monotonic_time();
 	soak_register_replica(replica);
 	g_timeout_add(DRAIN_MS, finish_drain, replica);
@@ -346,6 +373,7 @@
 {
 	struct soak_replica *replica = random_replica(soak);
 
+	log_replica_fault(replica, "invalid entry for");
 	soak_record_fault(soak);
 	soak_write_invalid_entry(replica);
 	g_timeout_add(soak_random_fault_ms(soak), register_again, replica);
@@ -397,7 +425,7 @@
 				       soak->use_second_shards ? 't' : 's', i);
 	g_string_append_printf(shards, "],\"topK\":%d,\"minShardRatio\":0.6",
 			       TOP_RECORDS);
-	soak->config_version += 1 + soak_random_below(soak, 5);
+	soak->config_version += 1 + soak_fault_below(soak, 5);
 	g_string_append_printf(
 		out, "{\"version\":%" G_GUINT64_FORMAT ",\"routes\":[",
 		soak->config_version);
@@ -412,6 +440,14 @@
 	g_free(soak->config_text);
 	soak->config_text = g_strdup(out->str);
 	soak->config_written_us = g_get_monotonic_time();
+	soak_log_fault(soak,
+		       "configuration %" G_GUINT64_FORMAT ": shards %c, "
+		       "service %s, era %" G_GUINT64_FORMAT
+		       ", revision %" G_GUINT64_FORMAT,
+		       soak->config_version,
+		       soak->use_second_shards ? 't' : 's',
+		       soak->use_second_service ? "b1" : "a1", soak->store.era,
+		       soak->store.revision);
 	g_string_free(shards, TRUE);
 	g_string_free(out, TRUE);
 	g_free(single);
@@ -419,8 +455,8 @@
 
 void soak_change_config(struct soak *soak)
 {
-	soak->use_second_shards = soak_chance(soak, 0.5);
-	soak->use_second_service = soak_chance(soak, 0.5);
+	soak->use_second_shards = soak_fault_chance(soak, 0.5);
+	soak->use_second_service = soak_fault_chance(soak, 0.5);
 	soak_write_config(soak);
 }
 
@@ -434,7 +470,7 @@
 		       uint32_t n)
 {
 	soak->n_faults++;
-	faults[soak_random_below(soak, n)](soak);
+	faults[soak_fault_below(soak, n)](soak);
 }
 
 void soak_inject_fault(struct soak *soak, enum soak_phase phase)
@@ -493,6 +529,7 @@
 
 void soak_clear_faults(struct soak *soak)
 {
+	soak_log_fault(soak, "end all faults");
 	soak_end_store_faults(soak);
 	for (uint32_t zone = 0; zone < ZONES; zone++)
 		soak_end_evacuation(soak, zone);
--- a/soak/soak-instance.c
+++ b/soak/soak-instance.c
@@ -63,11 +63,9 @@
 void soak_start_instance(struct soak_instance *instance)
 {
 	const char *arguments[] = { "--settings", NULL, NULL };
-	const char *log_dir = instance->soak->options.log_dir;
-	char *log_file = log_dir ? g_strdup_printf("%s/%s-%u.log", log_dir,
-						   instance->name,
-						   instance->n_starts++) :
-				   g_strdup("/dev/null");
+	char *log_file =
+		g_strdup_printf("%s/%s-%u.log", instance->soak->log_dir,
+				instance->name, instance->n_starts++);
 
 	if (!instance->settings_file) {
 		char *text = make_start_config(instance);
@@ -78,6 +76,8 @@
 	arguments[1] = instance->settings_file;
 	instance->process = test_start_logged_process("ragwort-gateway",
 						      arguments, log_file);
+	instance->started_us = g_get_monotonic_time();
+	instance->last_signal = 0;
 	instance->stop_requested_us = 0;
 	instance->frozen = false;
 	instance->killed = false;
@@ -86,21 +86,52 @@
 }
 
 /* Check without reaping: test_drop_process() does that. */
+static bool get_exit(const struct soak_instance *instance, siginfo_t *info)
+{
+	memset(info, 0, sizeof(*info));
+	return waitid(P_PID, (id_t)instance->process->pid, info,
+		      WEXITED | WNOHANG | WNOWAIT) < 0 ||
+	       info->si_pid;
+}
+
 static bool has_exited(const struct soak_instance *instance)
 {
-	siginfo_t info = { 0 };
+	siginfo_t info;
 
-	return waitid(P_PID, (id_t)instance->process->pid, &info,
-		      WEXITED | WNOHANG | WNOWAIT) < 0 ||
-	       info.si_pid;
+	return get_exit(instance, &info);
+}
+
+void soak_signal_instance(struct soak_instance *instance, int number)
+{
+	instance->last_signal = number;
+	instance->last_signal_us = g_get_monotonic_time();
+	test_signal_process(instance->process, number);
+}
+
+/* Report how a process ended, which its own log cannot tell. */
+static void report_exit(struct soak_instance *instance, const siginfo_t *info)
+{
+	soak_report_violation(
+		instance->soak, "ENDED",
+		"%s exited unexpectedly, %s %d, started %d ms ago, last signal "
+		"%d, sent %d us after its start",
+		instance->name,
+		info->si_code == CLD_EXITED ? "code" : "by signal",
+		info->si_status,
+		(int)((g_get_monotonic_time() - instance->started_us) / MS),
+		instance->last_signal,
+		instance->last_signal ?
+			(int)(instance->last_signal_us - instance->started_us) :
+			0);
 }
 
 void soak_check_instance_alive(struct soak_instance *instance)
 {
+	siginfo_t info;
+
 	if (instance->process && !instance->killed &&
-	    !instance->stop_requested_us && has_exited(instance))
-		soak_report_violation(instance->soak, "ENDED",
-				      "%s exited unexpectedly", instance->name);
+	    !instance->stop_requested_us && get_exit(instance, &info))
+		report_exit(instance, &info);
 }
 
 bool soak_reap_instance(struct soak_instance *instance)
--- a/soak/soak-replica.c
+++ b/soak/soak-replica.c
@@ -346,7 +346,7 @@
 static void start_incarnation(struct soak_replica *replica, const char *service)
 {
 	bool reuses_id = !strcmp(replica->service, service) &&
-			 soak_chance(replica->soak, 0.5);
+			 soak_fault_chance(replica->soak, 0.5);
 
 	replica->incarnation = ++replica->soak->last_incarnation;
 	replica->started_ms = next_start_ms(replica);
@@ -436,11 +436,11 @@
 		"servers/odd\\",
 	};
 	char *own_key = g_strdup_printf("servers/%s", replica->id);
-	uint32_t selected = soak_random_below(soak, G_N_ELEMENTS(keys) + 1);
+	uint32_t selected = soak_fault_below(soak, G_N_ELEMENTS(keys) + 1);
 
 	test_store_put(&soak->store,
 		       selected < G_N_ELEMENTS(keys) ? keys[selected] : own_key,
-		       values[soak_random_below(soak, G_N_ELEMENTS(values))]);
+		       values[soak_fault_below(soak, G_N_ELEMENTS(values))]);
 	g_free(own_key);
 }
 
@@ -475,7 +475,7 @@
 	char *id = g_strdup(replica->id);
 
 	start_incarnation(replica, service);
-	if (strcmp(id, replica->id) || soak_chance(replica->soak, 0.5))
+	if (strcmp(id, replica->id) || soak_fault_chance(replica->soak, 0.5))
 		test_store_remove(&replica->soak->store, key);
 	soak_register_replica(replica);
 	g_free(id);
--- a/soak/soak-store.c
+++ b/soak/soak-store.c
@@ -29,19 +29,27 @@
 
 void soak_disturb_store(struct soak *soak)
 {
+	enum test_store_state state;
+	uint32_t fault_ms;
+
 	soak_record_fault(soak);
-	soak->store.leases_expire_down = soak_chance(soak, 0.5);
-	test_store_set_state(
-		&soak->store,
-		(enum test_store_state)(
-			1 + soak_random_below(soak, TEST_STORE_BUSY)));
-	g_timeout_add(soak_random_fault_ms(soak), end_faults, soak);
+	soak->store.leases_expire_down = soak_fault_chance(soak, 0.5);
+	state = (enum test_store_state)(
+		1 + soak_fault_below(soak, TEST_STORE_BUSY));
+	fault_ms = soak_random_fault_ms(soak);
+	soak_log_fault(soak, "store: state %d for %u ms, leases %s", (int)state,
+		       fault_ms,
+		       soak->store.leases_expire_down ? "expire" : "pause");
+	test_store_set_state(&soak->store, state);
+	g_timeout_add(fault_ms, end_faults, soak);
 }
 
 void soak_slow_store(struct soak *soak)
 {
 	soak_record_fault(soak);
-	soak->store.answer_delay_ms = 50 + soak_random_below(soak, 400);
+	soak->store.answer_delay_ms = 50 + soak_fault_below(soak, 400);
+	soak_log_fault(soak, "store: answers after %u ms, 30%% are lost",
+		       soak->store.answer_delay_ms);
 	soak->store.lost_write_share = 0.3;
 	g_timeout_add(soak_random_fault_ms(soak), end_faults, soak);
 }
@@ -50,6 +58,7 @@
 {
 	struct soak *soak = data;
 
+	soak_log_fault(soak, "compact the store");
 	soak_record_fault(soak);
 	test_compact_store(&soak->store);
 	return G_SOURCE_REMOVE;
@@ -58,6 +67,7 @@
 /* Mute watches, then compact the history, so that missed events are lost. */
 void soak_mute_watches(struct soak *soak)
 {
+	soak_log_fault(soak, "mute watches");
 	soak_record_fault(soak);
 	soak->store.watches_muted = true;
 	g_timeout_add(WATCH_MUTE_MS, compact_history, soak);
@@ -79,8 +89,10 @@
 {
 	char *key = evacuation_key(zone);
 
-	if (soak->evacuated_since_us[zone])
+	if (soak->evacuated_since_us[zone]) {
+		soak_log_fault(soak, "end the evacuation of z%u", zone);
 		test_store_remove(&soak->store, key);
+	}
 	soak->evacuated_since_us[zone] = 0;
 	g_free(key);
 }
@@ -101,12 +113,13 @@
 
 void soak_evacuate_zone(struct soak *soak)
 {
-	uint32_t zone = soak_random_below(soak, ZONES);
+	uint32_t zone = soak_fault_below(soak, ZONES);
 	char *key = evacuation_key(zone);
 
 	if (!soak->evacuated_since_us[zone]) {
+		soak_log_fault(soak, "evacuate z%u", zone);
 		test_store_put(&soak->store, key,
-			       soak_chance(soak, 0.2) ? "odd" : "{}");
+			       soak_fault_chance(soak, 0.2) ? "odd" : "{}");
 		soak->evacuated_since_us[zone] = g_get_monotonic_time();
 		g_timeout_add(EVACUATION_MS + 1, end_old_evacuations, soak);
 	}
@@ -115,6 +128,14 @@
 
 /* Restores from a copy. */
 
+/* A restore, as it was drawn. */
+struct restore {
+	struct soak *soak;
+	uint32_t rewrite_ms; /* until what was lost is written again */
+	bool changes_config;
+	uint32_t seed; /* of the draws of that change */
+};
+
 static bool is_registered(const struct soak *soak, const char *id)
 {
 	for (guint i = 0; i < soak->replicas->len; i++) {
@@ -149,7 +170,8 @@
 /* Operators and replicas write again what the restore has lost. */
 static gboolean write_again(gpointer data)
 {
-	struct soak *soak = data;
+	struct restore *restore = data;
+	struct soak *soak = restore->soak;
 
 	soak_record_fault(soak);
 	remove_old_entries(soak);
@@ -171,28 +193,44 @@
 	}
 	test_store_put(&soak->store, "op/config", soak->config_text);
 	soak->config_written_us = g_get_monotonic_time();
-	if (soak_chance(soak, 0.5))
+	soak_log_fault(soak, "write again what was lost");
+	if (restore->changes_config) {
+		soak_seed_draws(soak, restore->seed);
 		soak_change_config(soak);
+	}
+	g_free(restore);
 	return G_SOURCE_REMOVE;
 }
 
 static gboolean restore_from_copy(gpointer data)
 {
-	struct soak *soak = data;
+	struct restore *restore = data;
+	struct soak *soak = restore->soak;
 
 	soak_record_fault(soak);
 	test_restore_store(&soak->store);
+	soak_log_fault(soak,
+		       "restore the store: era %" G_GUINT64_FORMAT
+		       ", revision %" G_GUINT64_FORMAT,
+		       soak->store.era, soak->store.revision);
 	soak->n_restores++;
-	g_timeout_add(1 + soak_random_below(soak, MAX_REWRITE_MS), write_again,
-		      soak);
+	g_timeout_add(restore->rewrite_ms, write_again, restore);
 	return G_SOURCE_REMOVE;
 }
 
 /* Copy the store now, and restore it from the copy a little later. */
 void soak_restore_store(struct soak *soak)
 {
+	struct restore *restore = g_new0(struct restore, 1);
+	uint32_t age_ms = 1 + soak_fault_below(soak, MAX_COPY_AGE_MS);
+
+	restore->soak = soak;
+	restore->rewrite_ms = 1 + soak_fault_below(soak, MAX_REWRITE_MS);
+	restore->changes_config = soak_fault_chance(soak, 0.5);
+	restore->seed = g_rand_int(soak->fault_rand);
 	soak_record_fault(soak);
+	soak_log_fault(soak, "copy the store, for a restore after %u ms",
+		       age_ms);
 	test_copy_store(&soak->store);
-	g_timeout_add(1 + soak_random_below(soak, MAX_COPY_AGE_MS),
-		      restore_from_copy, soak);
+	g_timeout_add(age_ms, restore_from_copy, restore);
 }
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -34,7 +34,12 @@
 	va_start(args, format);
 	text = g_strdup_vprintf(format, args);
 	va_end(args);
-	printf("soak: seed=%u broken %s: %s\n", soak->options.seed, rule, text);
+	printf("soak: seed=%u broken %s: %s (longest stall of the soak in 10 s: "
+	       "%u ms)\n",
+	       soak->options.seed, rule, text,
+	       soak_longest_stall_ms(soak,
+				     g_get_monotonic_time() - 10000 * MS));
+	soak_log_fault(soak, "broken %s: %s", rule, text);
 	g_free(text);
 }
 
@@ -154,13 +159,19 @@
 static void run_phase(struct soak *soak, enum soak_phase phase,
 		      uint32_t phase_ms, uint32_t max_gap_ms)
 {
-	int64_t end_us = g_get_monotonic_time() + (int64_t)phase_ms * MS;
+	int64_t start_us = g_get_monotonic_time();
+	uint32_t planned_ms = 0;
+
+	while (planned_ms < phase_ms && !soak->violations) {
+		int64_t late_ms;
 
-	while (g_get_monotonic_time() < end_us && !soak->violations) {
 		check_instances(soak);
+		soak_start_draws(soak);
+		planned_ms += MIN_GAP_MS +
+			      soak_fault_below(soak, max_gap_ms - MIN_GAP_MS);
 		soak_inject_fault(soak, phase);
-		run_for(MIN_GAP_MS +
-			soak_random_below(soak, max_gap_ms - MIN_GAP_MS));
+		late_ms = (g_get_monotonic_time() - start_us) / MS;
+		run_for((uint32_t)MAX((int64_t)planned_ms - late_ms, 1));
 	}
 }
 
@@ -178,11 +189,12 @@
 			  MAX_GAP_MS);
 		soak_clear_faults(soak);
 		run_for(QUIET_MS);
+		soak_start_draws(soak);
 		run_phase(soak,
 			  SOAK_INSTANCE_STOPS +
-				  soak_random_below(
-					  soak,
-					  SOAK_N_PHASES - SOAK_INSTANCE_STOPS),
+				  soak_fault_below(soak,
+						   SOAK_N_PHASES -
+							   SOAK_INSTANCE_STOPS),
 			  PLANNED_MS, PLANNED_GAP_MS);
 	}
 }
@@ -203,6 +215,7 @@
 	g_ptr_array_unref(soak->instances);
 	g_ptr_array_unref(soak->replicas);
 	g_rand_free(soak->rand);
+	g_rand_free(soak->fault_rand);
 }
 
 static int run(const struct soak_options *options)
@@ -210,6 +223,8 @@
 	struct soak soak = {
 		.options = *options,
 		.rand = g_rand_new_with_seed(options->seed),
+		.fault_rand = g_rand_new_with_seed(options->seed),
+		.started_us = g_get_monotonic_time(),
 		.replicas = g_ptr_array_new(),
 		.instances = g_ptr_array_new(),
 		.callers = g_ptr_array_new(),
@@ -219,6 +234,8 @@
 			g_str_hash, g_str_equal, g_free, g_free),
 	};
 
+	soak_open_logs(&soak);
+	soak_monitor_stalls(&soak);
 	start_deployment(&soak);
 	start_callers(&soak);
 	if (!wait_for_complete_answers(&soak, options->instances))
@@ -240,6 +257,7 @@
 	       soak.partial, soak.rejected, soak.unknown_outcome,
 	       soak.unanswered, soak.executions, soak.crashes, soak.n_restores,
 	       soak.violations);
+	soak_close_logs(&soak);
 	fflush(stdout);
 	free_all(&soak);
 	return soak.violations ? 1 : 0;
@@ -259,7 +277,8 @@
 		arg_lit0(NULL, "timing", "also check time limits");
 	struct arg_str *logs =
 		arg_str0(NULL, "logs", "DIR",
-			 "write the gateways' logs to this directory");
+			 "write the logs of faults and gateways to this "
+			 "directory; without it, only a failed run keeps them");
 	struct arg_lit *help = arg_lit0("h", "help", "print this and exit");
 	struct arg_end *end = arg_end(10);
 	void *table[] = { seed,	  seconds, instances, callers,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -4,7 +4,8 @@
  * Callers and replicas check the guarantees of the gateway during the faults.
  * One program runs the store, the replicas, the links to them and the callers
  * on one main loop; the gateways are separate processes.  The seed determines
- * the faults; their exact times depend on the machine.
+ * the series of the faults: their kinds, targets, durations and planned times.
+ * What callers and replicas draw depends on the machine as well.
  */
 #ifndef SOAK_SOAK_H
 #define SOAK_SOAK_H
@@ -12,6 +13,7 @@
 #include <gio/gio.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 
 #include "support/process.h"
 #include "support/raw-http.h"
@@ -41,9 +43,10 @@
 	uint32_t seed;
 	uint32_t seconds;
 	uint32_t instances;
-	uint32_t callers;    /* per instance */
-	bool check_timing;   /* also check time limits */
-	const char *log_dir; /* of the gateways' logs; NULL: discarded */
+	uint32_t callers;  /* per instance */
+	bool check_timing; /* also check time limits */
+	/* Of the logs; NULL: a temporary one, removed if no rule is broken. */
+	const char *log_dir;
 };
 
 enum soak_request_kind {
@@ -117,15 +120,24 @@
 	uint32_t n_starts;
 	bool frozen;
 	bool killed;
+	int64_t started_us;
 	int64_t stop_requested_us; /* 0: not asked to stop */
-	int64_t last_fault_us;	   /* last fault of it or its store link */
+	int last_signal;	   /* since the start; 0: none */
+	int64_t last_signal_us;
+	int64_t last_fault_us; /* last fault of it or its store link */
 };
 
 struct soak_caller;
 
 struct soak {
 	struct soak_options options;
-	GRand *rand;
+	GRand *rand;	   /* of callers and replicas */
+	GRand *fault_rand; /* of the fault that was injected last */
+	uint32_t n_series; /* faults and phases drawn, from the seed alone */
+	int64_t started_us;
+	char *log_dir;
+	FILE *fault_log;
+	struct soak_stall_monitor *stalls;
 	struct test_store store;
 	GPtrArray *replicas;  /* struct soak_replica */
 	GPtrArray *instances; /* struct soak_instance */
@@ -170,6 +182,28 @@
 			      const struct soak_instance *instance,
 			      int64_t since_us);
 
+/* soak-series.c: the series of faults, and what a failed run leaves behind */
+/*
+ * Begin the draws of the next fault or phase.  They depend on the seed and on
+ * its number only, so that a series repeats whatever the machine does.
+ */
+void soak_start_draws(struct soak *soak);
+/* Draws of faults, as opposed to those of callers and replicas. */
+uint32_t soak_fault_below(struct soak *soak, uint32_t below);
+bool soak_fault_chance(struct soak *soak, double share);
+/* Continue with draws of their own, for what a fault does later. */
+void soak_seed_draws(struct soak *soak, uint32_t seed);
+/* Record a fault with its target and duration. */
+void soak_log_fault(struct soak *soak, const char *format, ...)
+	G_GNUC_PRINTF(2, 3);
+void soak_open_logs(struct soak *soak);
+/* Print where the logs of a failed run are; remove those of any other. */
+void soak_close_logs(struct soak *soak);
+/* Measure for how long this program's main loop stands still. */
+void soak_monitor_stalls(struct soak *soak);
+/* Return the longest stall since `since_us`, in milliseconds. */
+uint32_t soak_longest_stall_ms(const struct soak *soak, int64_t since_us);
+
 /* soak-link.c */
 struct soak_link *soak_new_link(struct soak *soak, uint16_t target_port);
 void soak_drop_link(struct soak_link *link);
@@ -207,6 +241,7 @@
 void soak_start_instance(struct soak_instance *instance);
 /* Reap the process if it has exited; return whether it is not running. */
 bool soak_reap_instance(struct soak_instance *instance);
+void soak_signal_instance(struct soak_instance *instance, int number);
 /* Report a violation if the process exited without being stopped or killed. */
 void soak_check_instance_alive(struct soak_instance *instance);
 
