program: a SIGHUP at a start traced; a starter that ignores it closes the window

SIGHUP has its default action then. Fewer libraries or a front program shorten the window and do not close it.

--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -19,10 +19,14 @@
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
-/* Takes over `launcher`, which defines where the output goes. */
+/*
+ * Takes over `launcher`, which defines where the output goes; `setup` runs in
+ * the new process before the program.
+ */
 static struct test_process *launch(GSubprocessLauncher *launcher,
 				   const char *program,
-				   const char *const *arguments)
+				   const char *const *arguments,
+				   GSpawnChildSetupFunc setup)
 {
 	struct test_process *process = g_new0(struct test_process, 1);
 	GPtrArray *argv = g_ptr_array_new();
@@ -33,8 +37,7 @@
 	for (; arguments && *arguments; arguments++)
 		g_ptr_array_add(argv, (char *)*arguments);
 	g_ptr_array_add(argv, NULL);
-	g_subprocess_launcher_set_child_setup(launcher, kill_with_parent, NULL,
-					      NULL);
+	g_subprocess_launcher_set_child_setup(launcher, setup, NULL, NULL);
 	process->handle = g_subprocess_launcher_spawnv(
 		launcher, (const gchar *const *)argv->pdata, &error);
 	g_object_unref(launcher);
@@ -54,7 +57,7 @@
 		launch(g_subprocess_launcher_new(
 			       read_output ? G_SUBPROCESS_FLAGS_STDOUT_PIPE :
 					     G_SUBPROCESS_FLAGS_NONE),
-		       program, arguments);
+		       program, arguments, kill_with_parent);
 
 	if (read_output)
 		process->output = g_data_input_stream_new(
@@ -70,7 +73,25 @@
 		g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
 
 	g_subprocess_launcher_set_stdout_file_path(launcher, log_file);
-	return launch(launcher, program, arguments);
+	return launch(launcher, program, arguments, kill_with_parent);
+}
+
+/* nohup(1) does the same. */
+static void ignore_reload_signal(gpointer data)
+{
+	kill_with_parent(data);
+	signal(SIGHUP, SIG_IGN);
+}
+
+struct test_process *test_start_ignoring_hangup(const char *program,
+						const char *const *arguments,
+						const char *log_file)
+{
+	GSubprocessLauncher *launcher =
+		g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
+
+	g_subprocess_launcher_set_stdout_file_path(launcher, log_file);
+	return launch(launcher, program, arguments, ignore_reload_signal);
 }
 
 struct test_process *test_start_gateway(const char *settings_path)
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -33,6 +33,10 @@
 struct test_process *test_start_logged_process(const char *program,
 					       const char *const *arguments,
 					       const char *log_file);
+/* The same with SIGHUP ignored, as by a service manager or nohup(1). */
+struct test_process *test_start_ignoring_hangup(const char *program,
+						const char *const *arguments,
+						const char *log_file);
 /* Start a gateway with this settings file.  Aborts on failure. */
 struct test_process *test_start_gateway(const char *settings_path);
 void test_signal_process(struct test_process *process, int signal_number);
--- a/tests/test-process-signal.c
+++ b/tests/test-process-signal.c
@@ -19,6 +19,12 @@
 #include "support/port.h"
 #include "support/process.h"
 #include "support/raw-peer.h"
+#include "support/tool-run.h"
+
+/* Starts with a SIGHUP each, and the time between their moments. */
+#define N_STARTS 40
+#define SIGNAL_STEP_US 125
+#define START_LIMIT_US (5 * G_USEC_PER_SEC)
 
 static char *make_settings(const char *callers)
 {
@@ -71,10 +77,67 @@
 	g_free(directory);
 }
 
+static void wait_until_serving(const char *callers)
+{
+	int64_t end_us = g_get_monotonic_time() + START_LIMIT_US;
+
+	while (raw_is_refused(callers)) {
+		assert_true(g_get_monotonic_time() < end_us);
+		raw_run_for(2 * 1000);
+	}
+}
+
+static bool log_contains(const char *file, const char *word)
+{
+	char *text = NULL;
+	bool found = g_file_get_contents(file, &text, NULL, NULL) &&
+		     strstr(text, word);
+
+	g_free(text);
+	return found;
+}
+
+/*
+ * Guards against a gateway that is ended by a SIGHUP at any moment from exec on,
+ * although it was started with the signal ignored, and against one that then
+ * ignores the signal for good.
+ */
+static void test_reload_signal_ignored_by_starter(void **state)
+{
+	char *callers = test_reserve_address();
+	char *text = make_settings(callers);
+	char *settings = test_write_temp_file(text);
+	char *log_file = test_write_temp_file("");
+	const char *arguments[] = { "--settings", settings, NULL };
+	int64_t end_us;
+
+	(void)state;
+	for (int i = 0; i < N_STARTS; i++) {
+		struct test_process *gateway = test_start_ignoring_hangup(
+			"ragwort-gateway", arguments, log_file);
+
+		g_usleep((gulong)i * SIGNAL_STEP_US);
+		test_signal_process(gateway, SIGHUP);
+		wait_until_serving(callers);
+		test_signal_process(gateway, SIGHUP);
+		end_us = g_get_monotonic_time() + START_LIMIT_US;
+		while (!log_contains(log_file, "event=reload")) {
+			assert_true(g_get_monotonic_time() < end_us);
+			raw_run_for(2 * 1000);
+		}
+		test_drop_process(gateway);
+	}
+	test_remove_temp_file(log_file);
+	test_remove_temp_file(settings);
+	g_free(text);
+	g_free(callers);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_reload_signal_during_start),
+		cmocka_unit_test(test_reload_signal_ignored_by_starter),
 	};
 
 	/* Writing to a gateway that has ended fails the test, not this. */
