tests: two guards of a restore that no test missed

Taken out, both left feed, feed-restore, feed-fleet, feed-peers and process-restore green: settling is put off while the store cannot be followed, and an item that was held back is dropped once a later read of all items lacks it. Without them callers would lose replicas that have written their entries again while the store was away, or get one that has left.

test_missing_replica_is_kept_without_store and test_removed_replica_gone_from_later_range_is_not_used fail without them, as mutants FEED_SETTLES_BLIND and FEED_KEEPS_HELD show.

--- a/source/core/feed-restore.c
+++ b/source/core/feed-restore.c
@@ -306,6 +306,9 @@
 	GHashTableIter iter;
 	gpointer value;
 
+#ifdef RR_MUTANT_FEED_KEEPS_HELD
+	return;
+#endif
 	g_hash_table_iter_init(&iter, feed->restore.held);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct held_item *held = value;
@@ -384,6 +387,7 @@
 
 	if (feed->now_us < rr_feed_restore_wake_us(feed))
 		return;
+#ifndef RR_MUTANT_FEED_SETTLES_BLIND
 	/* What was written meanwhile is not known. */
 	if (!feed->last_read_ok || feed->range_active) {
 		restore->replicas_settled_us = feed->now_us + SETTLE_RETRY_US;
@@ -391,6 +395,7 @@
 			MAX(restore->settled_us, restore->replicas_settled_us);
 		return;
 	}
+#endif
 	if (restore->replicas_settled_us &&
 	    restore->replicas_settled_us <= feed->now_us) {
 		restore->replicas_settled_us = 0;
--- a/tests/test-feed-restore.c
+++ b/tests/test-feed-restore.c
@@ -174,6 +174,65 @@
 	feed_drop_fixture(fixture);
 }
 
+/* Fail the open watch, and those of peers that are asked instead. */
+static void fail_watches(struct feed_fixture *fixture)
+{
+	struct recorded_call *call;
+
+	while ((call = feed_find_call(fixture, RR_FEED_WATCH)))
+		feed_answer(fixture, call, RR_FEED_FAILED, NULL, 0, false);
+}
+
+/*
+ * Guards against replicas that are dropped while the store cannot be followed,
+ * since what they have written again is not known.
+ */
+static void test_missing_replica_is_kept_without_store(void **state)
+{
+	struct feed_fixture *fixture = new_fixture();
+
+	(void)state;
+	restore_store(fixture);
+	feed_answer_ok(fixture, RR_FEED_RANGE,
+		       "routes3@5 r1@6 inst1@7 inst2@8 inst3@9", 15);
+	for (int i = 0; i < 20; i++) {
+		fail_watches(fixture);
+		feed_advance(fixture, 1000 * MS);
+		feed_assert_events(fixture, "");
+	}
+	while (!feed_find_call(fixture, RR_FEED_WATCH))
+		feed_advance(fixture, 100 * MS);
+	feed_answer_ok(fixture, RR_FEED_WATCH, "r2@16", 16);
+	feed_assert_events(fixture, "+r2 ");
+	feed_advance(fixture, 2000 * MS);
+	feed_assert_events(fixture, "");
+	feed_drop_fixture(fixture);
+}
+
+/*
+ * Guards against a replica that left, was back in the copy, and is used although
+ * a later read of all items no longer has it.
+ */
+static void test_removed_replica_gone_from_later_range_is_not_used(void **state)
+{
+	struct feed_fixture *fixture = new_fixture();
+
+	(void)state;
+	feed_answer_ok(fixture, RR_FEED_WATCH, "-r1@21", 21);
+	feed_assert_events(fixture, "-r1 ");
+	feed_advance(fixture, 400 * MS);
+	restore_store(fixture);
+	feed_answer_ok(fixture, RR_FEED_RANGE,
+		       "routes3@5 r1@11 r2@12 inst1@7 inst2@8 inst3@9", 20);
+	feed_answer(fixture, feed_find_call(fixture, RR_FEED_WATCH),
+		    RR_FEED_COMPACTED, NULL, 0, false);
+	feed_answer_ok(fixture, RR_FEED_RANGE,
+		       "routes3@5 r2@12 inst1@7 inst2@8 inst3@9", 22);
+	feed_advance(fixture, (REPLICAS_SETTLED_MS + 1000) * MS);
+	feed_assert_events(fixture, "");
+	feed_drop_fixture(fixture);
+}
+
 /*
  * Guards against renewals of a lease that the restored store has given to
  * another instance.
@@ -412,6 +471,9 @@
 		cmocka_unit_test(test_removed_replica_in_copy_is_not_used),
 		cmocka_unit_test(
 			test_removed_replica_that_stays_in_copy_is_used),
+		cmocka_unit_test(test_missing_replica_is_kept_without_store),
+		cmocka_unit_test(
+			test_removed_replica_gone_from_later_range_is_not_used),
 		cmocka_unit_test(test_lease_of_earlier_era_is_not_renewed),
 		cmocka_unit_test(test_reader_of_peers_reads_from_the_same_peer),
 		cmocka_unit_test(test_peer_of_earlier_era_reads_all_items),
