gate: a planned stop answers the requests that it would interrupt

Cause: a stopping instance exits 0.4 s before the platform would kill it, with whatever is open. New requests are rejected in the last 0.5 s before that, as nearly all take less; one that waits longer than that, here a search whose replicas crashed under it and which waited for another until its deadline of 1.5 s, was cut.

Now a stop limits the deadlines of all requests, open and new, to 0.1 s before the exit: each gets what its deadline would have given it, the parts there are, 503 if it has not run, 504 otherwise. test_stop_answers_open_requests fails without the limit (mutant GATE_EXITS_UNANSWERED).

--- a/include/ragwort/gate.h
+++ b/include/ragwort/gate.h
@@ -284,6 +284,12 @@
  */
 void rr_gate_half_close(struct rr_context *ctx, struct rr_gate *gate,
 			int64_t now_us, uint64_t request);
+/*
+ * Answer all requests, open and new ones, by `answer_by_us` at the latest: this
+ * instance then exits.
+ */
+void rr_gate_limit_answers(struct rr_gate *gate, int64_t now_us,
+			   int64_t answer_by_us);
 /* The caller's connection is closed: abandon the request without an answer. */
 void rr_gate_abandon(struct rr_context *ctx, struct rr_gate *gate,
 		     int64_t now_us, uint64_t request);
--- a/include/ragwort/lifecycle.h
+++ b/include/ragwort/lifecycle.h
@@ -31,6 +31,11 @@
 void rr_request_stop(struct rr_lifecycle *lifecycle, int64_t now_us);
 /* Return whether the platform may route callers to this instance. */
 bool rr_lifecycle_is_ready(const struct rr_lifecycle *lifecycle, bool serves);
+/*
+ * Return the time by which all requests have to be answered, so that the exit
+ * interrupts none; INT64_MAX if no stop was requested.
+ */
+int64_t rr_stop_answer_by_us(const struct rr_lifecycle *lifecycle);
 /*
  * Return the phase of a requested stop, given the numbers of requests and
  * caller connections that are open.
--- a/source/core/gate-deadline.c
+++ b/source/core/gate-deadline.c
@@ -64,6 +64,17 @@
 			MIN(req->answer_by_us,
 			    gate->now_us + objective_us - network_us -
 				    write_reserve_us(gate, objective_us));
+	rr_limit_request_deadlines(gate, req);
+}
+
+void rr_limit_request_deadlines(const struct rr_gate *gate,
+				struct rr_gate_request *req)
+{
+#ifdef RR_MUTANT_GATE_EXITS_UNANSWERED
+	return;
+#endif
+	req->expires_us = MIN(req->expires_us, gate->last_answer_us);
+	req->answer_by_us = MIN(req->answer_by_us, gate->last_answer_us);
 }
 
 int64_t rr_forward_expires_us(const struct rr_gate *gate,
--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -218,7 +218,8 @@
 	double cold_overage;
 	double cold_slack;
 	int64_t process_started_us;
-	uint32_t n_instances; /* 0 if not yet known */
+	int64_t last_answer_us; /* see rr_gate_limit_answers(); else INT64_MAX */
+	uint32_t n_instances;	/* 0 if not yet known */
 	/* struct rr_endpoint, referenced; newly listed, for the next tick. */
 	GQueue to_preconnect;
 	double strength;
@@ -490,6 +491,9 @@
 void rr_set_request_deadlines(const struct rr_gate *gate,
 			      struct rr_gate_request *req,
 			      const struct rr_gate_request_info *info);
+/* Apply the limit of rr_gate_limit_answers(). */
+void rr_limit_request_deadlines(const struct rr_gate *gate,
+				struct rr_gate_request *req);
 /*
  * Return when to stop waiting for the response to a forwarded request: after
  * about twice the time within which this instance has to answer it.  Guards
--- a/source/core/gate-request.c
+++ b/source/core/gate-request.c
@@ -505,6 +505,24 @@
 		     req->id, 0);
 }
 
+void rr_gate_limit_answers(struct rr_gate *gate, int64_t now_us,
+			   int64_t answer_by_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	gate->now_us = now_us;
+	gate->last_answer_us = answer_by_us;
+	g_hash_table_iter_init(&iter, gate->requests);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct rr_gate_request *req = value;
+
+		rr_limit_request_deadlines(gate, req);
+		rr_set_timer(gate->timers, req->expires_us,
+			     RR_TIMER_GATE_ADVANCE, req->id, 0);
+	}
+}
+
 void rr_gate_abandon(struct rr_context *ctx, struct rr_gate *gate,
 		     int64_t now_us, uint64_t request)
 {
--- a/source/core/lifecycle.c
+++ b/source/core/lifecycle.c
@@ -22,6 +22,15 @@
  */
 #define EXIT_MARGIN_US (400 * 1000)
 
+/* Time to send the last answers. */
+#define LAST_ANSWERS_US (100 * 1000)
+
+/* Time from the stop request to the exit. */
+static int64_t exit_after_us(const struct rr_lifecycle *lifecycle)
+{
+	return (int64_t)lifecycle->stop_timeout_ms * 1000 - EXIT_MARGIN_US;
+}
+
 void rr_request_stop(struct rr_lifecycle *lifecycle, int64_t now_us)
 {
 	if (!lifecycle->stop_requested_us)
@@ -33,13 +42,20 @@
 	return serves && !lifecycle->stop_requested_us;
 }
 
+int64_t rr_stop_answer_by_us(const struct rr_lifecycle *lifecycle)
+{
+	if (!lifecycle->stop_requested_us)
+		return INT64_MAX;
+	return lifecycle->stop_requested_us + exit_after_us(lifecycle) -
+	       LAST_ANSWERS_US;
+}
+
 enum rr_stop_phase rr_find_stop_phase(const struct rr_lifecycle *lifecycle,
 				      int64_t now_us, size_t requests,
 				      size_t connections)
 {
 	int64_t since_us = now_us - lifecycle->stop_requested_us;
-	int64_t end_us =
-		(int64_t)lifecycle->stop_timeout_ms * 1000 - EXIT_MARGIN_US;
+	int64_t end_us = exit_after_us(lifecycle);
 
 	if (since_us >= end_us)
 		return RR_STOP_EXIT;
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -253,6 +253,8 @@
 	       RR_FIELD_U64("callers",
 			    rr_count_caller_conns(gateway->caller_listener)));
 	rr_request_stop(&gateway->lifecycle, rr_gateway_now_us());
+	rr_gate_limit_answers(gateway->gate, rr_gateway_now_us(),
+			      rr_stop_answer_by_us(&gateway->lifecycle));
 	gateway->stop_check_us = rr_gateway_now_us() + STOP_CHECK_INTERVAL_US;
 	rr_drain_http_listener(gateway->caller_listener);
 	if (gateway->peer_listener)
--- a/tests/test-gate-deadline.c
+++ b/tests/test-gate-deadline.c
@@ -44,10 +44,42 @@
 			 2 * TEST_MS);
 }
 
+/*
+ * Guards against requests that a planned stop interrupts, since their deadlines
+ * are later than the exit: without an answer, their callers know nothing.
+ */
+static void test_stop_answers_open_requests(void **state)
+{
+	struct gate_fixture *fixture =
+		test_start_gate(&test_non_idempotent_route);
+	int64_t exit_us = fixture->now_us + 2000 * TEST_MS;
+	uint64_t before = test_submit(fixture, "/once/1", 9000);
+	uint64_t after;
+
+	(void)state;
+	rr_gate_limit_answers(fixture->gate, fixture->now_us, exit_us);
+	after = test_submit(fixture, "/once/2", 9000);
+	test_advance_time(fixture, 1900 * TEST_MS);
+	assert_int_equal(fixture->answers->len, 0);
+	test_advance_time(fixture, 101 * TEST_MS);
+	assert_int_equal(fixture->answers->len, 2);
+	for (guint i = 0; i < 2; i++) {
+		const struct test_answer *answer =
+			g_ptr_array_index(fixture->answers, i);
+
+		assert_true(answer->request == before ||
+			    answer->request == after);
+		assert_int_equal(answer->status, 504);
+		assert_true(answer->at_us <= exit_us + TEST_MS);
+	}
+	test_free_gate(fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_new_connection_shortens_deadline),
+		cmocka_unit_test(test_stop_answers_open_requests),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/test-lifecycle.c
+++ b/tests/test-lifecycle.c
@@ -48,6 +48,20 @@
 		RR_STOP_EXIT);
 }
 
+/* Guards against requests that are answered only after the exit. */
+static void test_answers_end_before_exit(void **state)
+{
+	struct rr_lifecycle lifecycle = { .stop_timeout_ms = 6000 };
+
+	(void)state;
+	assert_true(rr_stop_answer_by_us(&lifecycle) == INT64_MAX);
+	rr_request_stop(&lifecycle, 10 * SECOND_US);
+	assert_true(rr_find_stop_phase(&lifecycle,
+				       rr_stop_answer_by_us(&lifecycle) + 50000,
+				       1, 1) != RR_STOP_EXIT);
+	assert_true(rr_stop_answer_by_us(&lifecycle) > 15 * SECOND_US);
+}
+
 /*
  * Guards against accepting requests until the very end of a stop. Callers that
  * are not routed elsewhere still send requests; one was read, sent to a replica
@@ -77,6 +91,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_ready_while_serving),
 		cmocka_unit_test(test_stop_phases),
+		cmocka_unit_test(test_answers_end_before_exit),
 		cmocka_unit_test(test_new_requests_rejected_before_exit),
 	};
 
