config: changes accepted after a restore are kept beside those it lost

What operators saw: a push was confirmed and nothing changed until the next one, or, where two changes or more had been lost, it was reverted: instances wrote their record back over it.

Cause: after a restore of the store, a push based on the restored record gives lost revisions out again.

Changes have ids. Those of the stored record that the record in force lacks are made again on top of it, as a push would, with the next revisions; the first watcher of a zone writes that, on condition that the key is as it was read. Where both changed one file the push, which is later, wins. Mutant CONFIG_OVERWRITES by test_changes_of_two_records_are_kept.

--- a/include/ragwort/core.h
+++ b/include/ragwort/core.h
@@ -102,15 +102,25 @@
 bool rr_core_set_config(struct rr_context *ctx, struct rr_core *core,
 			int64_t now_us, struct rr_config *config,
 			const char *record, size_t length);
+/* Return the text of the record in force; NULL if there is none. */
+const char *rr_core_config_record(const struct rr_core *core, size_t *length);
+
+struct rr_config_write_back {
+	uint64_t key_revision;	  /* of the record in the store */
+	uint64_t stored_revision; /* of that record itself */
+	const char *record;	  /* NULL: the record in force */
+	size_t length;
+};
+
 /*
- * Write the record in force back to the store, which holds an older one with
- * this key revision: it was restored from a copy and has lost the change.  Does
- * nothing if the key has changed since, or if this instance does not watch the
- * record.
+ * Write a record to the store, which was restored from a copy and has lost
+ * changes: the one in force over an older one, or one with the changes of both.
+ * Does nothing if the key has changed since, or if this instance does not watch
+ * the record.
  */
 void rr_core_write_config_back(struct rr_context *ctx, struct rr_core *core,
-			       int64_t now_us, uint64_t key_revision,
-			       uint64_t stored_revision);
+			       int64_t now_us,
+			       const struct rr_config_write_back *write);
 
 /*
  * Handle a caller's request.
--- a/include/ragwort/record.h
+++ b/include/ragwort/record.h
@@ -71,6 +71,15 @@
 			     const char *text, const char *change_id,
 			     const char *author, int64_t when_s);
 
+/*
+ * Make the changes of `stored` that `record` lacks again, on top of it, with
+ * revisions of their own; both descend from one record.  Return the new record;
+ * NULL if there are no such changes.
+ */
+struct rr_config_record *
+rr_rebase_config_record(const struct rr_config_record *record,
+			const struct rr_config_record *stored);
+
 struct rr_config_change {
 	uint64_t revision;
 	const char *change_id;
--- a/source/core/config-apply.c
+++ b/source/core/config-apply.c
@@ -242,24 +242,34 @@
 	return true;
 }
 
+const char *rr_core_config_record(const struct rr_core *core, size_t *length)
+{
+	*length = core->config_record_length;
+	return core->config_record;
+}
+
 void rr_core_write_config_back(struct rr_context *ctx, struct rr_core *core,
-			       int64_t now_us, uint64_t key_revision,
-			       uint64_t stored_revision)
+			       int64_t now_us,
+			       const struct rr_config_write_back *write)
 {
+	bool is_older = write->stored_revision < rr_core_config_revision(core);
+
 	core->ctx = ctx;
 	core->now_us = MAX(core->now_us, now_us);
-	if (!core->config_record ||
-	    stored_revision >= rr_core_config_revision(core) ||
+	if (!core->config_record || (!write->record && !is_older) ||
 	    !rr_core_is_config_watcher(core, CONFIG_WRITERS_PER_ZONE))
 		return;
 	rr_log(ctx, RR_LOG_WARNING, "config-written-back",
 	       RR_FIELD_U64("revision", rr_core_config_revision(core)),
-	       RR_FIELD_U64("stored", stored_revision));
+	       RR_FIELD_U64("stored", write->stored_revision),
+	       RR_FIELD_BOOL("with_changes", write->record != NULL));
 	/* The reply is not needed: the watch reports what the store holds. */
-	core->store.compare_and_swap(core->store.data, core->next_call_id++,
-				     RR_CONFIG_RECORD_KEY, key_revision,
-				     core->config_record,
-				     core->config_record_length, NULL);
+	core->store.compare_and_swap(
+		core->store.data, core->next_call_id++, RR_CONFIG_RECORD_KEY,
+		write->key_revision,
+		write->record ? write->record : core->config_record,
+		write->record ? write->length : core->config_record_length,
+		NULL);
 }
 
 uint64_t rr_core_config_revision(const struct rr_core *core)
--- a/source/settings/record.c
+++ b/source/settings/record.c
@@ -178,8 +178,8 @@
 	rr_set_config_file(record, name, text, record->revision);
 	if (record->n_changes > n_kept)
 		free_change(&record->changes[n_kept]);
-	memmove(&record->changes[1], &record->changes[0],
-		n_kept * sizeof(record->changes[0]));
+	for (size_t i = n_kept; i > 0; i--)
+		record->changes[i] = record->changes[i - 1];
 	record->changes[0] = (struct rr_config_change){
 		.revision = record->revision,
 		.change_id = g_strdup(change_id),
@@ -190,6 +190,43 @@
 	record->n_changes = n_kept + 1;
 }
 
+/* Number of the newest changes of `stored` that `record` lacks. */
+static size_t count_unknown_changes(const struct rr_config_record *record,
+				    const struct rr_config_record *stored)
+{
+	for (size_t i = 0; i < stored->n_changes; i++) {
+		if (rr_find_config_change(record, stored->changes[i].change_id,
+					  NULL))
+			return i;
+	}
+	/* They have no change in common: neither descends from the other. */
+	return 0;
+}
+
+struct rr_config_record *
+rr_rebase_config_record(const struct rr_config_record *record,
+			const struct rr_config_record *stored)
+{
+	size_t n = count_unknown_changes(record, stored);
+	struct rr_config_record *rebased;
+
+#ifdef RR_MUTANT_CONFIG_OVERWRITES
+	n = 0;
+#endif
+	if (!n)
+		return NULL;
+	rebased = rr_copy_config_record(record);
+	while (n--) {
+		const struct rr_config_change *change = &stored->changes[n];
+
+		rr_update_config_record(
+			rebased, change->file,
+			rr_config_file_text(stored, change->file),
+			change->change_id, change->author, change->when_s);
+	}
+	return rebased;
+}
+
 size_t rr_list_config_changes(const struct rr_config_record *record,
 			      const struct rr_config_change **changes)
 {
--- a/tests/test-record.c
+++ b/tests/test-record.c
@@ -92,6 +92,37 @@
 	rr_drop_config_record(record);
 }
 
+/*
+ * Guards against an accepted change that is dropped since another record, with
+ * changes that a restore of the store has lost, is in force.
+ */
+static void test_changes_of_two_records_are_kept(void **state)
+{
+	struct rr_config_record *copy = make_record();
+	struct rr_config_record *in_force = rr_copy_config_record(copy);
+	struct rr_config_record *rebased;
+	uint64_t revision;
+
+	(void)state;
+	rr_update_config_record(in_force, "athi", "lost", "c-5", "bo", 104);
+	rr_update_config_record(in_force, "sala", "lost", "c-6", "bo", 105);
+	/* An older record has nothing to add. */
+	assert_null(rr_rebase_config_record(in_force, copy));
+	rr_update_config_record(copy, "sala", "pushed", "c-7", "anna", 106);
+	rebased = rr_rebase_config_record(in_force, copy);
+	assert_non_null(rebased);
+	assert_int_equal(rr_config_record_revision(rebased), 7);
+	assert_string_equal(rr_config_file_text(rebased, "athi"), "lost");
+	assert_string_equal(rr_config_file_text(rebased, "sala"), "pushed");
+	assert_true(rr_find_config_change(rebased, "c-5", NULL));
+	assert_true(rr_find_config_change(rebased, "c-7", &revision));
+	assert_int_equal(revision, 7);
+	assert_null(rr_rebase_config_record(rebased, copy));
+	rr_drop_config_record(rebased);
+	rr_drop_config_record(in_force);
+	rr_drop_config_record(copy);
+}
+
 static void test_malformed_record_is_rejected(void **state)
 {
 	static const struct {
@@ -253,6 +284,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_encode_and_decode),
 		cmocka_unit_test(test_last_changes_are_kept),
+		cmocka_unit_test(test_changes_of_two_records_are_kept),
 		cmocka_unit_test(test_malformed_record_is_rejected),
 		cmocka_unit_test(test_deep_nesting_is_rejected),
 		cmocka_unit_test(test_random_damage),
