--- a/soak/soak-instance.c
+++ b/soak/soak-instance.c
@@ -108,7 +108,7 @@
 	test_signal_process(instance->process, number);
 }
 
-/* Report how a process ended, which its own log cannot tell. */
+/* Report how a process ended, which its own log does not contain. */
 static void report_exit(struct soak_instance *instance, const siginfo_t *info)
 {
 	soak_report_violation(
--- a/source/core/feed-source-private.h
+++ b/source/core/feed-source-private.h
@@ -38,11 +38,10 @@
 	/* entries have changed since the order was built */
 	bool order_is_stale;
 	GPtrArray *registrars; /* addresses, char; empty: registers itself */
-	GPtrArray
-		*remote_watchers; /* addresses, char; one of each other zone */
-	bool has_children;	  /* its zone's tree has a level below it */
-	bool is_watch_candidate;  /* it watches, or does so when others fail */
-	uint32_t n_watchers;	  /* number in all zones */
+	GPtrArray *remote_watchers; /* the same; one of each other zone */
+	bool has_children;	    /* its zone's tree has a level below it */
+	bool is_watch_candidate; /* it watches, or does so when others fail */
+	uint32_t n_watchers;	 /* number in all zones */
 };
 
 void rr_free_source(gpointer data);
--- a/source/daemon/daemon.c
+++ b/source/daemon/daemon.c
@@ -5,6 +5,7 @@
  * adapters.
  */
 #include "daemon/daemon.h"
+#include "daemon/lost-changes.h"
 
 #include <glib-unix.h>
 #include <signal.h>
@@ -130,59 +131,6 @@
 				address);
 }
 
-/* Whether a record is valid for all sites; logs why it is not. */
-static bool check_rebased_record(struct rr_daemon *daemon,
-				 const struct rr_config_record *record)
-{
-	GPtrArray *diagnostics = rr_new_diagnostics();
-	bool valid = rr_check_config_record(record, diagnostics);
-
-	if (!valid) {
-		const struct rr_diagnostic *diagnostic =
-			g_ptr_array_index(diagnostics, 0);
-
-		rr_log(daemon->ctx, RR_LOG_ERROR, "config-not-rebased",
-		       RR_FIELD_STRING("error", diagnostic->message),
-		       RR_FIELD_STRING("file", diagnostic->file));
-	}
-	g_ptr_array_unref(diagnostics);
-	return valid;
-}
-
-/*
- * The store has a record that is not newer than the one in force.  After a
- * restore from a copy it may have lost changes, and may have got others since:
- * operators were told that both are accepted.  Where they are not valid
- * together, the store keeps its record.
- */
-static void write_lost_changes(struct rr_daemon *daemon,
-			       const struct rr_config_record *stored,
-			       uint64_t key_revision)
-{
-	struct rr_config_write_back write = {
-		.key_revision = key_revision,
-		.stored_revision = rr_config_record_revision(stored),
-	};
-	size_t length;
-	const char *in_force = rr_core_config_record(daemon->core, &length);
-	struct rr_config_record *record =
-		in_force ? rr_decode_config_record(in_force, length, NULL) :
-			   NULL;
-	struct rr_config_record *rebased =
-		record ? rr_rebase_config_record(record, stored) : NULL;
-	char *text = NULL;
-
-	if (rebased)
-		write.record = text =
-			rr_encode_config_record(rebased, &write.length);
-	if (!rebased || check_rebased_record(daemon, rebased))
-		rr_core_write_config_back(daemon->ctx, daemon->core,
-					  g_get_monotonic_time(), &write);
-	g_free(text);
-	rr_drop_config_record(rebased);
-	rr_drop_config_record(record);
-}
-
 /*
  * Apply a configuration record; a malformed one is logged and ignored.
  * `key_revision` is that of its key if it comes from the store, 0 if from a
@@ -207,7 +155,8 @@
 			rr_apply_log_settings(daemon->ctx, &daemon->start_log,
 					      &config->log);
 		else if (key_revision)
-			write_lost_changes(daemon, record, key_revision);
+			rr_write_lost_changes(daemon->ctx, daemon->core, record,
+					      key_revision);
 		update_after_event(daemon);
 	} else {
 		const struct rr_diagnostic *diagnostic =
--- a/source/net/replica-client.c
+++ b/source/net/replica-client.c
@@ -127,7 +127,7 @@
 }
 
 /*
- * Guards against a close by the other side that nobody learns of: the
+ * Guards against a close by the other side that is not reported, since the
  * connection is dropped before its end of stream is read.
  */
 static void defer_idle_close(struct rr_replica_client *client,
