--- a/tests/test-process-change.c
+++ b/tests/test-process-change.c
@@ -15,6 +15,8 @@
 #include "ragwort/record.h"
 #include "support/deployment.h"
 
+/* Time for all threads of a process to stop. */
+#define STOP_US (200 * 1000)
 #define SETTINGS "    deadline_ms: 5000\n    attempt_timeout_ms: 5000\n"
 
 static struct test_deployment *start_deployment(int n_instances,
@@ -261,6 +263,12 @@
 	return read_stored_revision(stored->d) == stored->expected;
 }
 
+static void signal_instances(struct test_deployment *d, int number)
+{
+	for (int i = 0; i < d->options.n_instances; i++)
+		test_signal_process(d->instances[i], number);
+}
+
 /*
  * Guards against an accepted change that a restore of the store has lost: new
  * instances would start without it, and the next change would take its revision
@@ -274,8 +282,12 @@
 	test_post_control(d->platform->control_port, "{\"copy\":true}");
 	stored.expected = test_change_settings(d, SETTINGS "    slots: 3\n");
 	wait_for_revision(d, stored.expected);
+	/* Stopped, none writes it back before the store is read. */
+	signal_instances(d, SIGSTOP);
+	g_usleep(STOP_US);
 	test_post_control(d->platform->control_port, "{\"restore\":true}");
 	assert_int_not_equal(read_stored_revision(d), stored.expected);
+	signal_instances(d, SIGCONT);
 	assert_true(test_wait_until(has_stored_revision, &stored));
 	wait_for_revision(d, test_change_settings(d, SETTINGS));
 	test_drop_deployment(d);
