soak: ENDED names the signal or code of a process that GLib has reaped

The report said "signal 0": GSubprocess had reaped the process before waitid(). Its status is used then.

--- a/soak/soak-instance.c
+++ b/soak/soak-instance.c
@@ -108,21 +108,44 @@
 	test_signal_process(instance->process, number);
 }
 
+/*
+ * Return how a process ended, "signal 1" or "code 2"; free it with g_free().
+ * GLib may have reaped it already.
+ */
+static char *describe_exit(const struct soak_instance *instance,
+			   const siginfo_t *info)
+{
+	GSubprocess *handle = instance->process->handle;
+
+	if (info->si_pid)
+		return g_strdup_printf("%s %d",
+				       info->si_code == CLD_EXITED ? "code" :
+								     "signal",
+				       info->si_status);
+	if (g_subprocess_get_identifier(handle))
+		return g_strdup("unknown");
+	if (g_subprocess_get_if_signaled(handle))
+		return g_strdup_printf("signal %d",
+				       g_subprocess_get_term_sig(handle));
+	return g_strdup_printf("code %d", g_subprocess_get_exit_status(handle));
+}
+
 /* Report how a process ended, which its own log does not contain. */
 static void report_exit(struct soak_instance *instance, const siginfo_t *info)
 {
+	char *end = describe_exit(instance, info);
+
 	soak_report_violation(
 		instance->soak, "ENDED",
-		"%s exited unexpectedly, %s %d, started %d ms ago, last signal "
+		"%s exited unexpectedly, %s, started %d ms ago, last signal "
 		"%d, sent %d us after its start",
-		instance->name,
-		info->si_code == CLD_EXITED ? "code" : "by signal",
-		info->si_status,
+		instance->name, end,
 		(int)((g_get_monotonic_time() - instance->started_us) / MS),
 		instance->last_signal,
 		instance->last_signal ?
 			(int)(instance->last_signal_us - instance->started_us) :
 			0);
+	g_free(end);
 }
 
 void soak_check_instance_alive(struct soak_instance *instance)
