--- a/tests/support/process.c
+++ b/tests/support/process.c
@@ -65,15 +65,23 @@
 	return process;
 }
 
-struct test_process *test_start_logged_process(const char *program,
-					       const char *const *arguments,
-					       const char *log_file)
+static struct test_process *launch_logged(const char *program,
+					  const char *const *arguments,
+					  const char *log_file,
+					  GSpawnChildSetupFunc setup)
 {
 	GSubprocessLauncher *launcher =
 		g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
 
 	g_subprocess_launcher_set_stdout_file_path(launcher, log_file);
-	return launch(launcher, program, arguments, kill_with_parent);
+	return launch(launcher, program, arguments, setup);
+}
+
+struct test_process *test_start_logged_process(const char *program,
+					       const char *const *arguments,
+					       const char *log_file)
+{
+	return launch_logged(program, arguments, log_file, kill_with_parent);
 }
 
 /* nohup(1) does the same. */
@@ -87,11 +95,8 @@
 						const char *const *arguments,
 						const char *log_file)
 {
-	GSubprocessLauncher *launcher =
-		g_subprocess_launcher_new(G_SUBPROCESS_FLAGS_NONE);
-
-	g_subprocess_launcher_set_stdout_file_path(launcher, log_file);
-	return launch(launcher, program, arguments, ignore_reload_signal);
+	return launch_logged(program, arguments, log_file,
+			     ignore_reload_signal);
 }
 
 struct test_process *test_start_gateway(const char *settings_path)
