tests: the stand-in store answers stale reads

A read with `serializable` was answered like any other, so nothing could play a stale copy that states the new era with content of the one before (KNOWN-RED). test_hold_stale_reads() keeps the present content for such reads, across a restore.

--- a/tests/support/standin-store-copy.c
+++ b/tests/support/standin-store-copy.c
@@ -1,8 +1,11 @@
 /*
- * standin-store-copy.c - copies of the stand-in store's content and its restore.
+ * standin-store-copy.c - copies of the stand-in store's content, its restore, and
+ * stale reads.
  */
 #include "support/standin-store-private.h"
 
+#include <string.h>
+
 struct test_store_copy {
 	uint64_t revision;
 	GPtrArray *items;  /* struct test_store_item */
@@ -24,7 +27,7 @@
 				   item->lease);
 }
 
-void test_copy_store(struct test_store *store)
+static struct test_store_copy *new_copy(const struct test_store *store)
 {
 	struct test_store_copy *copy = g_new0(struct test_store_copy, 1);
 	GHashTableIter iter;
@@ -41,8 +44,52 @@
 		g_ptr_array_add(
 			copy->leases,
 			g_memdup2(value, sizeof(struct test_store_lease)));
+	return copy;
+}
+
+void test_copy_store(struct test_store *store)
+{
 	test_drop_store_copy(store->copy);
-	store->copy = copy;
+	store->copy = new_copy(store);
+}
+
+void test_hold_stale_reads(struct test_store *store)
+{
+	test_release_stale_reads(store);
+	store->stale_copy = new_copy(store);
+}
+
+void test_release_stale_reads(struct test_store *store)
+{
+	g_clear_pointer(&store->stale_copy, test_drop_store_copy);
+}
+
+static gint compare_keys(gconstpointer a, gconstpointer b)
+{
+	return strcmp((*(const struct test_store_item *const *)a)->key,
+		      (*(const struct test_store_item *const *)b)->key);
+}
+
+GPtrArray *test_list_store_items(const struct test_store *store, bool stale,
+				 uint64_t *revision)
+{
+	const struct test_store_copy *copy = stale ? store->stale_copy : NULL;
+	GPtrArray *items = g_ptr_array_new();
+	GHashTableIter iter;
+	gpointer value;
+
+	if (copy) {
+		for (guint i = 0; i < copy->items->len; i++)
+			g_ptr_array_add(items,
+					g_ptr_array_index(copy->items, i));
+	} else {
+		g_hash_table_iter_init(&iter, store->items);
+		while (g_hash_table_iter_next(&iter, NULL, &value))
+			g_ptr_array_add(items, value);
+	}
+	g_ptr_array_sort(items, compare_keys);
+	*revision = copy ? copy->revision : store->revision;
+	return items;
 }
 
 /* Leases of the copy start anew. */
--- a/tests/support/standin-store-private.h
+++ b/tests/support/standin-store-private.h
@@ -42,6 +42,12 @@
 
 /* standin-store-copy.c */
 void test_drop_store_copy(struct test_store_copy *copy);
+/*
+ * Return the items that a read finds, struct test_store_item by key, and set
+ * *revision to theirs; the items are valid until the store changes.
+ */
+GPtrArray *test_list_store_items(const struct test_store *store, bool stale,
+				 uint64_t *revision);
 
 /* standin-store-write.c */
 struct test_store_item *test_new_store_item(const char *key, const char *value,
--- a/tests/support/standin-store.c
+++ b/tests/support/standin-store.c
@@ -230,28 +230,31 @@
 static void handle_range(struct test_store *store,
 			 struct test_connection *connection)
 {
-	GString *out = g_string_new("{\"items\":[");
-	GList *keys = g_hash_table_get_keys(store->items);
+	bool stale = parse_query_number(connection->path, "&serializable=");
 	char *prefix = parse_query_text(connection->path, "?prefix=");
+	GString *out = g_string_new("{\"items\":[");
+	uint64_t revision;
+	GPtrArray *items = test_list_store_items(store, stale, &revision);
 	bool found = false;
 
 	test_find_store_counts(store, prefix)->reads++;
-	keys = g_list_sort(keys, (GCompareFunc)strcmp);
-	for (GList *l = keys; l; l = l->next) {
-		if (!g_str_has_prefix(l->data, prefix))
+	for (guint i = 0; i < items->len; i++) {
+		const struct test_store_item *item =
+			g_ptr_array_index(items, i);
+
+		if (!g_str_has_prefix(item->key, prefix))
 			continue;
 		if (found)
 			g_string_append_c(out, ',');
-		test_append_store_item(
-			out, g_hash_table_lookup(store->items, l->data));
+		test_append_store_item(out, item);
 		found = true;
 	}
-	g_list_free(keys);
+	g_ptr_array_unref(items);
 	g_free(prefix);
 	g_string_append_printf(out,
 			       "],\"hasMore\":false,"
 			       "\"storeRevision\":%" G_GUINT64_FORMAT "}",
-			       store->revision);
+			       revision);
 	test_answer_store_call(store, connection, 200, out->str);
 	g_string_free(out, TRUE);
 }
@@ -423,6 +426,7 @@
 	g_source_remove(store->timer);
 	g_ptr_array_unref(store->waiters);
 	test_drop_store_copy(store->copy);
+	test_release_stale_reads(store);
 	g_ptr_array_unref(store->changes);
 	g_hash_table_unref(store->items);
 	g_hash_table_unref(store->leases);
--- a/tests/support/standin-store.h
+++ b/tests/support/standin-store.h
@@ -43,6 +43,8 @@
 	/* Number of restores from a copy, plus one; stated in all answers. */
 	uint64_t era;
 	struct test_store_copy *copy; /* NULL: none was made */
+	/* Returned by stale reads; NULL: the present content. */
+	struct test_store_copy *stale_copy;
 	/* Changes up to this revision were removed. */
 	uint64_t compacted_revision;
 	int64_t hold_watches_until_us;
@@ -106,6 +108,13 @@
  * closed.  Keys of operators and replicas are to be written again by the caller.
  */
 void test_restore_store(struct test_store *store);
+/*
+ * Let stale reads (`serializable`) return the present content and revision from
+ * now on, also after a restore.  They state the present era, like all replies.
+ */
+void test_hold_stale_reads(struct test_store *store);
+/* Let stale reads return the present content again. */
+void test_release_stale_reads(struct test_store *store);
 /* Set the state and close all connections. */
 void test_store_set_state(struct test_store *store,
 			  enum test_store_state state);
