feed: watches of a reference zone are short, and confirm those of the others

What callers would see: an old configuration for up to 25 s at every instance of a site of one zone, or of any site whose watchers have all lost the reply to the same change.

Cause: a watch whose reply was lost receives nothing until its end. It was compared with those of other zones, which need to exist and to know more; a renewal shows a spell of lost replies only if it falls into it.

The watches of the first zone by name wait for a quarter of the bound; the others compare theirs with that zone once in a sixth of it (in a third before, with each zone in turn), and open again a watch that it has not confirmed for five sixths. A lost reply then costs 2.75 s of a bound of 3 s, 4 s of 6 s.

--- a/source/core/feed-check.c
+++ b/source/core/feed-check.c
@@ -2,8 +2,11 @@
  * feed-check.c - comparison of an open watch with what another zone knows.
  *
  * A watch that receives nothing looks like one without changes, whatever made it
- * so.  While this instance waits for the store, it asks watchers of other zones
- * in turn for changes that its own watch has not reported.
+ * so.  The watches of one zone are short; while an instance of another zone waits
+ * for the store, it asks a watcher of that reference zone for changes that its
+ * own watch has not reported, or those of other zones in turn if it gets no
+ * reply.  A watch that the reference zone has not confirmed for a while is opened
+ * again.
  */
 #include "core/feed-private.h"
 
@@ -12,9 +15,11 @@
 
 /*
  * Period of the comparison, as a fraction of the staleness bound; the rest is
- * left for a new watch.
+ * left for a reply that the reference zone's watch has lost.
  */
-#define CHECK_PERIOD_DIVISOR 3
+#define CHECK_PERIOD_DIVISOR 6
+/* Longest time without confirmation, as a fraction of the staleness bound. */
+#define UNCONFIRMED_FRACTION (5 / 6.0)
 
 /* Whether this instance waits for changes from the store. */
 static bool is_watching_store(const struct rr_feed *feed)
@@ -23,12 +28,45 @@
 	       feed->reading.kind == RR_FEED_WATCH;
 }
 
-static int64_t next_check_us(const struct rr_feed *feed)
+static int64_t next_check_due_us(const struct rr_feed *feed)
 {
+#ifdef RR_MUTANT_FEED_CHECKS_NOTHING
+	return INT64_MAX;
+#endif
+	if (feed->checking.call_id || !is_watching_store(feed))
+		return INT64_MAX;
 	return MAX(feed->reading.started_us, feed->checking.started_us) +
 	       rr_max_staleness_us(feed) / CHECK_PERIOD_DIVISOR;
 }
 
+static int64_t unconfirmed_until_us(const struct rr_feed *feed)
+{
+	return MAX(feed->reading.started_us, feed->confirmed_us) +
+	       (int64_t)(UNCONFIRMED_FRACTION *
+			 (double)rr_max_staleness_us(feed));
+}
+
+/*
+ * Guards against a watch that receives nothing at an instance that is cut off
+ * from the other zones, but not from the store.
+ */
+static void reopen_unconfirmed_watch(struct rr_context *ctx,
+				     struct rr_feed *feed)
+{
+	if (!is_watching_store(feed) ||
+	    feed->now_us < unconfirmed_until_us(feed))
+		return;
+#ifdef RR_MUTANT_FEED_NEEDS_NO_CONFIRMATION
+	return;
+#endif
+	rr_log(ctx, RR_LOG_INFO, "watch-unconfirmed",
+	       RR_FIELD_U64("known", feed->revision),
+	       RR_FIELD_I64("watch_us",
+			    feed->now_us - feed->reading.started_us));
+	rr_restart_feed_read(feed);
+	rr_start_feed_read(ctx, feed);
+}
+
 void rr_tick_feed_check(struct rr_context *ctx, struct rr_feed *feed)
 {
 	struct rr_feed_call call = {
@@ -37,9 +75,18 @@
 		.era = feed->era,
 	};
 
-	if (feed->now_us < rr_feed_check_wake_us(feed))
+	reopen_unconfirmed_watch(ctx, feed);
+	if (feed->now_us < next_check_due_us(feed))
 		return;
-	call.peer = rr_find_remote_watcher(feed->sources, feed->check_turn++);
+	feed->checks_reference =
+		feed->checking_failed ?
+			false :
+			rr_find_reference_watcher(feed->sources) != NULL;
+	call.peer = feed->checks_reference ?
+			    rr_find_reference_watcher(feed->sources) :
+			    rr_find_remote_watcher(feed->sources,
+						   feed->check_turn++);
+	feed->checking_failed = false;
 	if (call.peer)
 		rr_start_feed_call(ctx, feed, &feed->checking, &call);
 	else
@@ -48,12 +95,9 @@
 
 int64_t rr_feed_check_wake_us(const struct rr_feed *feed)
 {
-#ifdef RR_MUTANT_FEED_CHECKS_NOTHING
-	return INT64_MAX;
-#endif
-	if (feed->checking.call_id || !is_watching_store(feed))
+	if (!is_watching_store(feed))
 		return INT64_MAX;
-	return next_check_us(feed);
+	return MIN(next_check_due_us(feed), unconfirmed_until_us(feed));
 }
 
 /* Whether the reply has changes that this instance does not know. */
@@ -77,6 +121,10 @@
 				const struct rr_feed_reply *reply)
 {
 	feed->checking.call_id = 0;
+	feed->checking_failed =
+		feed->checks_reference && reply->status == RR_FEED_FAILED;
+	if (feed->checks_reference && !feed->checking_failed)
+		feed->confirmed_us = feed->now_us;
 	/* A watch that began after the question may still report them. */
 	if (!is_watching_store(feed) ||
 	    feed->reading.started_us > feed->checking.started_us ||
--- a/source/core/feed-private.h
+++ b/source/core/feed-private.h
@@ -95,7 +95,11 @@
 	struct rr_feed_restore restore;
 	/* Comparison of the watch with another zone. */
 	struct rr_feed_call_state checking;
-	guint check_turn; /* index of the zone to ask */
+	guint check_turn;      /* index of the zone to ask */
+	bool checks_reference; /* the last one asked the reference zone */
+	bool checking_failed;  /* that zone did not reply */
+	/* when the reference zone last replied to one */
+	int64_t confirmed_us;
 	/* Registration. */
 	struct rr_feed_call_state entry;
 	/* other instances registered by this one */
--- a/source/core/feed-read.c
+++ b/source/core/feed-read.c
@@ -20,6 +20,12 @@
  * reply.
  */
 #define SHORT_WATCH_MS 1000
+/*
+ * Wait time of the watch that those of other zones are compared with, as a
+ * fraction of the staleness bound; the rest is left for a reply that is lost and
+ * for the comparison.
+ */
+#define REFERENCE_WATCH_DIVISOR 4
 /*
  * A peer answers a watch within this fraction of the staleness bound, which
  * leaves the rest for asking the store.
@@ -69,6 +75,11 @@
 #ifndef RR_MUTANT_FEED_LONG_WATCH
 	if (feed->needs_short_watch)
 		return SHORT_WATCH_MS;
+#endif
+#ifndef RR_MUTANT_FEED_REFERENCE_WATCH_LONG
+	if (!rr_find_reference_watcher(feed->sources))
+		return MIN(WATCH_MS,
+			   feed->max_staleness_ms / REFERENCE_WATCH_DIVISOR);
 #endif
 	return WATCH_MS;
 }
--- a/source/core/feed-source-order.c
+++ b/source/core/feed-source-order.c
@@ -248,6 +248,30 @@
 	g_ptr_array_unref(remote);
 }
 
+/* The reference zone is the first by name that has a watcher. */
+static void find_reference_watcher(struct rr_sources *sources,
+				   GHashTable *zones)
+{
+	const char *first = sources->self.zone;
+	const struct rr_instance *watcher = NULL;
+	GHashTableIter iter;
+	gpointer zone;
+	gpointer top;
+
+	g_hash_table_iter_init(&iter, zones);
+	while (g_hash_table_iter_next(&iter, &zone, &top)) {
+		const struct rr_instance *instance = pick_watcher(sources, top);
+
+		if (strcmp(zone, first) >= 0 || !*instance->address)
+			continue;
+		first = zone;
+		watcher = instance;
+	}
+	g_free(sources->reference_watcher);
+	sources->reference_watcher =
+		watcher ? g_strdup(watcher->address) : NULL;
+}
+
 static uint32_t count_all_watchers(GHashTable *zones)
 {
 	GHashTableIter iter;
@@ -366,6 +390,7 @@
 		append_store(order, sources);
 	append_seeds(order, sources);
 	find_remote_watchers(sources, zones);
+	find_reference_watcher(sources, zones);
 	find_registrars(sources, g_hash_table_lookup(zones, sources->self.zone),
 			!sources->peers_enabled || own.is_registrar);
 	sources->n_watchers = sources->peers_enabled ?
--- a/source/core/feed-source-private.h
+++ b/source/core/feed-source-private.h
@@ -39,7 +39,9 @@
 	bool order_is_stale;
 	GPtrArray *registrars; /* addresses, char; empty: registers itself */
 	GPtrArray *remote_watchers; /* the same; one of each other zone */
-	bool has_children;	    /* its zone's tree has a level below it */
+	/* one of the reference zone; NULL: that is its own zone */
+	char *reference_watcher;
+	bool has_children;	 /* its zone's tree has a level below it */
 	bool is_watch_candidate; /* it watches, or does so when others fail */
 	uint32_t n_watchers;	 /* number in all zones */
 };
--- a/source/core/feed-source.c
+++ b/source/core/feed-source.c
@@ -109,6 +109,7 @@
 	g_ptr_array_unref(sources->order);
 	g_ptr_array_unref(sources->registrars);
 	g_ptr_array_unref(sources->remote_watchers);
+	g_free(sources->reference_watcher);
 	g_free(sources->self.id);
 	g_free(sources->self.zone);
 	g_free(sources);
@@ -296,6 +297,12 @@
 	return n ? g_ptr_array_index(sources->remote_watchers, turn % n) : NULL;
 }
 
+const char *rr_find_reference_watcher(struct rr_sources *sources)
+{
+	refresh_order(sources);
+	return sources->reference_watcher;
+}
+
 bool rr_peer_sources_enabled(const struct rr_sources *sources)
 {
 	return sources->peers_enabled;
--- a/source/core/feed-source.h
+++ b/source/core/feed-source.h
@@ -76,6 +76,12 @@
  * until the sources change.  NULL: there is none.
  */
 const char *rr_find_remote_watcher(struct rr_sources *sources, guint turn);
+/*
+ * Return the address of a watcher of the reference zone, valid until the sources
+ * change; NULL if that is this instance's zone.  All instances that know the
+ * same entries agree on the zone.
+ */
+const char *rr_find_reference_watcher(struct rr_sources *sources);
 /* Whether peers may be read from, see rr_enable_peer_sources(). */
 bool rr_peer_sources_enabled(const struct rr_sources *sources);
 /* Number of watchers in all zones. */
--- a/tests/test-feed-random.c
+++ b/tests/test-feed-random.c
@@ -17,6 +17,7 @@
 
 #define INSTANCES 9
 #define ZONES 3
+#define ONE_ZONE_INSTANCES 3
 #define REPLICAS 20
 #define FIRST_SEED 1
 #define SEEDS 150
@@ -35,6 +36,7 @@
 struct play {
 	GRand *rand;
 	struct fleet *fleet;
+	bool loses_all_replies;
 	uint64_t version;
 	GString *series; /* of the faults of this round, for the report */
 };
@@ -47,7 +49,8 @@
 
 static guint draw_node(struct play *play)
 {
-	return (guint)g_rand_int_range(play->rand, 0, INSTANCES);
+	return (guint)g_rand_int_range(play->rand, 0,
+				       (gint32)play->fleet->nodes->len);
 }
 
 static void record(struct play *play, const char *name, int64_t argument)
@@ -118,6 +121,20 @@
 		play->fleet->now_us + draw_us(play, MAX_FAULT_US);
 }
 
+/* For a while, no instance gets any reply of the store. */
+static void lose_all_replies(struct play *play)
+{
+	int64_t until_us = play->fleet->now_us + draw_us(play, MAX_FAULT_US);
+
+	record(play, "lose-all-replies", until_us / FLEET_MS);
+	for (guint i = 0; i < play->fleet->nodes->len; i++) {
+		struct fleet_node *node =
+			g_ptr_array_index(play->fleet->nodes, i);
+
+		node->replies_lost_until_us = until_us;
+	}
+}
+
 static void reject_node(struct play *play)
 {
 	guint index = draw_node(play);
@@ -145,19 +162,23 @@
 
 static void run_round(struct play *play)
 {
+	/* The last two only where all may lose their replies at once. */
+	enum { N_COMMON_FAULTS = 13 };
 	static void (*const faults[])(struct play * play) = {
-		restore_store,	    restore_store, compact_store,
-		compact_store,	    compact_store, toggle_store,
-		freeze_node,	    restart_node,  restart_node,
-		lose_replies,	    reject_node,   write_next_version,
-		write_next_version,
+		restore_store,	    restore_store,    compact_store,
+		compact_store,	    compact_store,    toggle_store,
+		freeze_node,	    restart_node,     restart_node,
+		lose_replies,	    reject_node,      write_next_version,
+		write_next_version, lose_all_replies, lose_all_replies,
 	};
 	gint n = g_rand_int_range(play->rand, MIN_FAULTS, MAX_FAULTS + 1);
 
 	g_string_truncate(play->series, 0);
 	for (gint i = 0; i < n; i++) {
-		faults[g_rand_int_range(play->rand, 0, G_N_ELEMENTS(faults))](
-			play);
+		faults[g_rand_int_range(play->rand, 0,
+					play->loses_all_replies ?
+						G_N_ELEMENTS(faults) :
+						N_COMMON_FAULTS)](play);
 		fleet_run(play->fleet, draw_us(play, MAX_GAP_US));
 	}
 	end_faults(play);
@@ -168,7 +189,7 @@
 {
 	if (fleet_applied_us(play->fleet, play->version) != INT64_MAX)
 		return true;
-	for (guint i = 0; i < INSTANCES; i++) {
+	for (guint i = 0; i < play->fleet->nodes->len; i++) {
 		const struct fleet_node *node =
 			g_ptr_array_index(play->fleet->nodes, i);
 
@@ -182,11 +203,13 @@
 }
 
 /* Return the number of the failed round; 0: all passed. */
-static int play_seed(uint32_t seed, int rounds)
+static int play_seed(uint32_t seed, int rounds, guint instances, guint zones,
+		     bool loses_all_replies)
 {
 	struct play play = {
 		.rand = g_rand_new_with_seed(seed),
-		.fleet = fleet_new(INSTANCES, ZONES, REPLICAS),
+		.fleet = fleet_new(instances, zones, REPLICAS),
+		.loses_all_replies = loses_all_replies,
 		.version = 1,
 		.series = g_string_new(NULL),
 	};
@@ -215,7 +238,38 @@
 
 	(void)state;
 	for (uint32_t seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++)
-		n_failed += play_seed(seed, ROUNDS) != 0;
+		n_failed +=
+			play_seed(seed, ROUNDS, INSTANCES, ZONES, false) != 0;
+	assert_int_equal(n_failed, 0);
+}
+
+/*
+ * Guards against the same in a site of one zone, where no watcher of another
+ * zone knows of a change that a watch has not reported.
+ */
+static void test_configuration_is_in_force_in_one_zone(void **state)
+{
+	guint n_failed = 0;
+
+	(void)state;
+	for (uint32_t seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++)
+		n_failed += play_seed(seed, ROUNDS, ONE_ZONE_INSTANCES, 1,
+				      false) != 0;
+	assert_int_equal(n_failed, 0);
+}
+
+/*
+ * Guards against the same where the watches of all zones have lost the reply to
+ * the same change, so that none of them differs from another.
+ */
+static void test_configuration_is_in_force_after_lost_replies(void **state)
+{
+	guint n_failed = 0;
+
+	(void)state;
+	for (uint32_t seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++)
+		n_failed +=
+			play_seed(seed, ROUNDS, INSTANCES, ZONES, true) != 0;
 	assert_int_equal(n_failed, 0);
 }
 
@@ -223,10 +277,14 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_configuration_is_in_force_after_faults),
+		cmocka_unit_test(test_configuration_is_in_force_in_one_zone),
+		cmocka_unit_test(
+			test_configuration_is_in_force_after_lost_replies),
 	};
 
 	if (argc > 1)
 		return play_seed((uint32_t)g_ascii_strtoull(argv[1], NULL, 10),
-				 argc > 2 ? atoi(argv[2]) : ROUNDS) != 0;
+				 argc > 2 ? atoi(argv[2]) : ROUNDS, INSTANCES,
+				 ZONES, false) != 0;
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test-feed.c
+++ b/tests/test-feed.c
@@ -330,8 +330,13 @@
 
 	for (int i = 0; i < 240; i++) {
 		struct recorded_call *renewal;
+		struct recorded_call *check;
 
 		feed_advance(fixture, 1000 * MS);
+		check = feed_find_call(fixture, RR_FEED_CHECK);
+		if (check)
+			feed_answer(fixture, check, RR_FEED_OK, NULL, 20,
+				    false);
 		renewal = feed_find_call(fixture, RR_FEED_LEASE_RENEW);
 		if (renewal)
 			feed_answer(fixture, renewal, RR_FEED_OK, NULL, 0,
