gate: the deadline also ends a wait for a trial's claim

What callers would see: a quarantined request that is due for a trial gets no answer at its deadline, and none at all if its instance stops meanwhile.

Cause: it has no timer but that of the claim, 250 ms, and rr_advance_request() passes over it, so neither its deadline nor a stop's limit is kept.

Evidence: two new tests of gate-quarantine fail on the code before: 100 ms given and no answer after 101 ms; the same with a stop's last answer after 100 ms.

The deadline now rejects it with 503: it has not run. Mutant GATE_CLAIM_OUTLASTS_DEADLINE is caught.

--- a/source/core/gate-quarantine.c
+++ b/source/core/gate-quarantine.c
@@ -401,6 +401,9 @@
 	rr_set_timer(gate->timers,
 		     gate->now_us + gate->policy.quarantine_claim_us,
 		     RR_TIMER_GATE_CLAIM_TIMEOUT, req->id, 0);
+	if (req->expires_us != INT64_MAX)
+		rr_set_timer(gate->timers, req->expires_us,
+			     RR_TIMER_GATE_ADVANCE, req->id, 0);
 	gate->actions.report(gate->actions.data, &report);
 }
 
--- a/source/core/gate-request.c
+++ b/source/core/gate-request.c
@@ -238,8 +238,13 @@
 void rr_advance_request(struct rr_context *ctx, struct rr_gate *gate,
 			struct rr_gate_request *req)
 {
-	if (req->claim_pending)
+	if (req->claim_pending) {
+#ifndef RR_MUTANT_GATE_CLAIM_OUTLASTS_DEADLINE
+		if (gate->now_us >= req->expires_us)
+			rr_handle_claim_timeout(ctx, gate, req->id);
+#endif
 		return;
+	}
 	if (req->route->mode == RR_ROUTE_GATHER && !req->forwarded) {
 		advance_gather(ctx, gate, req);
 		return;
--- a/tests/test-gate-quarantine.c
+++ b/tests/test-gate-quarantine.c
@@ -470,6 +470,45 @@
 	test_free_gate(fixture);
 }
 
+/* Guards against a request that waits for its claim beyond its deadline. */
+static void test_claim_ends_at_deadline(void **state)
+{
+	struct gate_fixture *fixture = new_fixture(&test_idempotent_route);
+	guint n_answers;
+
+	(void)state;
+	apply_quarantine(fixture);
+	test_advance_time(fixture, (int64_t)HOLD_MS * TEST_MS);
+	n_answers = fixture->answers->len;
+	test_submit(fixture, "/often/1", 100);
+	assert_true(test_last_report(fixture)->claim);
+	test_advance_time(fixture, 99 * TEST_MS);
+	assert_int_equal(fixture->answers->len, n_answers);
+	test_advance_time(fixture, 2 * TEST_MS);
+	assert_int_equal(fixture->answers->len, n_answers + 1);
+	assert_int_equal(test_last_answer(fixture)->status, 503);
+	test_free_gate(fixture);
+}
+
+/* Guards against a planned stop that ends a request that waits for its claim. */
+static void test_claim_ends_before_exit(void **state)
+{
+	struct gate_fixture *fixture = new_fixture(&test_idempotent_route);
+	guint n_answers;
+
+	(void)state;
+	apply_quarantine(fixture);
+	test_advance_time(fixture, (int64_t)HOLD_MS * TEST_MS);
+	n_answers = fixture->answers->len;
+	test_submit(fixture, "/often/1", 900);
+	rr_gate_limit_answers(fixture->gate, fixture->now_us,
+			      fixture->now_us + 100 * TEST_MS);
+	test_advance_time(fixture, 101 * TEST_MS);
+	assert_int_equal(fixture->answers->len, n_answers + 1);
+	assert_int_equal(test_last_answer(fixture)->status, 503);
+	test_free_gate(fixture);
+}
+
 /* Guards against a rejected request that is forwarded to the next instance. */
 static void test_forwarded_request_is_finally_rejected(void **state)
 {
@@ -543,6 +582,8 @@
 		cmocka_unit_test(test_completed_trial_releases),
 		cmocka_unit_test(test_crashed_trial_extends_quarantine),
 		cmocka_unit_test(test_trial_needs_a_claim),
+		cmocka_unit_test(test_claim_ends_at_deadline),
+		cmocka_unit_test(test_claim_ends_before_exit),
 		cmocka_unit_test(test_forwarded_request_is_finally_rejected),
 		cmocka_unit_test(test_removed_entry_releases),
 		cmocka_unit_test(test_lost_entry_is_published_again),
