net: connections to peers linger at the exit

What callers would see: a shard that lacks after a planned stop of an instance in another zone that ran its attempts.

Cause: links were closed without a linger time when the transport is dropped, so the library drops what it has not written. The 0.3 s of idle time before that are usually enough, but no event.

A mutant takes the linger time away again.

--- a/source/net/net-peer-link.c
+++ b/source/net/net-peer-link.c
@@ -49,8 +49,7 @@
  */
 #define REKEY_TIMEOUT_US 10000000
 /*
- * A link closed because it is idle or for new keys still writes its queued
- * messages for this time.
+ * A link that is closed still writes its queued messages for up to this time.
  */
 #define CLOSE_LINGER_MS 1000
 
@@ -88,7 +87,10 @@
 {
 	struct peer_link *link = data;
 
+#ifdef RR_MUTANT_PEER_EXITS_UNSENT
 	close_socket(link, 0);
+#endif
+	close_socket(link, CLOSE_LINGER_MS);
 	g_queue_clear_full(&link->queue, free_queued);
 	g_free(link->address);
 	g_free(link);
--- a/tests/test-member.c
+++ b/tests/test-member.c
@@ -191,6 +191,53 @@
 	drop_member_net(net);
 }
 
+/* Return how many running nodes have declared a node dead. */
+static guint count_nodes_declaring_dead(const struct member_net *net,
+					const struct net_node *node)
+{
+	guint n_dead = 0;
+
+	for (guint i = 0; i < net->nodes->len; i++) {
+		const struct net_node *other = node_at(net, i);
+		struct rr_member_update *list;
+		size_t n;
+
+		if (other == node || !other->members)
+			continue;
+		list = rr_list_members(other->members, &n);
+		for (size_t at = 0; at < n; at++)
+			n_dead += !strcmp(list[at].instance, node->instance) &&
+				  list[at].state == RR_MEMBER_DEAD;
+		g_free(list);
+	}
+	return n_dead;
+}
+
+/*
+ * Guards against parts that are lost in a planned stop: an instance that leaves
+ * misses a probe, answers all later ones, and is declared dead while it finishes
+ * what it has accepted.
+ */
+static void test_leaving_member_that_answers_is_not_dead(void **state)
+{
+	struct member_net *net = new_converged_net(1, 3);
+	struct net_node *node = node_at(net, 1);
+
+	(void)state;
+	rr_announce_leaving(net->ctx, node->members, net->now_us);
+	node->leaving = true;
+	run_net(net, NET_SECOND);
+	pause_node(node, NET_SECOND);
+	for (int i = 0; i < 20; i++) {
+		run_net(net, NET_SECOND);
+		assert_int_equal(count_nodes_declaring_dead(net, node), 0);
+	}
+	kill_node(node);
+	run_net(net, 10 * NET_SECOND);
+	assert_int_equal(count_nodes_declaring_dead(net, node), 2);
+	drop_member_net(net);
+}
+
 /*
  * Guards against confusing a restarted instance with the earlier process of the
  * same name: relays to the earlier one would run twice or be dropped. A restart
@@ -371,6 +418,7 @@
 		cmocka_unit_test(test_partition_heals),
 		cmocka_unit_test(test_paused_member_suspects_no_member),
 		cmocka_unit_test(test_leaving_member_is_removed),
+		cmocka_unit_test(test_leaving_member_that_answers_is_not_dead),
 		cmocka_unit_test(test_restart_same_name),
 		cmocka_unit_test(test_address_is_reused),
 		cmocka_unit_test(test_unanswered_hint_is_not_usable),
--- a/tests/test-net-peer.c
+++ b/tests/test-net-peer.c
@@ -15,6 +15,9 @@
 
 #define TIMEOUT_MS 30000
 #define RESEND_PERIOD_MS 20
+/* More than the buffers of a connection hold. */
+#define N_LARGE 100
+#define LARGE_BYTES (256 * 1024)
 
 struct node {
 	struct rr_context *ctx;
@@ -116,6 +119,28 @@
 	return rr_counter_value(node->ctx, counter);
 }
 
+/*
+ * Guards against a reply to a forwarded request that is lost when the instance
+ * exits right after it has sent it.
+ */
+static void test_messages_sent_before_exit_arrive(void **state)
+{
+	struct node a;
+	struct node b;
+
+	(void)state;
+	open_node(&a, NULL, NULL);
+	open_node(&b, NULL, NULL);
+	send_sequence(&a, rr_peer_transport_address(b.transport), 0, 0);
+	WAIT_FOR(b.sequences->len == 1);
+	for (uint64_t i = 1; i <= N_LARGE; i++)
+		send_sequence(&a, rr_peer_transport_address(b.transport), i,
+			      LARGE_BYTES);
+	close_node(&a);
+	WAIT_FOR(b.sequences->len == 1 + N_LARGE);
+	close_node(&b);
+}
+
 /*
  * Guards against replies to forwarded requests that stay unread until the next
  * message arrives, so that under load the query reaches its deadline. The cause
@@ -401,6 +426,7 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_messages_sent_before_exit_arrive),
 		cmocka_unit_test(test_bursts_arrive_completely),
 		cmocka_unit_test(test_replacement_gets_no_old_messages),
 		cmocka_unit_test(test_link_limit),
