soak: links run in processes of their own

Cause: one process was the store, all replicas, callers and links, and had used up its 20,000 descriptors within 15 s. RECOVER followed, since it refused what it had no descriptor for; the end without a line was test_open_listener(), which prints the message of an error that was not set.

A process for each 40 gateways runs the links now; a command is executed before the soak goes on. A lack of descriptors is reported as DESCRIPTORS, a listener that cannot be opened ends the program with a message.

--- a/soak/soak-link.c
+++ b/soak/soak-link.c
@@ -1,300 +1,96 @@
 /*
- * soak-link.c - a loopback link that can delay, stall or refuse connections.
- *
- * Each chunk of bytes is forwarded when its delay is over and its direction is
- * not stalled.
+ * soak-link.c - control of the links, which run in processes of their own.
  */
-#include <string.h>
+#include "soak-link.h"
 
-#include "soak.h"
-#include "support/port.h"
+#include <sys/socket.h>
+#include <unistd.h>
 
-#define FLUSH_MS 2
-#define CHUNK_BYTES 16384
+/* A process has up to 20,000 descriptors, and about 100 for each gateway. */
+#define GATEWAYS_PER_HOST 40
 
-struct chunk {
-	GBytes *bytes; /* NULL: end of stream */
-	int64_t due_us;
+struct link_host {
+	int fd;
+	uint32_t n_failed_connections;
 };
 
-/* One direction of a connection. */
-struct stream {
-	GSocket *from;
-	GSocket *to;
-	GSource *source;
-	GQueue chunks;
-	bool to_target; /* from the client to the target */
-	bool eof_sent;	/* end of stream was forwarded */
-};
-
-struct conn {
-	struct soak_link *link;
-	GSocket *client;
-	GSocket *target;
-	struct stream to_target;
-	struct stream to_client;
+struct soak_link_hosts {
+	GArray *hosts; /* struct link_host */
+	guint next;    /* host of the next link */
 };
 
 struct soak_link {
-	GSocket *listener;
-	GSource *source;
+	struct link_host *host;
+	uint32_t number; /* in its host */
 	uint16_t port;
-	uint16_t target_port;
-	enum soak_link_state state;
-	uint32_t delay_ms;
-	GPtrArray *conns;
-	guint timer; /* 0: no chunks are queued */
 };
 
-static void free_chunk(gpointer data)
+struct soak_link_hosts *soak_start_link_hosts(uint32_t n_instances)
 {
-	struct chunk *chunk = data;
+	struct soak_link_hosts *hosts = g_new0(struct soak_link_hosts, 1);
 
-	if (chunk->bytes)
-		g_bytes_unref(chunk->bytes);
-	g_free(chunk);
-}
+	hosts->hosts = g_array_new(FALSE, FALSE, sizeof(struct link_host));
+	for (uint32_t i = 0; i <= n_instances / GATEWAYS_PER_HOST; i++) {
+		struct link_host host = { .fd = soak_fork_link_host() };
 
-static void clear_stream(struct stream *stream)
-{
-	if (stream->source) {
-		g_source_destroy(stream->source);
-		g_source_unref(stream->source);
+		g_array_append_val(hosts->hosts, host);
 	}
-	g_queue_clear_full(&stream->chunks, free_chunk);
+	return hosts;
 }
 
-static void free_conn(struct conn *conn)
+void soak_stop_link_hosts(struct soak_link_hosts *hosts)
 {
-	clear_stream(&conn->to_target);
-	clear_stream(&conn->to_client);
-	g_socket_close(conn->client, NULL);
-	g_socket_close(conn->target, NULL);
-	g_object_unref(conn->client);
-	g_object_unref(conn->target);
-	g_free(conn);
+	for (guint i = 0; i < hosts->hosts->len; i++)
+		close(g_array_index(hosts->hosts, struct link_host, i).fd);
+	g_array_unref(hosts->hosts);
+	g_free(hosts);
 }
 
-static void drop_conn(struct conn *conn)
+uint32_t soak_count_failed_connections(const struct soak_link_hosts *hosts)
 {
-	g_ptr_array_remove_fast(conn->link->conns, conn);
-	free_conn(conn);
-}
+	uint32_t n = 0;
 
-static bool is_passing(const struct soak_link *link, bool to_target)
-{
-	switch (link->state) {
-	case SOAK_LINK_UP:
-		return true;
-	case SOAK_LINK_REQUESTS_STALLED:
-		return !to_target;
-	case SOAK_LINK_REPLIES_STALLED:
-		return to_target;
-	case SOAK_LINK_STALLED:
-	case SOAK_LINK_REFUSED:
-		return false;
-	}
-	return false;
+	for (guint i = 0; i < hosts->hosts->len; i++)
+		n += g_array_index(hosts->hosts, struct link_host, i)
+			     .n_failed_connections;
+	return n;
 }
 
-/* Forward the chunks that are due; return false if the connection is broken. */
-static bool flush_stream(struct soak_link *link, struct stream *stream)
+static struct soak_link_reply
+send_command(struct link_host *host, const struct soak_link_command *command)
 {
-	struct chunk *chunk;
+	struct soak_link_reply reply;
 
-	while (is_passing(link, stream->to_target) &&
-	       (chunk = g_queue_peek_head(&stream->chunks)) &&
-	       chunk->due_us <= g_get_monotonic_time()) {
-		gsize length = 0;
-		const char *bytes =
-			chunk->bytes ? g_bytes_get_data(chunk->bytes, &length) :
-				       NULL;
-		gssize sent;
-
-		if (!bytes) {
-			stream->eof_sent = true;
-			g_socket_shutdown(stream->to, FALSE, TRUE, NULL);
-			free_chunk(g_queue_pop_head(&stream->chunks));
-			continue;
-		}
-		sent = g_socket_send(stream->to, bytes, length, NULL, NULL);
-		if (sent < 0)
-			return g_socket_condition_check(
-				       stream->to, G_IO_HUP | G_IO_ERR) == 0;
-		if ((gsize)sent < length) {
-			GBytes *rest = g_bytes_new_from_bytes(
-				chunk->bytes, (gsize)sent,
-				length - (gsize)sent);
-
-			g_bytes_unref(chunk->bytes);
-			chunk->bytes = rest;
-			return true;
-		}
-		free_chunk(g_queue_pop_head(&stream->chunks));
-	}
-	return true;
-}
-
-static gboolean flush_all(gpointer data);
-
-/* There are hundreds of links: run the timer only for those with chunks. */
-static void flush_later(struct soak_link *link)
-{
-	if (!link->timer)
-		link->timer = g_timeout_add(FLUSH_MS, flush_all, link);
-}
-
-static gboolean read_stream(GSocket *socket, GIOCondition condition,
-			    gpointer data)
-{
-	struct stream *stream = data;
-	struct conn *conn =
-		stream->to_target ?
-			(struct conn *)((char *)stream -
-					G_STRUCT_OFFSET(struct conn,
-							to_target)) :
-			(struct conn *)((char *)stream -
-					G_STRUCT_OFFSET(struct conn,
-							to_client));
-	char bytes[CHUNK_BYTES];
-	gssize n = g_socket_receive(socket, bytes, sizeof(bytes), NULL, NULL);
-	struct chunk *chunk;
-
-	if (n < 0) {
-		drop_conn(conn);
-		return G_SOURCE_REMOVE;
-	}
-	chunk = g_new0(struct chunk, 1);
-	chunk->bytes = n ? g_bytes_new(bytes, (gsize)n) : NULL;
-	chunk->due_us =
-		g_get_monotonic_time() + (int64_t)conn->link->delay_ms * MS;
-	g_queue_push_tail(&stream->chunks, chunk);
-	if (!flush_stream(conn->link, stream)) {
-		drop_conn(conn);
-		return G_SOURCE_REMOVE;
-	}
-	if (stream->eof_sent || !g_queue_is_empty(&stream->chunks))
-		flush_later(conn->link);
-	if (n)
-		return G_SOURCE_CONTINUE;
-	g_source_unref(stream->source);
-	stream->source = NULL;
-	return G_SOURCE_REMOVE;
-}
-
-static void start_stream(struct stream *stream, GSocket *from, GSocket *to,
-			 bool to_target)
-{
-	stream->from = from;
-	stream->to = to;
-	stream->to_target = to_target;
-	g_queue_init(&stream->chunks);
-	stream->source = g_socket_create_source(from, G_IO_IN, NULL);
-	g_source_set_callback(stream->source, G_SOURCE_FUNC(read_stream),
-			      stream, NULL);
-	g_source_attach(stream->source, NULL);
-}
-
-static GSocket *connect_to_port(uint16_t port)
-{
-	GSocketAddress *address =
-		g_inet_socket_address_new_from_string("127.0.0.1", port);
-	GSocket *socket =
-		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-			     G_SOCKET_PROTOCOL_TCP, NULL);
-
-	if (!g_socket_connect(socket, address, NULL, NULL))
-		g_clear_object(&socket);
-	else
-		g_socket_set_blocking(socket, FALSE);
-	g_object_unref(address);
-	return socket;
-}
-
-static gboolean accept_conn(GSocket *listener, GIOCondition condition,
-			    gpointer data)
-{
-	struct soak_link *link = data;
-	GSocket *client = g_socket_accept(listener, NULL, NULL);
-	GSocket *target = client && link->state != SOAK_LINK_REFUSED ?
-				  connect_to_port(link->target_port) :
-				  NULL;
-	struct conn *conn;
-
-	if (!target) {
-		if (client)
-			g_socket_close(client, NULL);
-		g_clear_object(&client);
-		return G_SOURCE_CONTINUE;
-	}
-	g_socket_set_blocking(client, FALSE);
-	conn = g_new0(struct conn, 1);
-	conn->link = link;
-	conn->client = client;
-	conn->target = target;
-	start_stream(&conn->to_target, client, target, true);
-	start_stream(&conn->to_client, target, client, false);
-	g_ptr_array_add(link->conns, conn);
-	return G_SOURCE_CONTINUE;
-}
-
-static gboolean flush_all(gpointer data)
-{
-	struct soak_link *link = data;
-	bool has_pending = false;
-
-	for (guint i = link->conns->len; i > 0; i--) {
-		struct conn *conn = g_ptr_array_index(link->conns, i - 1);
-
-		if (!flush_stream(link, &conn->to_target) ||
-		    !flush_stream(link, &conn->to_client) ||
-		    (conn->to_target.eof_sent && conn->to_client.eof_sent))
-			drop_conn(conn);
-		else if (!g_queue_is_empty(&conn->to_target.chunks) ||
-			 !g_queue_is_empty(&conn->to_client.chunks))
-			has_pending = true;
-	}
-	if (has_pending)
-		return G_SOURCE_CONTINUE;
-	link->timer = 0;
-	return G_SOURCE_REMOVE;
-}
-
-void soak_set_link_listening(struct soak_link *link, bool open)
-{
-	if (open == (link->listener != NULL))
-		return;
-	if (!open) {
-		g_source_destroy(link->source);
-		g_source_unref(link->source);
-		g_socket_close(link->listener, NULL);
-		g_clear_object(&link->listener);
-		return;
-	}
-	link->listener = test_open_listener(&link->port);
-	link->source = g_socket_create_source(link->listener, G_IO_IN, NULL);
-	g_source_set_callback(link->source, G_SOURCE_FUNC(accept_conn), link,
-			      NULL);
-	g_source_attach(link->source, NULL);
+	if (send(host->fd, command, sizeof(*command), MSG_NOSIGNAL) !=
+		    sizeof(*command) ||
+	    recv(host->fd, &reply, sizeof(reply), 0) != sizeof(reply))
+		g_error("a process of the links has ended");
+	host->n_failed_connections = reply.n_failed_connections;
+	return reply;
 }
 
 struct soak_link *soak_new_link(struct soak *soak, uint16_t target_port)
 {
+	const struct soak_link_command command = {
+		.kind = SOAK_LINK_NEW,
+		.target_port = target_port,
+	};
+	struct soak_link_hosts *hosts = soak->link_hosts;
 	struct soak_link *link = g_new0(struct soak_link, 1);
+	struct soak_link_reply reply;
 
-	link->target_port = target_port;
-	link->conns = g_ptr_array_new();
-	soak_set_link_listening(link, true);
+	link->host = &g_array_index(hosts->hosts, struct link_host,
+				    hosts->next++ % hosts->hosts->len);
+	reply = send_command(link->host, &command);
+	link->number = reply.link;
+	link->port = reply.port;
 	return link;
 }
 
 void soak_drop_link(struct soak_link *link)
 {
-	if (link->timer)
-		g_source_remove(link->timer);
 	soak_set_link_listening(link, false);
 	soak_close_link_conns(link);
-	g_ptr_array_unref(link->conns);
 	g_free(link);
 }
 
@@ -306,18 +102,33 @@
 void soak_set_link_state(struct soak_link *link, enum soak_link_state state,
 			 uint32_t delay_ms)
 {
-	link->state = state;
-	link->delay_ms = delay_ms;
-	if (state == SOAK_LINK_REFUSED)
-		soak_close_link_conns(link);
+	const struct soak_link_command command = {
+		.kind = SOAK_LINK_SET_STATE,
+		.link = link->number,
+		.state = state,
+		.delay_ms = delay_ms,
+	};
+
+	send_command(link->host, &command);
+}
+
+void soak_set_link_listening(struct soak_link *link, bool open)
+{
+	const struct soak_link_command command = {
+		.kind = SOAK_LINK_SET_LISTENING,
+		.link = link->number,
+		.listening = open,
+	};
+
+	send_command(link->host, &command);
 }
 
 void soak_close_link_conns(struct soak_link *link)
 {
-	GPtrArray *conns = link->conns;
+	const struct soak_link_command command = {
+		.kind = SOAK_LINK_CLOSE_CONNS,
+		.link = link->number,
+	};
 
-	link->conns = g_ptr_array_new();
-	for (guint i = 0; i < conns->len; i++)
-		free_conn(g_ptr_array_index(conns, i));
-	g_ptr_array_unref(conns);
+	send_command(link->host, &command);
 }
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -6,6 +6,7 @@
 #include <argtable2.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 /* Time between random faults, and between planned changes. */
 #define MIN_GAP_MS 60
@@ -149,8 +150,28 @@
 	return soak->complete >= wanted;
 }
 
+/*
+ * Report that this program has used up its descriptors: what callers see after
+ * that says nothing of the gateways.
+ */
+static void check_descriptors(struct soak *soak)
+{
+	uint32_t n_failed = soak_count_failed_connections(soak->link_hosts);
+	int fd = dup(STDIN_FILENO);
+
+	if (fd >= 0)
+		close(fd);
+	if ((fd >= 0 && !n_failed) || soak->lacks_descriptors)
+		return;
+	soak->lacks_descriptors = true;
+	soak_report_violation(
+		soak, "DESCRIPTORS", "%s, %u connections of links failed",
+		fd < 0 ? "none left" : "too few for the links", n_failed);
+}
+
 static void check_instances(struct soak *soak)
 {
+	check_descriptors(soak);
 	for (guint i = 0; i < soak->instances->len; i++)
 		soak_check_instance_alive(
 			g_ptr_array_index(soak->instances, i));
@@ -216,6 +237,7 @@
 	g_ptr_array_unref(soak->replicas);
 	g_rand_free(soak->rand);
 	g_rand_free(soak->fault_rand);
+	soak_stop_link_hosts(soak->link_hosts);
 }
 
 static int run(const struct soak_options *options)
@@ -234,6 +256,8 @@
 			g_str_hash, g_str_equal, g_free, g_free),
 	};
 
+	/* Before the first thread of this program. */
+	soak.link_hosts = soak_start_link_hosts(options->instances);
 	soak_open_logs(&soak);
 	soak_monitor_stalls(&soak);
 	start_deployment(&soak);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -2,8 +2,8 @@
  * soak.h - soak test of gateway processes under overlapping external faults.
  *
  * Callers and replicas check the guarantees of the gateway during the faults.
- * One program runs the store, the replicas, the links to them and the callers
- * on one main loop; the gateways are separate processes.  The seed determines
+ * One program runs the store, the replicas and the callers on one main loop; the
+ * links to them and the gateways are separate processes.  The seed determines
  * the series of the faults: their kinds, targets, durations and planned times.
  * What callers and replicas draw depends on the machine as well.
  */
@@ -138,6 +138,8 @@
 	char *log_dir;
 	FILE *fault_log;
 	struct soak_stall_monitor *stalls;
+	struct soak_link_hosts *link_hosts;
+	bool lacks_descriptors;
 	struct test_store store;
 	GPtrArray *replicas;  /* struct soak_replica */
 	GPtrArray *instances; /* struct soak_instance */
@@ -205,6 +207,14 @@
 uint32_t soak_longest_stall_ms(const struct soak *soak, int64_t since_us);
 
 /* soak-link.c */
+/* Start the processes that run the links. */
+struct soak_link_hosts *soak_start_link_hosts(uint32_t n_instances);
+void soak_stop_link_hosts(struct soak_link_hosts *hosts);
+/*
+ * Return how many connections the links could not accept or pass on, which is a
+ * fault of the soak itself.
+ */
+uint32_t soak_count_failed_connections(const struct soak_link_hosts *hosts);
 struct soak_link *soak_new_link(struct soak *soak, uint16_t target_port);
 void soak_drop_link(struct soak_link *link);
 uint16_t soak_link_port(const struct soak_link *link);
--- a/tests/support/port.c
+++ b/tests/support/port.c
@@ -74,8 +74,12 @@
 	GSocketAddress *address;
 	GSocket *listener =
 		g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-			     G_SOCKET_PROTOCOL_TCP, NULL);
+			     G_SOCKET_PROTOCOL_TCP, &error);
 
+	if (!listener) {
+		fprintf(stderr, "stand-in: %s\n", error->message);
+		exit(1);
+	}
 	if (!*port)
 		*port = test_reserve_port();
 	address = g_inet_socket_address_new_from_string("127.0.0.1", *port);
