upstream: an open health poll is freed with its client

What was seen: test_sigterm_of_owner_completes_relays, built with AddressSanitizer, failed with instances frozen for up to 1 s at drawn moments: the owner exits with code 1, LeakSanitizer. Callers lose nothing.

Cause: a poll is freed by its callback alone, and an exchange that is open when its session is dropped has none.

Evidence: test_drop_frees_open_poll, new, fails with AddressSanitizer on the code before and passes now.

The client owns its open polls, as it does its attempts.

--- a/source/net/upstream.c
+++ b/source/net/upstream.c
@@ -22,6 +22,7 @@
 	char *instance;
 	struct rr_http_session *session;
 	GHashTable *attempts; /* uint64_t id -> struct open_attempt */
+	GHashTable *polls;    /* set of struct open_poll */
 };
 
 struct open_attempt {
@@ -45,6 +46,14 @@
 	g_free(attempt);
 }
 
+static void free_poll(gpointer data)
+{
+	struct open_poll *poll = data;
+
+	g_free(poll->replica);
+	g_free(poll);
+}
+
 struct rr_upstream_client *
 rr_new_upstream_client(struct rr_context *ctx,
 		       const struct rr_upstream_client_options *options)
@@ -63,6 +72,7 @@
 	client->session = rr_new_http_session(IDLE_CONNECTION_S);
 	client->attempts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 NULL, free_attempt);
+	client->polls = g_hash_table_new_full(NULL, NULL, free_poll, NULL);
 	return client;
 }
 
@@ -72,6 +82,7 @@
 		return;
 	rr_drop_http_session(client->session);
 	g_hash_table_destroy(client->attempts);
+	g_hash_table_destroy(client->polls);
 	rr_drop_context(client->ctx);
 	g_free(client->instance);
 	g_free(client);
@@ -215,8 +226,7 @@
 
 	rr_decode_health_result(client->ctx, result, &health);
 	client->options.polled(client->options.data, &health);
-	g_free(poll->replica);
-	g_free(poll);
+	g_hash_table_remove(client->polls, poll);
 }
 
 void rr_poll_upstream_health(struct rr_context *ctx,
@@ -236,6 +246,7 @@
 
 	poll->client = client;
 	poll->replica = g_strdup(replica);
+	g_hash_table_add(client->polls, poll);
 	rr_start_exchange(client->session, &options);
 }
 
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -309,6 +309,14 @@
 	rr_drop_upstream_client(clients[1]);
 }
 
+/* Guards against a poll that leaks, since the client is dropped before its end. */
+static void test_drop_frees_open_poll(void **state)
+{
+	struct fixture *f = *state;
+
+	rr_poll_upstream_health(f->ctx, f->client, "r", f->address);
+}
+
 static void test_polls_health(void **state)
 {
 	struct fixture *f = *state;
@@ -347,6 +355,7 @@
 		TEST(test_cancels_without_closing),
 		TEST(test_cancels_only_its_own_attempt),
 		TEST(test_polls_health),
+		TEST(test_drop_frees_open_poll),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
