feed: a copy that was read in part hides nothing

What callers would see: an old configuration without an end, as with a whole stale copy, at an instance that has read the first page of the copy when the store goes away, and reads all items from another instance in its place.

Cause: the range that is restarted forgets which keys were seen, not their revisions, and that of the copy may be of an earlier era.

Evidence: test_partial_copy_is_replaced fails on the code before: routes 4 at revision 12, read from the other instance, are not applied after routes 3 at 18.

The revisions are forgotten if the page was of a stale copy. Mutant FEED_KEEPS_PARTIAL_COPY.

--- a/source/core/feed-range.c
+++ b/source/core/feed-range.c
@@ -162,6 +162,10 @@
 		/*
 		 * Pages are only consistent together: restart from the first.
 		 */
+#ifndef RR_MUTANT_FEED_KEEPS_PARTIAL_COPY
+		if (feed->read_is_stale)
+			rr_forget_feed_revisions(feed);
+#endif
 		rr_start_feed_range(feed);
 	}
 	if (from_store)
--- a/tests/test-feed-verify.c
+++ b/tests/test-feed-verify.c
@@ -150,6 +150,28 @@
 	feed_drop_fixture(fixture);
 }
 
+/*
+ * Guards against items of a stale copy that hide those of a peer, since only its
+ * first page was read: the store is away before the second.
+ */
+static void test_partial_copy_is_replaced(void **state)
+{
+	static const char *const seeds[] = { "10.0.0.1:7", NULL };
+	struct feed_fixture *fixture = feed_new_fixture_with_seeds(seeds);
+
+	(void)state;
+	fixture->era = 2;
+	feed_answer(fixture, feed_find_call(fixture, RR_FEED_RANGE), RR_FEED_OK,
+		    "r1@11 routes3@18", 20, true);
+	feed_answer(fixture, feed_find_call(fixture, RR_FEED_RANGE),
+		    RR_FEED_FAILED, NULL, 0, false);
+	assert_string_equal(feed_find_call(fixture, RR_FEED_RANGE)->peer,
+			    seeds[0]);
+	answer_verification(fixture, "r1@11 routes4@12 inst1@13", 15);
+	feed_assert_events(fixture, "+r1 routes 3 +r1 routes 4 ");
+	feed_drop_fixture(fixture);
+}
+
 /* Guards against a stale copy that stays in force while no peer answers. */
 static void test_store_is_read_if_no_peer_answers(void **state)
 {
@@ -223,6 +245,7 @@
 		cmocka_unit_test(test_stale_copy_is_not_served),
 		cmocka_unit_test(test_evacuation_of_copy_ends),
 		cmocka_unit_test(test_peers_are_read_before_the_store),
+		cmocka_unit_test(test_partial_copy_is_replaced),
 		cmocka_unit_test(test_store_is_read_if_no_peer_answers),
 		cmocka_unit_test(test_copies_of_lone_instance_are_replaced),
 		cmocka_unit_test(test_restore_during_verification),
