feed: an instance that is an era behind confirms no watch

A reply of the reference zone to a comparison counted as confirmation although it was of the era before a restore. By reading; nothing was seen.

--- a/source/core/feed-check.c
+++ b/source/core/feed-check.c
@@ -74,16 +74,15 @@
 		.after_revision = feed->revision,
 		.era = feed->era,
 	};
+	const char *reference;
 
 	reopen_unconfirmed_watch(ctx, feed);
 	if (feed->now_us < next_check_due_us(feed))
 		return;
-	feed->checks_reference =
-		feed->checking_failed ?
-			false :
-			rr_find_reference_watcher(feed->sources) != NULL;
+	reference = rr_find_reference_watcher(feed->sources);
+	feed->checks_reference = reference && !feed->checking_failed;
 	call.peer = feed->checks_reference ?
-			    rr_find_reference_watcher(feed->sources) :
+			    reference :
 			    rr_find_remote_watcher(feed->sources,
 						   feed->check_turn++);
 	feed->checking_failed = false;
@@ -100,6 +99,14 @@
 	return MIN(next_check_due_us(feed), unconfirmed_until_us(feed));
 }
 
+/* Whether there was no reply, or one of an instance that is an era behind. */
+static bool is_unusable(const struct rr_feed *feed,
+			const struct rr_feed_reply *reply)
+{
+	return reply->status == RR_FEED_FAILED ||
+	       rr_match_feed_era(feed, reply, true) == RR_ERA_EARLIER;
+}
+
 /* Whether the reply has changes that this instance does not know. */
 static bool has_unknown_changes(const struct rr_feed *feed,
 				const struct rr_feed_reply *reply)
@@ -122,7 +129,7 @@
 {
 	feed->checking.call_id = 0;
 	feed->checking_failed =
-		feed->checks_reference && reply->status == RR_FEED_FAILED;
+		feed->checks_reference && is_unusable(feed, reply);
 	if (feed->checks_reference && !feed->checking_failed)
 		feed->confirmed_us = feed->now_us;
 	/* A watch that began after the question may still report them. */
