--- a/tests/test-feed.c
+++ b/tests/test-feed.c
@@ -328,6 +328,7 @@
 	struct feed_fixture *fixture = feed_new_synced_fixture();
 	guint n_ranges = feed_count_calls(fixture, RR_FEED_RANGE);
 
+	assert_int_equal(n_ranges, 2);
 	for (int i = 0; i < 240; i++) {
 		struct recorded_call *renewal;
 		struct recorded_call *check;
