feed, tests: mutants that another mechanism covers are seen again

The mutants of the comparison and of a noticed disconnect now also leave out what would find the same watch otherwise. test_watch_without_reply answers the comparisons, so that the renewal alone can end the watch; its checks are the same, and one more says that the watch is open until then. The shipped code is the same but for the place of a mutant.

--- a/source/core/feed-check.c
+++ b/source/core/feed-check.c
@@ -30,7 +30,8 @@
 
 static int64_t next_check_due_us(const struct rr_feed *feed)
 {
-#ifdef RR_MUTANT_FEED_CHECKS_NOTHING
+#if defined(RR_MUTANT_FEED_CHECKS_NOTHING) || \
+	defined(RR_MUTANT_FEED_IGNORES_DISCONNECT)
 	return INT64_MAX;
 #endif
 	if (feed->checking.call_id || !is_watching_store(feed))
@@ -41,6 +42,11 @@
 
 static int64_t unconfirmed_until_us(const struct rr_feed *feed)
 {
+#if defined(RR_MUTANT_FEED_NEEDS_NO_CONFIRMATION) || \
+	defined(RR_MUTANT_FEED_CHECKS_NOTHING) ||    \
+	defined(RR_MUTANT_FEED_IGNORES_DISCONNECT)
+	return INT64_MAX;
+#endif
 	return MAX(feed->reading.started_us, feed->confirmed_us) +
 	       (int64_t)(UNCONFIRMED_FRACTION *
 			 (double)rr_max_staleness_us(feed));
@@ -56,9 +62,6 @@
 	if (!is_watching_store(feed) ||
 	    feed->now_us < unconfirmed_until_us(feed))
 		return;
-#ifdef RR_MUTANT_FEED_NEEDS_NO_CONFIRMATION
-	return;
-#endif
 	rr_log(ctx, RR_LOG_INFO, "watch-unconfirmed",
 	       RR_FIELD_U64("known", feed->revision),
 	       RR_FIELD_I64("watch_us",
--- a/tests/test-feed.c
+++ b/tests/test-feed.c
@@ -405,7 +405,17 @@
 		    RR_FEED_FAILED, NULL, 0, false);
 	assert_false(rr_feed_is_store_reachable(fixture->feed));
 	assert_false(watch->done);
-	feed_advance(fixture, 2000 * MS);
+	/* Another zone knows of no change, so nothing else ends the watch. */
+	for (int i = 0; i < 20; i++) {
+		struct recorded_call *check =
+			feed_find_call(fixture, RR_FEED_CHECK);
+
+		if (check)
+			feed_answer(fixture, check, RR_FEED_OK, NULL, 20,
+				    false);
+		feed_advance(fixture, 100 * MS);
+	}
+	assert_false(watch->done);
 	feed_answer_ok(fixture, RR_FEED_LEASE_RENEW, NULL, 0);
 	assert_true(rr_feed_is_store_reachable(fixture->feed));
 	assert_true(watch->done);
