net: an IPv6 address with a scope is accepted again

What users would see: a start file with a link-local address such as [fe80::1%1]:8104 is rejected. My change took GIO out of the gateway and parsed IPv6 with inet_pton(), which knows no scopes; GLib uses getaddrinfo() there.

IPv6 hosts go through getaddrinfo() with AI_NUMERICHOST, so nothing is looked up.

--- a/source/net/native-address.c
+++ b/source/net/native-address.c
@@ -4,6 +4,7 @@
 #include "net/native-address-private.h"
 
 #include <arpa/inet.h>
+#include <netdb.h>
 #include <netinet/in.h>
 #include <string.h>
 
@@ -40,27 +41,45 @@
 	return host;
 }
 
-static bool make_native(const char *host, uint16_t port,
-			struct rr_native_address *address)
+static bool make_ipv4(const char *host, uint16_t port,
+		      struct rr_native_address *address)
 {
 	struct sockaddr_in *ipv4 = (struct sockaddr_in *)&address->storage;
+
+	if (inet_pton(AF_INET, host, &ipv4->sin_addr) != 1)
+		return false;
+	ipv4->sin_family = AF_INET;
+	ipv4->sin_port = htons(port);
+	address->length = sizeof(*ipv4);
+	return true;
+}
+
+/* Also accepts a scope, as in fe80::1%eth0, which inet_pton() does not. */
+static bool make_ipv6(const char *host, uint16_t port,
+		      struct rr_native_address *address)
+{
+	const struct addrinfo hints = { .ai_flags = AI_NUMERICHOST,
+					.ai_family = AF_INET6,
+					.ai_socktype = SOCK_STREAM };
 	struct sockaddr_in6 *ipv6 = (struct sockaddr_in6 *)&address->storage;
+	struct addrinfo *found;
 
+	if (getaddrinfo(host, NULL, &hints, &found))
+		return false;
+	memcpy(ipv6, found->ai_addr, sizeof(*ipv6));
+	freeaddrinfo(found);
+	ipv6->sin6_port = htons(port);
+	address->length = sizeof(*ipv6);
+	return true;
+}
+
+static bool make_native(const char *host, uint16_t port,
+			struct rr_native_address *address)
+{
 	memset(address, 0, sizeof(*address));
 	address->port = port;
-	if (inet_pton(AF_INET, host, &ipv4->sin_addr) == 1) {
-		ipv4->sin_family = AF_INET;
-		ipv4->sin_port = htons(port);
-		address->length = sizeof(*ipv4);
-		return true;
-	}
-	if (inet_pton(AF_INET6, host, &ipv6->sin6_addr) == 1) {
-		ipv6->sin6_family = AF_INET6;
-		ipv6->sin6_port = htons(port);
-		address->length = sizeof(*ipv6);
-		return true;
-	}
-	return false;
+	return strchr(host, ':') ? make_ipv6(host, port, address) :
+				   make_ipv4(host, port, address);
 }
 
 bool rr_is_address(const char *text)
--- a/tests/test-gateway-settings.c
+++ b/tests/test-gateway-settings.c
@@ -233,6 +233,18 @@
 	rr_drop_gateway_settings(settings);
 }
 
+/* Guards against a link-local IPv6 address that is rejected for its scope. */
+static void test_address_with_scope(void **state)
+{
+	guint left_out;
+	struct rr_gateway_settings *settings =
+		parse("listen.front", "[fe80::1%1]:8104", &left_out);
+
+	assert_int_equal(left_out, 0);
+	assert_string_equal(settings->caller_address, "[fe80::1%1]:8104");
+	rr_drop_gateway_settings(settings);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -241,6 +253,7 @@
 		cmocka_unit_test(test_fractions),
 		cmocka_unit_test(test_invalid_numbers),
 		cmocka_unit_test(test_no_peer_address),
+		cmocka_unit_test(test_address_with_scope),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
