--- a/review/standin/fleet.c
+++ b/review/standin/fleet.c
@@ -155,6 +155,14 @@
 	return replica;
 }
 
+void fleet_remove_entry(struct fleet_replica *replica)
+{
+	char *key = g_strconcat("servers/", replica->id, NULL);
+
+	test_store_remove(&replica->fleet->store, key);
+	g_free(key);
+}
+
 void fleet_answer(struct fleet_replica *replica,
 		  struct test_connection *connection, int status,
 		  const char *body)
@@ -233,6 +241,12 @@
 	g_free(log);
 }
 
+void fleet_signal(struct fleet *fleet, uint32_t gateway, int signal_number)
+{
+	g_subprocess_send_signal(fleet->gateways[gateway].process,
+				 signal_number);
+}
+
 /* Callers. */
 
 struct fleet_caller {
@@ -240,8 +254,15 @@
 	GSocket *socket;
 	GString *received;
 	bool closed;
+	GSource *source;
+	/* Of the request that waits for its answer; NULL: none. */
+	void (*answered)(void *data, const struct fleet_answer *answer);
+	void *data;
 };
 
+static gboolean on_caller_readable(GSocket *socket, GIOCondition condition,
+				   gpointer data);
+
 static struct fleet_caller *connect_caller(struct fleet *fleet,
 					   const char *address)
 {
@@ -258,6 +279,10 @@
 			     G_SOCKET_PROTOCOL_TCP, NULL);
 	caller->closed = !g_socket_connect(caller->socket, at, NULL, NULL);
 	g_socket_set_blocking(caller->socket, FALSE);
+	caller->source = g_socket_create_source(caller->socket, G_IO_IN, NULL);
+	g_source_set_callback(caller->source, G_SOURCE_FUNC(on_caller_readable),
+			      caller, NULL);
+	g_source_attach(caller->source, NULL);
 	g_object_unref(at);
 	g_object_unref(host);
 	g_object_unref(target);
@@ -271,6 +296,8 @@
 
 void fleet_close_caller(struct fleet_caller *caller)
 {
+	g_source_destroy(caller->source);
+	g_source_unref(caller->source);
 	g_socket_close(caller->socket, NULL);
 	g_object_unref(caller->socket);
 	g_string_free(caller->received, TRUE);
@@ -304,10 +331,24 @@
 	return true;
 }
 
+/* Report the answer, or the end of the connection. */
+static void report_answer(struct fleet_caller *caller,
+			  struct fleet_answer *answer)
+{
+	void (*answered)(void *data, const struct fleet_answer *answer) =
+		caller->answered;
+
+	caller->answered = NULL;
+	if (answered)
+		answered(caller->data, answer);
+	fleet_clear_answer(answer);
+}
+
 static gboolean on_caller_readable(GSocket *socket, GIOCondition condition,
 				   gpointer data)
 {
 	struct fleet_caller *caller = data;
+	struct fleet_answer answer = { 0 };
 	char bytes[16384];
 	gssize n = g_socket_receive(socket, bytes, sizeof(bytes), NULL, NULL);
 
@@ -315,9 +356,28 @@
 		g_string_append_len(caller->received, bytes, n);
 	else
 		caller->closed = true;
+	if (take_answer(caller, &answer) || caller->closed)
+		report_answer(caller, &answer);
 	return n > 0;
 }
 
+void fleet_post(struct fleet_caller *caller,
+		const struct fleet_request *request,
+		void (*answered)(void *data, const struct fleet_answer *answer),
+		void *data)
+{
+	char *text = g_strdup_printf(
+		"%s %s HTTP/1.1\r\nHost: " HOST "\r\nRequest-Id: %s\r\n"
+		"Deadline-Ms: %u\r\nContent-Length: 0\r\n\r\n",
+		request->method, request->path, request->id,
+		request->deadline_ms);
+
+	caller->answered = answered;
+	caller->data = data;
+	g_socket_send(caller->socket, text, strlen(text), NULL, NULL);
+	g_free(text);
+}
+
 static gboolean on_overdue(gpointer data)
 {
 	bool *overdue = data;
@@ -326,34 +386,36 @@
 	return G_SOURCE_CONTINUE;
 }
 
+struct wait {
+	struct fleet_answer answer;
+	bool done;
+};
+
+static void end_wait(void *data, const struct fleet_answer *answer)
+{
+	struct wait *wait = data;
+
+	wait->done = true;
+	wait->answer.status = answer->status;
+	wait->answer.headers = g_strdup(answer->headers);
+	wait->answer.body = g_strdup(answer->body);
+}
+
 struct fleet_answer fleet_send(struct fleet_caller *caller,
 			       const struct fleet_request *request)
 {
-	struct fleet_answer answer = { 0 };
+	struct wait wait = { 0 };
 	bool overdue = false;
-	guint timer;
-	GSource *source;
-	char *text = g_strdup_printf(
-		"%s %s HTTP/1.1\r\nHost: " HOST "\r\nRequest-Id: %s\r\n"
-		"Deadline-Ms: %u\r\nContent-Length: 0\r\n\r\n",
-		request->method, request->path, request->id,
-		request->deadline_ms);
+	guint timer = g_timeout_add(request->deadline_ms + 1000, on_overdue,
+				    &overdue);
 
 	if (!caller->closed)
-		g_socket_send(caller->socket, text, strlen(text), NULL, NULL);
-	g_free(text);
-	timer = g_timeout_add(request->deadline_ms + 1000, on_overdue,
-			      &overdue);
-	source = g_socket_create_source(caller->socket, G_IO_IN, NULL);
-	g_source_set_callback(source, G_SOURCE_FUNC(on_caller_readable), caller,
-			      NULL);
-	g_source_attach(source, NULL);
-	while (!caller->closed && !overdue && !take_answer(caller, &answer))
+		fleet_post(caller, request, end_wait, &wait);
+	while (!caller->closed && !overdue && !wait.done)
 		g_main_context_iteration(NULL, TRUE);
-	g_source_destroy(source);
-	g_source_unref(source);
+	caller->answered = NULL;
 	g_source_remove(timer);
-	return answer;
+	return wait.answer;
 }
 
 void fleet_clear_answer(struct fleet_answer *answer)
--- a/review/standin/fleet.h
+++ b/review/standin/fleet.h
@@ -77,6 +77,8 @@
 /* Start a replica in a zone (0 to 2) and write its entry to the store. */
 struct fleet_replica *fleet_add_replica(struct fleet *fleet,
 					const char *service, uint32_t zone);
+/* Remove a replica's entry; the replica goes on serving. */
+void fleet_remove_entry(struct fleet_replica *replica);
 /* Answer the request of a connection as its replica's own work. */
 void fleet_answer(struct fleet_replica *replica,
 		  struct test_connection *connection, int status,
@@ -84,6 +86,7 @@
 
 /* Start gateways in the zones in turn; false if they are not ready in time. */
 bool fleet_start_gateways(struct fleet *fleet, uint32_t n);
+void fleet_signal(struct fleet *fleet, uint32_t gateway, int signal_number);
 
 struct fleet_answer {
 	int status; /* 0: closed without a complete answer */
@@ -103,6 +106,14 @@
 
 struct fleet_caller *fleet_open_caller(struct fleet *fleet, uint32_t gateway);
 void fleet_close_caller(struct fleet_caller *caller);
+/*
+ * Send a request; `answered` is called from the main loop when its answer is
+ * complete or the connection is closed.  One request at a time.
+ */
+void fleet_post(struct fleet_caller *caller,
+		const struct fleet_request *request,
+		void (*answered)(void *data, const struct fleet_answer *answer),
+		void *data);
 /*
  * Send a request and run the main loop until its answer is complete, the
  * connection is closed or the deadline is one second past.
