--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -3,7 +3,5 @@
 # TROUBLE=0: the same without the entry of another writer.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-# The platform's default stack of a process.
-ulimit -S -s 8192 2>/dev/null
 [ -x target/ragwort-gateway ] && [ -x target/review-2/foreign-entry ] || exit 2
 exec target/review-2/foreign-entry target/ragwort-gateway "$here/record.txt"
