base, platform: bound the nesting of all JSON before it is parsed

Depth was bounded in two other places, by a loop each. With the new check disabled, test_nesting_is_bounded ends by signal 11 and test_deeply_nested_entry fails. Change: rr_check_json_nesting() replaces both loops and comes before every JSON parser that reads what another wrote: the store's values, registrations, routes, health replies, and answers and log lines in the tool. It rejects bytes outside of strings that JSON doesn't allow there, since a quote in a comment would hide the brackets. Ruled out: the event parser of upstreams' bodies (depth 64), settings (12), protobuf messages (no recursive types).

--- a/source/net/caller-request.c
+++ b/source/net/caller-request.c
@@ -6,6 +6,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "base/json-private.h"
 #include "ragwort/error.h"
 #include "ragwort/wire.h"
 
@@ -142,54 +143,6 @@
 	return true;
 }
 
-static bool is_allowed_outside_strings(char c)
-{
-	return g_ascii_isalnum(c) || (c && strchr(" \t\r\n[]{}:,+-.", c));
-}
-
-/*
- * Limits nesting before parsing: the JSON parser is recursive, so a body of
- * nothing but brackets would overflow the stack and crash the process. Brackets
- * in strings don't count, so the scan must know exactly where strings are. The
- * parser also accepts comments, which JSON does not have: a quote in a comment
- * would seem to open a string and hide the brackets after it. Any character
- * that JSON allows only in strings is therefore rejected outside them.
- */
-static bool check_nesting(const char *text, size_t length, uint32_t *status,
-			  GError **error)
-{
-	bool in_string = false;
-	int depth = 0;
-
-	for (size_t i = 0; i < length; i++) {
-		char c = text[i];
-
-		if (in_string) {
-			if (c == '\\')
-				i++;
-			else if (c == '"')
-				in_string = false;
-		} else if (c == '"') {
-			in_string = true;
-		} else if (!is_allowed_outside_strings(c)) {
-			return set_call_error(
-				status, SOUP_STATUS_BAD_REQUEST, error,
-				"body: not JSON: byte 0x%02x outside a "
-				"string",
-				(unsigned char)c);
-		} else if (c == '[' || c == '{') {
-			if (++depth > MAX_NESTING)
-				return set_call_error(
-					status, SOUP_STATUS_BAD_REQUEST, error,
-					"body: nested deeper than %d",
-					MAX_NESTING);
-		} else if (c == ']' || c == '}') {
-			depth--;
-		}
-	}
-	return true;
-}
-
 static bool parse_integer(JsonNode *node, const char *name, gint64 min,
 			  gint64 max, gint64 *value, GError **error)
 {
@@ -276,8 +229,10 @@
 	if (length == 0 || !g_utf8_validate(text, (gssize)length, NULL))
 		set_call_error(status, SOUP_STATUS_BAD_REQUEST, error,
 			       "body: JSON in UTF-8 is needed");
-	else if (!check_nesting(text, length, status, error))
-		;
+	else if (!rr_check_json_nesting(text, length, MAX_NESTING,
+					&parse_error))
+		set_call_error(status, SOUP_STATUS_BAD_REQUEST, error,
+			       "body: %s", parse_error->message);
 	else if (!json_parser_load_from_data(parser, text, (gssize)length,
 					     &parse_error))
 		set_call_error(status, SOUP_STATUS_BAD_REQUEST, error,
--- a/source/net/upstream-reply.c
+++ b/source/net/upstream-reply.c
@@ -7,9 +7,13 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "base/json-private.h"
 #include "ragwort/counters.h"
 #include "ragwort/log.h"
 
+/* A health reply is one object; unknown members may hold others. */
+#define MAX_HEALTH_DEPTH 64
+
 /* Returns the number in a header, 0 if it is absent or malformed. */
 static uint64_t header_u64(SoupMessageHeaders *headers, const char *name)
 {
@@ -162,7 +166,9 @@
 	health->reachable = true;
 	health->state = RR_UPSTREAM_UNKNOWN;
 	parser = json_parser_new_immutable();
-	if (json_parser_load_from_data(parser, result->body,
+	if (rr_check_json_nesting(result->body, result->length,
+				  MAX_HEALTH_DEPTH, NULL) &&
+	    json_parser_load_from_data(parser, result->body,
 				       (gssize)result->length, NULL) &&
 	    (root = json_parser_get_root(parser)) &&
 	    JSON_NODE_HOLDS_OBJECT(root)) {
--- a/source/settings/record-json.c
+++ b/source/settings/record-json.c
@@ -4,6 +4,7 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "base/json-private.h"
 #include "ragwort/error.h"
 #include "settings/record-private.h"
 
@@ -262,39 +263,6 @@
 	       read_changes(record, root, error);
 }
 
-/*
- * Return whether a text has only characters that JSON allows outside of
- * strings and is nested at most MAX_DEPTH levels; a record has four levels.
- * The parser is recursive: a megabyte of brackets would overflow the stack and
- * crash the process.  The parser also accepts comments, in which a quote would
- * hide the brackets after it from this check, so other characters are rejected.
- */
-static bool is_shallow_json(const char *text, size_t length)
-{
-	bool in_string = false;
-	int depth = 0;
-
-	for (size_t i = 0; i < length; i++) {
-		char c = text[i];
-
-		if (in_string && c == '\\')
-			i++;
-		else if (c == '"')
-			in_string = !in_string;
-		else if (in_string)
-			continue;
-		else if (c == '{' || c == '[')
-			depth++;
-		else if (c == '}' || c == ']')
-			depth--;
-		else if (!g_ascii_isalnum(c) && !strchr(" \t\r\n:,+-.", c))
-			return false;
-		if (depth > MAX_DEPTH)
-			return false;
-	}
-	return true;
-}
-
 struct rr_config_record *rr_decode_config_record(const char *text,
 						 size_t length, GError **error)
 {
@@ -306,8 +274,8 @@
 		set_error(error, "not UTF-8 text");
 		return NULL;
 	}
-	if (!is_shallow_json(text, length)) {
-		set_error(error, "not JSON, or nested too deep");
+	if (!rr_check_json_nesting(text, length, MAX_DEPTH, error)) {
+		g_prefix_error(error, "configuration record: ");
 		return NULL;
 	}
 	parser = json_parser_new_immutable();
--- a/source/tool/bench-load.c
+++ b/source/tool/bench-load.c
@@ -92,7 +92,7 @@
 	gsize length;
 	const char *text = g_bytes_get_data(body, &length);
 	char *copy = g_strndup(text ? text : "", length);
-	JsonNode *root = json_from_string(copy, NULL);
+	JsonNode *root = rr_parse_json_text(copy);
 	struct stream *stream = request->stream;
 	JsonObject *answer = NULL;
 
--- a/source/tool/bench-scrape.c
+++ b/source/tool/bench-scrape.c
@@ -48,7 +48,7 @@
 static void parse_replica_counts(const char *control_address, const char *text,
 				 GArray *replicas)
 {
-	JsonNode *root = json_from_string(text, NULL);
+	JsonNode *root = rr_parse_json_text(text);
 	JsonArray *array = NULL;
 	guint n;
 
--- a/source/tool/common.c
+++ b/source/tool/common.c
@@ -6,10 +6,13 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/json-private.h"
 #include "net/address-private.h"
 #include "tool/tool.h"
 
 #define MAX_PARSE_ERRORS 20
+/* An answer's levels around a row, which may have 64 levels. */
+#define MAX_REPLY_DEPTH 96
 
 struct rr_common_arguments rr_new_common_arguments(void)
 {
@@ -152,6 +155,13 @@
 	return json_node_get_object(node);
 }
 
+JsonNode *rr_parse_json_text(const char *text)
+{
+	if (!rr_check_json_nesting(text, strlen(text), MAX_REPLY_DEPTH, NULL))
+		return NULL;
+	return json_from_string(text, NULL);
+}
+
 JsonArray *rr_json_array(JsonObject *object, const char *name)
 {
 	JsonNode *node = object ? json_object_get_member(object, name) : NULL;
--- a/source/tool/instances.c
+++ b/source/tool/instances.c
@@ -28,7 +28,7 @@
 			 const struct rr_http_reply *reply)
 {
 	if (reply->status == HTTP_OK)
-		status->json_root = json_from_string(reply->body, NULL);
+		status->json_root = rr_parse_json_text(reply->body);
 	if (status->json_root && !JSON_NODE_HOLDS_OBJECT(status->json_root))
 		g_clear_pointer(&status->json_root, json_node_unref);
 	if (!status->json_root)
--- a/source/tool/log-line.c
+++ b/source/tool/log-line.c
@@ -6,6 +6,8 @@
 #include <json-glib/json-glib.h>
 #include <string.h>
 
+#include "tool/tool.h"
+
 static struct rr_log_line *new_line(void)
 {
 	struct rr_log_line *line = g_new0(struct rr_log_line, 1);
@@ -115,7 +117,7 @@
 
 static void parse_json(struct rr_log_line *line, const char *text)
 {
-	JsonNode *root = json_from_string(text, NULL);
+	JsonNode *root = rr_parse_json_text(text);
 
 	if (root && JSON_NODE_HOLDS_OBJECT(root))
 		copy_members(line, json_node_get_object(root));
--- a/source/tool/query.c
+++ b/source/tool/query.c
@@ -201,7 +201,7 @@
 		      const struct query_arguments *arguments,
 		      const struct rr_http_reply *reply)
 {
-	JsonNode *root = json_from_string(reply->body, NULL);
+	JsonNode *root = rr_parse_json_text(reply->body);
 	JsonObject *answer;
 	int code = RR_EXIT_FAILED;
 
--- a/source/tool/tool.h
+++ b/source/tool/tool.h
@@ -92,6 +92,11 @@
 double rr_json_number_or(JsonObject *object, const char *name, double fallback);
 bool rr_json_boolean(JsonObject *object, const char *name);
 JsonObject *rr_json_object(JsonObject *object, const char *name);
+/*
+ * Parse a reply or a log line.  NULL if it is not JSON or nested deeper than
+ * any answer; free with json_node_unref().
+ */
+JsonNode *rr_parse_json_text(const char *text);
 JsonArray *rr_json_array(JsonObject *object, const char *name);
 /* Return the i-th element, or NULL if it is not an object. */
 JsonObject *rr_json_object_at(JsonArray *array, guint i);
--- a/tests/test-platform-entries.c
+++ b/tests/test-platform-entries.c
@@ -185,6 +185,101 @@
 	g_free(valid);
 }
 
+/*
+ * Return a nested list with this many levels, preceded by `start`.  Enough to
+ * overflow the stack if the tree is freed recursively.
+ */
+static char *make_nested_list(const char *start)
+{
+	GString *out = g_string_new(start);
+	gsize levels = 500000;
+
+	g_string_set_size(out, out->len + 2 * levels);
+	memset(out->str + strlen(start), '[', levels);
+	memset(out->str + strlen(start) + levels, ']', levels);
+	return g_string_free(out, FALSE);
+}
+
+/*
+ * Guards against a process that ends whenever it reads a deeply nested value
+ * that another writer left: also if a quote in a comment, which the parser
+ * accepts, would hide the brackets from the check.
+ */
+static void test_nesting_is_bounded(void **state)
+{
+	static const char *const starts[] = { "", "/*\"*/", "/*\"\n*/",
+					      "//\"\n" };
+	const char *reason;
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(starts); i++) {
+		char *list = make_nested_list(starts[i]);
+		size_t length = strlen(list);
+		char *entry = make_entry("service", list);
+
+		assert_invalid_replica("i-1", entry);
+		assert_null(rr_decode_instance("gw-1", list, length, &reason));
+		assert_non_null(rr_validate_evacuation("z", list, length));
+		assert_null(rr_decode_quarantine("0123456789abcdef", list,
+						 length, &reason));
+		assert_null(rr_decode_routes(list, length, &reason));
+		assert_null(
+			rr_parse_registration_request(list, length, &reason));
+		g_free(entry);
+		g_free(list);
+	}
+}
+
+/*
+ * Guards against a deeply nested value that costs other entries: one in the
+ * middle of a range, of a watch's changes or of a failed condition's items must
+ * leave those around it.
+ */
+static void test_nested_value_among_others(void **state)
+{
+	static const enum rr_feed_call_kind kinds[] = { RR_FEED_RANGE,
+							RR_FEED_WATCH,
+							RR_FEED_REPORT };
+	char *list = make_nested_list("");
+	char *bad = g_base64_encode((const guchar *)list, strlen(list));
+	char *valid = make_entry("none", NULL);
+	char *good = g_base64_encode((const guchar *)valid, strlen(valid));
+
+	(void)state;
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		bool watch = kinds[i] == RR_FEED_WATCH;
+		bool report = kinds[i] == RR_FEED_REPORT;
+		struct rr_feed_reply reply = { 0 };
+		char *body = g_strdup_printf(
+			"{\"%s\":["
+			"{\"key\":\"servers/a\",\"value\":\"%s\",\"revision\":3},"
+			"{\"key\":\"servers/b\",\"value\":\"%s\",\"revision\":4},"
+			"{\"key\":\"servers/c\",\"value\":\"%s\",\"revision\":5}],"
+			"\"storeRevision\":9}",
+			watch ? "events" : "items", good, bad, good);
+
+		rr_decode_feed_reply(kinds[i], report ? 412 : 200,
+				     (const uint8_t *)body, strlen(body),
+				     &reply);
+		assert_int_equal(reply.status,
+				 report ? RR_FEED_CONFLICT : RR_FEED_OK);
+		assert_int_equal(reply.items->len, 3);
+		for (guint j = 0; j < 3; j++) {
+			const struct rr_feed_item *item =
+				g_ptr_array_index(reply.items, j);
+
+			assert_int_equal(!item->replica, j == 1);
+			assert_int_equal(!!item->decode_error, j == 1);
+		}
+		g_ptr_array_unref(reply.items);
+		g_free(body);
+	}
+	g_free(good);
+	g_free(valid);
+	g_free(bad);
+	g_free(list);
+}
+
 /*
  * Guards against header injection: the id in a key contains a line end.  The
  * id is sent in a header of every request, and what follows the line end would
@@ -562,6 +657,8 @@
 		cmocka_unit_test(test_missing_or_mistyped_fields),
 		cmocka_unit_test(test_invalid_field_values),
 		cmocka_unit_test(test_malformed_entries),
+		cmocka_unit_test(test_nesting_is_bounded),
+		cmocka_unit_test(test_nested_value_among_others),
 		cmocka_unit_test(test_invalid_ids),
 		cmocka_unit_test(test_instance_round_trip),
 		cmocka_unit_test(test_invalid_instances),
--- a/tests/test-process-gateway.c
+++ b/tests/test-process-gateway.c
@@ -22,6 +22,9 @@
 #include "support/tool-run.h"
 
 #define N_SHARDS 3
+/* Half of the largest value that the store accepts. */
+#define NESTED_LEVELS 500000
+#define MAX_WAIT_MS 20000
 
 struct fixture {
 	struct test_store store;
@@ -117,8 +120,10 @@
 /* Wait until the gateway has received all changes of the store. */
 static void wait_for_current_watch(struct fixture *fixture)
 {
-	while (!test_store_has_current_watch(&fixture->store))
+	for (int i = 0; !test_store_has_current_watch(&fixture->store); i++) {
+		assert_true(i < MAX_WAIT_MS);
 		raw_run_for(1000);
+	}
 }
 
 static void start_gateway(struct fixture *fixture)
@@ -136,6 +141,18 @@
 	g_free(text);
 }
 
+static void restart_gateway(struct fixture *fixture)
+{
+	test_signal_process(fixture->gateway, SIGKILL);
+	test_wait_process(fixture->gateway);
+	test_drop_process(fixture->gateway);
+	test_remove_temp_file(fixture->start_file);
+	/* The store notices that the connection of the watch was closed. */
+	while (test_store_has_current_watch(&fixture->store))
+		raw_run_for(1000);
+	start_gateway(fixture);
+}
+
 static int set_up(void **state)
 {
 	struct fixture *fixture = g_new0(struct fixture, 1);
@@ -260,6 +277,29 @@
 	raw_drop(caller);
 }
 
+/*
+ * Guards against a gateway that ends, at each of its starts, by an entry of
+ * another writer that is nested deeper than its stack allows.
+ */
+static void test_deeply_nested_entry(void **state)
+{
+	struct fixture *fixture = *state;
+	GString *entry = g_string_new("{\"service\":");
+	struct raw_peer *caller;
+
+	for (int i = 0; i < 2 * NESTED_LEVELS; i++)
+		g_string_append_c(entry, i < NESTED_LEVELS ? '[' : ']');
+	g_string_append_c(entry, '}');
+	test_store_put(&fixture->store, "servers/i-1-nested", entry->str);
+	wait_for_current_watch(fixture);
+	restart_gateway(fixture);
+	caller = send_request(fixture, "GET /all/x");
+	raw_expect(caller, "HTTP/1.1 200 OK");
+	assert_int_equal(fixture->runs, 3);
+	raw_drop(caller);
+	g_string_free(entry, TRUE);
+}
+
 /* Move each shard to a separate zone and wait until the gateway knows it. */
 static void move_shards_to_separate_zones(struct fixture *fixture)
 {
@@ -297,11 +337,7 @@
 	test_store_set_state(&fixture->store, TEST_STORE_RESET);
 	expect_one_shard_missing(fixture);
 	test_store_set_state(&fixture->store, TEST_STORE_UP);
-	test_signal_process(fixture->gateway, SIGKILL);
-	test_wait_process(fixture->gateway);
-	test_drop_process(fixture->gateway);
-	test_remove_temp_file(fixture->start_file);
-	start_gateway(fixture);
+	restart_gateway(fixture);
 	expect_one_shard_missing(fixture);
 	test_store_remove(&fixture->store, "op/evacuate/z2");
 	wait_for_current_watch(fixture);
@@ -415,6 +451,8 @@
 		cmocka_unit_test_setup_teardown(
 			test_evacuated_zone_gets_no_requests, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(test_deeply_nested_entry,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_all_zones_evacuated,
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
