feed: count the age of a change from what replies prove

Cause: an instance keeps a removed replica as a last resort by the age that its source states. A watcher stated the age 0 while a watch of the store was open for a while; one whose connection is cut off looks the same. Its zone counted as up to date, and took a removal of 2 s ago for one of 1 s. Also, the arrival of a reply was taken for its sending. Change: the time up to which all changes are known rests on replies alone, each counted from the earliest moment at which it may have been sent (feed-age.c). Watchers outside the reference zone take over its age in the comparison that they make anyway, now also between two watches. A watcher whose knowledge is older than 3/4 of the staleness bound rejects its peers, so that they learn of changes elsewhere within 7/8. Ruled out: a bound on the last resort alone. It would end too late as long as the age is wrong, and the change itself was learned too late.

--- a/include/ragwort/feed.h
+++ b/include/ragwort/feed.h
@@ -238,11 +238,19 @@
  * may have expired meanwhile.
  */
 int64_t rr_feed_change_age_us(const struct rr_feed *feed);
-/* Return how long ago, at most, all changes were known here. */
+/*
+ * Return how long ago, at most, all changes that the store acknowledged were
+ * known here.  See docs/design/removed-replicas.md.
+ */
 int64_t rr_feed_age_us(const struct rr_feed *feed, int64_t now_us);
+/*
+ * Return until when an instance that reads from the store serves changes to
+ * peers, unless the store or another zone confirms its knowledge before.
+ */
+int64_t rr_feed_serve_end_us(const struct rr_feed *feed);
 /*
  * Return the longest age of a change that is learned while one source after
- * another is silent and the store answers.  See docs/design/removed-replicas.md.
+ * another is silent, or is cut off from the store, and the store answers.
  */
 int64_t rr_longest_change_age_us(uint32_t max_staleness_ms);
 /* Return the position up to which changes are known. */
--- a/source/core/feed-check.c
+++ b/source/core/feed-check.c
@@ -18,8 +18,6 @@
  * left for a reply that the reference zone's watch has lost.
  */
 #define CHECK_PERIOD_DIVISOR 6
-/* Longest time without confirmation, as a fraction of the staleness bound. */
-#define UNCONFIRMED_FRACTION (5 / 6.0)
 
 /* Whether this instance waits for changes from the store. */
 static bool is_watching_store(const struct rr_feed *feed)
@@ -28,16 +26,34 @@
 	       feed->reading.kind == RR_FEED_WATCH;
 }
 
+/*
+ * Whether changes are read from the store, also between two watches: the
+ * comparison shows up to when all are known.
+ */
+static bool follows_store(const struct rr_feed *feed)
+{
+	return is_watching_store(feed) ||
+	       (!feed->read_peer && !feed->range_active && feed->last_read_ok);
+}
+
+static int64_t check_period_us(const struct rr_feed *feed)
+{
+	return rr_max_staleness_us(feed) / CHECK_PERIOD_DIVISOR;
+}
+
 static int64_t next_check_due_us(const struct rr_feed *feed)
 {
 #if defined(RR_MUTANT_FEED_CHECKS_NOTHING) || \
 	defined(RR_MUTANT_FEED_IGNORES_DISCONNECT)
 	return INT64_MAX;
 #endif
-	if (feed->checking.call_id || !is_watching_store(feed))
+	int64_t last_us = feed->checking.started_us;
+
+	if (feed->checking.call_id || !follows_store(feed))
 		return INT64_MAX;
-	return MAX(feed->reading.started_us, feed->checking.started_us) +
-	       rr_max_staleness_us(feed) / CHECK_PERIOD_DIVISOR;
+	if (!feed->last_read_ok)
+		last_us = MAX(last_us, feed->reading.started_us);
+	return last_us + check_period_us(feed);
 }
 
 static int64_t unconfirmed_until_us(const struct rr_feed *feed)
@@ -47,9 +63,7 @@
 	defined(RR_MUTANT_FEED_IGNORES_DISCONNECT)
 	return INT64_MAX;
 #endif
-	return MAX(feed->reading.started_us, feed->confirmed_us) +
-	       (int64_t)(UNCONFIRMED_FRACTION *
-			 (double)rr_max_staleness_us(feed));
+	return rr_feed_unconfirmed_us(feed);
 }
 
 /*
@@ -66,6 +80,7 @@
 	       RR_FIELD_U64("known", feed->revision),
 	       RR_FIELD_I64("watch_us",
 			    feed->now_us - feed->reading.started_us));
+	feed->is_unconfirmed = true;
 	rr_restart_feed_read(feed);
 	rr_start_feed_read(ctx, feed);
 }
@@ -98,7 +113,7 @@
 int64_t rr_feed_check_wake_us(const struct rr_feed *feed)
 {
 	if (!is_watching_store(feed))
-		return INT64_MAX;
+		return next_check_due_us(feed);
 	return MIN(next_check_due_us(feed), unconfirmed_until_us(feed));
 }
 
@@ -133,12 +148,15 @@
 	feed->checking.call_id = 0;
 	feed->checking_failed =
 		feed->checks_reference && is_unusable(feed, reply);
-	if (feed->checks_reference && !feed->checking_failed)
-		feed->confirmed_us = feed->now_us;
-	/* A watch that began after the question may still report them. */
+	if (!has_unknown_changes(feed, reply)) {
+		if (!is_unusable(feed, reply))
+			rr_confirm_complete_time(feed, reply);
+		return;
+	}
+	/* A watch that was just opened may still report them. */
 	if (!is_watching_store(feed) ||
-	    feed->reading.started_us > feed->checking.started_us ||
-	    !has_unknown_changes(feed, reply))
+	    feed->checking.started_us - feed->reading.started_us <
+		    check_period_us(feed))
 		return;
 	rr_count(ctx, RR_N_WATCHES_BEHIND, 1);
 	rr_log(ctx, RR_LOG_WARNING, "watch-behind",
--- a/source/core/feed-private.h
+++ b/source/core/feed-private.h
@@ -15,6 +15,7 @@
 	uint64_t call_id; /* in flight; 0: none */
 	enum rr_feed_call_kind kind;
 	int64_t started_us; /* when the call was sent */
+	uint32_t wait_ms;   /* that the source may wait */
 	/* when to send the next call, while none is in flight */
 	int64_t due_us;
 	int64_t backoff_us;
@@ -74,10 +75,12 @@
 	char *read_peer;      /* peer of the read in flight; NULL: the store */
 	int64_t last_read_us; /* time of the last answered read */
 	/*
-	 * All changes up to this time are known; the age of those that the
-	 * reply being handled reports is at most change_age_us.
+	 * All changes that the store acknowledged up to this time are known;
+	 * the age of those that the reply being handled reports is at most
+	 * change_age_us.  See feed-age.c.
 	 */
 	int64_t complete_us;
+	int64_t range_started_us; /* when its first page was asked for */
 	int64_t change_age_us;
 	/* when changes could last be served to peers */
 	int64_t last_serving_us;
@@ -105,8 +108,8 @@
 	guint check_turn;      /* index of the zone to ask */
 	bool checks_reference; /* the last one asked the reference zone */
 	bool checking_failed;  /* that zone did not reply */
-	/* when the reference zone last replied to one */
-	int64_t confirmed_us;
+	/* no other zone confirms the watch, so the store has to */
+	bool is_unconfirmed;
 	/* Registration. */
 	struct rr_feed_call_state entry;
 	/* other instances registered by this one */
@@ -164,6 +167,20 @@
  */
 void rr_switch_to_preferred_source(struct rr_feed *feed);
 
+/* feed-age.c: up to when all changes are known */
+/* Set the age of the changes in the reply that is being handled. */
+void rr_set_change_age(struct rr_feed *feed);
+/* Advance the time up to which all changes are known by a successful read. */
+void rr_update_complete_time(struct rr_feed *feed,
+			     const struct rr_feed_reply *reply);
+/* The same by a comparison that found no unknown changes. */
+void rr_confirm_complete_time(struct rr_feed *feed,
+			      const struct rr_feed_reply *reply);
+/* When an open watch is no proof any more, and the store is asked again. */
+int64_t rr_feed_unconfirmed_us(const struct rr_feed *feed);
+/* Time for which a watcher of the store may have no watch open. */
+int64_t rr_watcher_delay_us(const struct rr_feed *feed);
+
 /* feed-range.c: paged range reads */
 /* Start reading all items from the first page. */
 void rr_start_feed_range(struct rr_feed *feed);
--- a/source/core/feed-read.c
+++ b/source/core/feed-read.c
@@ -36,17 +36,6 @@
  * from any source.
  */
 #define STORE_FALLBACK_DIVISOR 2
-/*
- * Delay of the next watch after changes, as a fraction of the staleness bound,
- * so that a burst of changes costs one watch instead of one each.  Each change
- * wakes every watch, so the delay grows with the number of watchers, up to
- * 1/MAX_MERGE_DIVISOR.
- */
-#define MERGE_DIVISOR 8
-#define WATCHERS_PER_MERGE_STEP 9
-#define MAX_MERGE_DIVISOR 3
-/* The store replies to a call within this fraction of the staleness bound. */
-#define STORE_REPLY_DIVISOR 8
 /*
  * A reply with this many changes may be truncated, so the next watch is not
  * delayed.  Far more than are collected during one delay in normal operation,
@@ -54,14 +43,31 @@
  */
 #define BACKLOG_CHANGES 64
 
+/*
+ * Whether only replies of the store show that a watch receives all changes: in
+ * the zone that others are compared with, or while no other zone replies.
+ */
+static bool must_prove_watch(struct rr_feed *feed)
+{
+#ifdef RR_MUTANT_FEED_REFERENCE_WATCH_LONG
+	return false;
+#endif
+	return feed->is_unconfirmed ||
+	       !rr_find_reference_watcher(feed->sources);
+}
+
 /*
  * Return the wait time of the next watch.  A watch that is opened while the
  * store compacts its history may receive nothing until it ends, although
  * renewals are answered.  Hence a long watch only follows a watch of the store
- * that was answered.
+ * that was answered.  A watch that has to be proved returns at once if the last
+ * proof is too old.
  */
 static uint32_t next_watch_ms(struct rr_feed *feed, bool peer)
 {
+	uint32_t reference_ms =
+		feed->max_staleness_ms / REFERENCE_WATCH_DIVISOR;
+
 	/*
 	 * After a failed read, the next peer must answer at once whether it can
 	 * serve changes.
@@ -78,12 +84,11 @@
 	if (feed->needs_short_watch)
 		return SHORT_WATCH_MS;
 #endif
-#ifndef RR_MUTANT_FEED_REFERENCE_WATCH_LONG
-	if (!rr_find_reference_watcher(feed->sources))
-		return MIN(WATCH_MS,
-			   feed->max_staleness_ms / REFERENCE_WATCH_DIVISOR);
-#endif
-	return WATCH_MS;
+	if (!must_prove_watch(feed))
+		return WATCH_MS;
+	if (feed->now_us - feed->complete_us >= (int64_t)reference_ms * 1000)
+		return 0;
+	return MIN(WATCH_MS, reference_ms);
 }
 
 /* Time without any reply after which the store is asked. */
@@ -131,6 +136,8 @@
 	call.peer = feed->read_peer = *source ? g_strdup(source) : NULL;
 	g_free(source);
 	if (feed->range_active) {
+		if (!feed->after_key)
+			feed->range_started_us = feed->now_us;
 		call.kind = RR_FEED_RANGE;
 		call.after_key = feed->after_key;
 		/*
@@ -152,17 +159,6 @@
 	rr_start_feed_call(ctx, feed, &feed->reading, &call);
 }
 
-/* Time for which a watcher of the store may have no watch open. */
-static int64_t watcher_delay_us(const struct rr_feed *feed)
-{
-	int64_t steps = MAX(1, rr_count_watchers(feed->sources) /
-				       WATCHERS_PER_MERGE_STEP);
-	int64_t bound_us = rr_max_staleness_us(feed);
-
-	return MIN(steps * bound_us / MERGE_DIVISOR,
-		   bound_us / MAX_MERGE_DIVISOR);
-}
-
 /*
  * Return the delay of the next watch after a reply of `n` changes.  None after
  * a long reply, which the store may have truncated: the changes that follow are
@@ -173,67 +169,7 @@
 	/* The peer has already merged its changes. */
 	if (n >= BACKLOG_CHANGES || feed->read_peer)
 		return 0;
-	return watcher_delay_us(feed);
-}
-
-/*
- * Whether the latest read is a watch of the store that has been open for longer
- * than the store needs for reporting the changes made before it.
- */
-static bool is_waiting_for_store(const struct rr_feed *feed, int64_t now_us)
-{
-	return !feed->read_peer && feed->reading.kind == RR_FEED_WATCH &&
-	       now_us - feed->reading.started_us >
-		       rr_max_staleness_us(feed) / STORE_REPLY_DIVISOR;
-}
-
-int64_t rr_feed_age_us(const struct rr_feed *feed, int64_t now_us)
-{
-	if (feed->reading.call_id && is_waiting_for_store(feed, now_us))
-		return 0;
-	return MAX(now_us - feed->complete_us, 0);
-}
-
-/*
- * Longest age of the changes in a reply: the time since all changes were known,
- * but those that arrive on a waiting watch of the store were made just now.
- */
-static int64_t find_change_age_us(const struct rr_feed *feed)
-{
-#ifdef RR_MUTANT_FEED_FORGETS_AGE
-	return 0;
-#endif
-	/* Entries that expired while the store was away were not removed. */
-	if (feed->store_read_failed || !feed->store_reachable)
-		return 0;
-	if (is_waiting_for_store(feed, feed->now_us))
-		return 0;
-	return MAX(feed->now_us - feed->complete_us, 0);
-}
-
-/* All changes are known up to the reply, less what its peer was behind. */
-static void update_complete_us(struct rr_feed *feed,
-			       const struct rr_feed_reply *reply)
-{
-	int64_t lag_us = 0;
-
-	if (feed->range_active || feed->read_is_stale)
-		return;
-	if (feed->read_peer)
-		lag_us = MAX(reply->age_us, watcher_delay_us(feed));
-	feed->complete_us = MAX(feed->complete_us, feed->now_us - lag_us);
-}
-
-int64_t rr_feed_change_age_us(const struct rr_feed *feed)
-{
-	return feed->change_age_us;
-}
-
-int64_t rr_longest_change_age_us(uint32_t max_staleness_ms)
-{
-	int64_t bound_us = (int64_t)max_staleness_ms * 1000;
-
-	return bound_us / MAX_MERGE_DIVISOR + bound_us / STORE_FALLBACK_DIVISOR;
+	return rr_watcher_delay_us(feed);
 }
 
 static void apply_changes(struct rr_context *ctx, struct rr_feed *feed,
@@ -310,9 +246,10 @@
 			       feed->read_peer ? feed->read_peer : "");
 	feed->last_read_ok = true;
 	feed->last_read_us = feed->now_us;
-	feed->change_age_us = find_change_age_us(feed);
+	rr_set_change_age(feed);
 	feed->store_read_failed = false;
 	feed->needs_short_watch = is_first_watch_next(feed);
+	rr_update_complete_time(feed, reply);
 	if (!feed->read_peer)
 		rr_set_store_reachable(ctx, feed, true);
 	if (feed->range_active)
@@ -320,7 +257,6 @@
 	else
 		apply_changes(ctx, feed, reply);
 	feed->change_age_us = 0;
-	update_complete_us(feed, reply);
 	log_outdated_items(ctx, feed, reply);
 	rr_update_instance_count(feed);
 }
--- a/source/core/feed.c
+++ b/source/core/feed.c
@@ -146,6 +146,7 @@
 	call->id = state->call_id = ++feed->last_call_id;
 	state->kind = call->kind;
 	state->started_us = feed->now_us;
+	state->wait_ms = call->wait_ms;
 	call->timeout_ms =
 		call->wait_ms +
 		(call->peer ? feed->max_staleness_ms / PEER_TIMEOUT_DIVISOR :
@@ -315,6 +316,7 @@
 		return false;
 	if (!feed->read_peer)
 		return feed->store_reachable &&
+		       feed->now_us < rr_feed_serve_end_us(feed) &&
 		       (feed->last_read_ok ||
 			!rr_prefers_peer_source(feed->sources));
 	return feed->last_read_ok &&
--- a/source/gateway/gateway-change-feed.c
+++ b/source/gateway/gateway-change-feed.c
@@ -210,7 +210,7 @@
 		return wake_us;
 	if (!rr_feed_can_serve_changes(gateway->feed))
 		return rr_feed_serve_grace_end_us(gateway->feed);
-	return wake_us;
+	return MIN(wake_us, rr_feed_serve_end_us(gateway->feed));
 }
 
 void rr_handle_peer_disconnect(void *data, struct rr_caller_conn *caller)
