gate: begin the turns of a split at random, anew when its weights change

Cause: the credits of each instance's round-robin began between 0 and a part's weight, so that the part of the greater weight came first at every instance; a part of weight 0 left all instances in the same turn. Change: credits begin at a random turn whenever the weights change. The scale that carried credits over to other weights is gone with them, and so the mutant SPLIT_KEEPS_SCALE; SPLIT_KEEPS_CREDITS takes its place.

--- a/source/core/gate-private.h
+++ b/source/core/gate-private.h
@@ -108,11 +108,16 @@
 	struct rr_wait_queue wait_queue; /* parts waiting for capacity */
 };
 
+struct rr_split_credit {
+	double weight; /* of the part when the credits began */
+	double credit; /* in requests */
+};
+
 /* State of a route that is kept across versions of the routes. */
 struct rr_route_stats {
 	struct rr_latency_sketch attempt_times; /* over all replicas */
-	/* Per part of a weighted split, in requests; see gate-split.c. */
-	double *split_credits;
+	/* Per part of a weighted split; see gate-split.c. */
+	struct rr_split_credit *split_credits;
 	size_t n_credits;
 };
 
--- a/source/core/gate-split.c
+++ b/source/core/gate-split.c
@@ -5,6 +5,9 @@
 
 #include <string.h>
 
+/* The turns of a split begin anywhere among this many. */
+#define MAX_SKIPPED_TURNS 256
+
 static double total_weight(const struct rr_route *route)
 {
 	double total = 0;
@@ -14,56 +17,74 @@
 	return total;
 }
 
-/* Return the factor that makes credits of weights count in requests. */
-static double credit_scale(double total)
+/* Whether the credits are those of the route's parts and weights. */
+static bool has_current_credits(const struct rr_route_stats *stats,
+				const struct rr_route *route)
 {
-#ifdef RR_MUTANT_SPLIT_KEEPS_SCALE
-	return 1;
+	if (stats->n_credits != route->n_parts)
+		return false;
+#ifdef RR_MUTANT_SPLIT_KEEPS_CREDITS
+	return true;
 #endif
-	return 1 / total;
+	for (size_t i = 0; i < route->n_parts; i++) {
+		if (stats->split_credits[i].weight != route->parts[i].weight)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Smooth weighted round-robin: each request adds to each part's credit its
+ * share of the weights, and 1 is subtracted from the chosen part, which has the
+ * highest credit.  Parts of weight 0 are never chosen.
+ */
+static size_t take_turn(struct rr_split_credit *credits, size_t n, double total)
+{
+	size_t best = n;
+
+	for (size_t i = 0; i < n; i++) {
+		if (credits[i].weight <= 0)
+			continue;
+		credits[i].credit += credits[i].weight / total;
+		if (best == n || credits[i].credit > credits[best].credit)
+			best = i;
+	}
+	credits[best].credit -= 1;
+	return best;
 }
 
+/*
+ * Begin at a random turn.  Guards against instances that all send their first
+ * requests, after a start or a change of the weights, to the same part.
+ */
 static void init_credits(struct rr_context *ctx, struct rr_route_stats *stats,
-			 const struct rr_route *route, double scale)
+			 const struct rr_route *route, double total)
 {
+	uint32_t n_turns = rr_random_below(ctx, MAX_SKIPPED_TURNS);
+
 	g_free(stats->split_credits);
-	stats->split_credits = g_new0(double, route->n_parts);
+	stats->split_credits = g_new0(struct rr_split_credit, route->n_parts);
 	stats->n_credits = route->n_parts;
-	for (size_t i = 0; i < route->n_parts; i++)
-		stats->split_credits[i] =
-			rr_random_unit(ctx) * route->parts[i].weight * scale;
+	for (size_t i = 0; i < route->n_parts; i++) {
+		stats->split_credits[i].weight = route->parts[i].weight;
+		stats->split_credits[i].credit =
+			rr_random_unit(ctx) * route->parts[i].weight / total;
+	}
+	while (n_turns--)
+		take_turn(stats->split_credits, stats->n_credits, total);
 }
 
-/*
- * Smooth weighted round-robin: each request adds to each part's credit its
- * share of the weights, and 1 is subtracted from the chosen part, which has the
- * highest credit.  Credits count in requests, so that those earned with other
- * weights are used up by a request or two.  They start at random values so that
- * instances do not all start with the same part.
- */
 size_t rr_choose_split_part(struct rr_context *ctx,
 			    struct rr_route_stats *stats,
 			    const struct rr_route *route)
 {
 	double total = total_weight(route);
-	double scale = credit_scale(total);
-	size_t best = 0;
 
 	if (total <= 0)
 		return 0;
-	if (stats->n_credits != route->n_parts)
-		init_credits(ctx, stats, route, scale);
-	while (route->parts[best].weight <= 0)
-		best++;
-	for (size_t i = best; i < route->n_parts; i++) {
-		if (route->parts[i].weight <= 0)
-			continue;
-		stats->split_credits[i] += route->parts[i].weight * scale;
-		if (stats->split_credits[i] > stats->split_credits[best])
-			best = i;
-	}
-	stats->split_credits[best] -= total * scale;
-	return best;
+	if (!has_current_credits(stats, route))
+		init_credits(ctx, stats, route, total);
+	return take_turn(stats->split_credits, stats->n_credits, total);
 }
 
 /* Return a request's route in the current routes, NULL if it was removed. */
--- a/tests/test-gate-split.c
+++ b/tests/test-gate-split.c
@@ -83,6 +83,58 @@
 	}
 }
 
+/* Fleet of gates that each send few requests, as instances of a large site. */
+#define N_GATES 300
+#define N_SENT 2
+
+static void assert_fleet_share(double before, double first, double second)
+{
+	double due = first / (first + second);
+	int n_first[N_SENT] = { 0 };
+
+	for (uint32_t seed = 1; seed <= N_GATES; seed++) {
+		bool is_changed = before >= 0;
+		struct gate_fixture *fixture =
+			start_split(seed, is_changed ? before : first,
+				    is_changed ? 1 - before : second);
+
+		if (is_changed) {
+			count_first(fixture, (int)(seed % 4));
+			set_weights(fixture, 6, first, second);
+		}
+		for (int i = 0; i < N_SENT; i++)
+			n_first[i] += count_first(fixture, 1);
+		test_free_gate(fixture);
+	}
+	for (int i = 0; i < N_SENT; i++) {
+		double off = (double)n_first[i] / N_GATES - due;
+
+		if (off > 0.1 || off < -0.1)
+			fail_msg("%g:%g after %g: %d of %d", first, second,
+				 before, n_first[i], N_GATES);
+	}
+}
+
+/*
+ * Guards against instances that all send their first requests after a change,
+ * or after a start, to the same service of a split.
+ */
+static void test_first_requests_of_many_instances(void **state)
+{
+	static const double weights[][2] = {
+		{ 7, 3 }, { 1, 1 }, { 600, 400 }, { 1, 9 }
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(weights); i++) {
+		const double *w = weights[i];
+
+		assert_fleet_share(-1, w[0], w[1]);
+		assert_fleet_share(1, w[0], w[1]);
+		assert_fleet_share(0, w[0], w[1]);
+		assert_fleet_share(0.95, w[0], w[1]);
+	}
+}
+
 /* Guards against requests to a service that the operators took out of use. */
 static void test_weight_zero_gets_none(void **state)
 {
@@ -144,6 +196,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_new_weights_on_another_scale),
+		cmocka_unit_test(test_first_requests_of_many_instances),
 		cmocka_unit_test(test_weight_zero_gets_none),
 		cmocka_unit_test(test_queued_requests_leave_weight_zero),
 		cmocka_unit_test(test_retries_leave_weight_zero),
