--- a/tests/support/feed-fleet-store.c
+++ b/tests/support/feed-fleet-store.c
@@ -353,6 +353,15 @@
 	g_free(key);
 }
 
+void fleet_remove_replica(struct fleet *fleet, guint number)
+{
+	char *key = g_strdup_printf("r/%u", number);
+
+	write_key(fleet, key, NULL, 0, ++fleet->revision);
+	fleet_answer_watches(fleet);
+	g_free(key);
+}
+
 /*
  * Drop the leases granted after those of the restored items; their ids are
  * given out again.
--- a/tests/support/feed-fleet.c
+++ b/tests/support/feed-fleet.c
@@ -53,6 +53,12 @@
 	       call->node->replies_lost_until_us > call->node->fleet->now_us;
 }
 
+static bool is_reply_held(const struct fleet_call *call)
+{
+	return !call->peer && !call->timed_out &&
+	       call->node->replies_held_until_us > call->node->fleet->now_us;
+}
+
 static void deliver(void *context, void *data)
 {
 	struct delivery *delivery = data;
@@ -61,6 +67,11 @@
 
 	if (put_off(node, deliver, data))
 		return;
+	if (is_reply_held(call)) {
+		push_event(node->fleet->events, node->replies_held_until_us,
+			   deliver, data);
+		return;
+	}
 	if (!call->peer)
 		node->has_store_conn = true;
 	if (!call->done && node->feed && !is_reply_lost(call) &&
@@ -113,6 +124,8 @@
 
 	delivery->reply.revision = upto.revision;
 	delivery->reply.era = upto.era;
+	delivery->reply.age_us =
+		rr_feed_age_us(peer->feed, peer->fleet->now_us);
 	for (guint i = 0; items && i < items->len; i++) {
 		const struct rr_feed_change *item =
 			&g_array_index(items, struct rr_feed_change, i);
@@ -320,8 +333,16 @@
 {
 }
 
-static void ignore_unlisted(void *data, const char *id)
+static void note_removal(void *data, const char *id)
 {
+	struct fleet_node *node = data;
+	char *key = g_strconcat("r/", id, NULL);
+	const struct fleet_change *change =
+		g_hash_table_lookup(node->fleet->items, key);
+
+	node->removal_us = node->fleet->now_us - change->at_us;
+	node->stated_removal_us = rr_feed_change_age_us(node->feed);
+	g_free(key);
 }
 
 static void ignore_instances(void *data, uint32_t instances)
@@ -362,7 +383,9 @@
 		wake_us = MIN(wake_us, call->deadline_us);
 	}
 	if (node->waiting_calls->len)
-		wake_us = MIN(wake_us, rr_feed_serve_grace_end_us(node->feed));
+		wake_us =
+			MIN(wake_us, MIN(rr_feed_serve_grace_end_us(node->feed),
+					 rr_feed_serve_end_us(node->feed)));
 	wake_us = MAX(wake_us, fleet->now_us + FLEET_MS);
 	if (wake_us >= node->next_tick_us)
 		return;
@@ -379,13 +402,13 @@
 			.cancel = ignore_cancel,
 			.routes = apply_routes,
 			.replica_listed = ignore_listed,
-			.replica_unlisted = ignore_unlisted,
+			.replica_unlisted = note_removal,
 			.instance_count = ignore_instances,
 			.instance = ignore_instance,
 			.data = node,
 		},
 		.self = node->self,
-		.max_staleness_ms = MAX_STALENESS_MS,
+		.max_staleness_ms = node->fleet->max_staleness_ms,
 	};
 
 	if (node->fleet->stopping || node->feed)
@@ -432,6 +455,7 @@
 	fleet->watches = g_ptr_array_new_with_free_func(fleet_drop_call);
 	fleet->revision = 1;
 	fleet->era = 1;
+	fleet->max_staleness_ms = MAX_STALENESS_MS;
 	for (guint i = 0; i < n; i++)
 		add_node(fleet, i, zones);
 	fleet_write_routes(fleet, 1);
--- a/tests/support/feed-fleet.h
+++ b/tests/support/feed-fleet.h
@@ -25,6 +25,14 @@
 	int64_t frozen_until_us;
 	/* Replies of the store are lost until then. */
 	int64_t replies_lost_until_us;
+	/* Replies of the store are held up until then. */
+	int64_t replies_held_until_us;
+	/*
+	 * Of the last removal of a replica that it learned of: how long ago that
+	 * was, and the age that the feed stated.
+	 */
+	int64_t removal_us;
+	int64_t stated_removal_us;
 	/* It has a connection to the store, the `n_closed + 1`st. */
 	bool has_store_conn;
 	uint32_t n_closed;
@@ -39,7 +47,8 @@
 struct fleet {
 	struct event_queue *events;
 	int64_t now_us;
-	GPtrArray *nodes;   /* struct fleet_node */
+	GPtrArray *nodes; /* struct fleet_node */
+	uint32_t max_staleness_ms;
 	GPtrArray *history; /* struct fleet_change of the store */
 	/* The same, as they were when the store was last restored. */
 	GPtrArray *prior_history;
@@ -84,6 +93,7 @@
  */
 void fleet_write_routes(struct fleet *fleet, uint64_t version);
 void fleet_write_replica(struct fleet *fleet, guint number);
+void fleet_remove_replica(struct fleet *fleet, guint number);
 /*
  * Restore the store from a copy that is `age_us` old: later changes and leases
  * are lost, and their revisions are given out again.  Stale reads lag behind:
