--- a/source/core/feed-age.c
+++ b/source/core/feed-age.c
@@ -31,8 +31,6 @@
 #define SERVED_FRACTION (3 / 4.0)
 /* Its peers find another source within this fraction. */
 #define FAILOVER_FRACTION (1 / 8.0)
-/* Peers of a silent instance ask the store after this fraction. */
-#define SILENCE_FRACTION (1 / 2.0)
 
 static int64_t fraction_of(int64_t bound_us, double fraction)
 {
@@ -67,7 +65,7 @@
 {
 	int64_t bound_us = (int64_t)max_staleness_ms * 1000;
 	int64_t silent_us = bound_us / MAX_MERGE_DIVISOR +
-			    fraction_of(bound_us, SILENCE_FRACTION);
+			    bound_us / STORE_FALLBACK_DIVISOR;
 
 	return MAX(silent_us,
 		   fraction_of(bound_us, SERVED_FRACTION + FAILOVER_FRACTION));
--- a/source/core/feed-private.h
+++ b/source/core/feed-private.h
@@ -10,6 +10,12 @@
 #include "core/change-log.h"
 #include "ragwort/feed.h"
 
+/*
+ * The store is asked after this fraction of the staleness bound without a reply
+ * from any source.
+ */
+#define STORE_FALLBACK_DIVISOR 2
+
 /* The state of one sequence of calls; at most one call is in flight. */
 struct rr_feed_call_state {
 	uint64_t call_id; /* in flight; 0: none */
--- a/source/core/feed-read.c
+++ b/source/core/feed-read.c
@@ -31,11 +31,6 @@
  * leaves the rest for asking the store.
  */
 #define PEER_WAIT_DIVISOR 4
-/*
- * The store is asked after this fraction of the staleness bound without a reply
- * from any source.
- */
-#define STORE_FALLBACK_DIVISOR 2
 /*
  * A reply with this many changes may be truncated, so the next watch is not
  * delayed.  Far more than are collected during one delay in normal operation,
