--- a/tests/support/raw-http.c
+++ b/tests/support/raw-http.c
@@ -11,7 +11,7 @@
 
 #include "support/port.h"
 
-#define MAX_REQUEST_BYTES (1u << 20)
+#define MAX_REQUEST_BYTES (1u << 23)
 
 const char *test_request_header(struct test_connection *connection,
 				const char *name)
