http-reader: free long buffers between messages

Callers saw: nothing at first; an instance with many kept connections ran out of memory after requests with long bodies. Cause: a reader keeps the buffers of its longest message, and a connection keeps its reader: 2,000 idle connections may hold 2,000 bodies. The request also stayed while its response was being read. Change: buffers over 4 kB are freed when the reader is reset, which happens as soon as the response has been composed; all that the gateway needs of the request is copied or used before.

--- a/source/net/http-listener.c
+++ b/source/net/http-listener.c
@@ -176,6 +176,8 @@
 		g_string_append_len(out, (const char *)response->body,
 				    (gssize)response->length);
 	set_state(caller, CALLER_WRITING);
+	/* Frees the request, as the caller may take long to read. */
+	rr_reset_http_reader(caller->reader, false);
 	sent = rr_write_stream(caller->stream, (const uint8_t *)out->str,
 			       out->len, &taken);
 	g_string_free(out, TRUE);
@@ -273,7 +275,6 @@
 	GByteArray *pending = caller->pending;
 	bool incomplete = true;
 
-	rr_reset_http_reader(caller->reader, false);
 	if (pending->len) {
 		caller->pending = g_byte_array_new();
 		incomplete = parse_bytes(caller, pending->data, pending->len);
--- a/source/net/http-reader.c
+++ b/source/net/http-reader.c
@@ -12,6 +12,8 @@
  */
 #define MAX_HEADERS 200
 #define NO_LIMIT UINT32_MAX
+/* Larger buffers are freed between messages, since a connection may be idle. */
+#define MAX_IDLE_BUFFER_BYTES 4096
 
 /* Offsets of the strings of a header in `text`. */
 struct span {
@@ -271,6 +273,24 @@
 	reader->max_body_bytes = max_body_bytes ? max_body_bytes : NO_LIMIT;
 }
 
+static void clear_text(GString **text)
+{
+	if ((*text)->allocated_len > MAX_IDLE_BUFFER_BYTES) {
+		g_string_free(*text, TRUE);
+		*text = g_string_new(NULL);
+	}
+	g_string_truncate(*text, 0);
+}
+
+static void clear_body(struct rr_http_reader *reader)
+{
+	if (reader->body->len > MAX_IDLE_BUFFER_BYTES) {
+		g_byte_array_unref(reader->body);
+		reader->body = g_byte_array_new();
+	}
+	g_byte_array_set_size(reader->body, 0);
+}
+
 void rr_reset_http_reader(struct rr_http_reader *reader, bool no_body)
 {
 	http_parser_init(&reader->parser, reader->type);
@@ -283,12 +303,12 @@
 	reader->in_trailer = false;
 	reader->n_header_bytes = 0;
 	reader->error_result = RR_HTTP_MALFORMED;
-	g_string_truncate(reader->target, 0);
-	g_string_truncate(reader->reason, 0);
-	g_string_truncate(reader->text, 0);
+	clear_text(&reader->target);
+	clear_text(&reader->reason);
+	clear_text(&reader->text);
 	g_array_set_size(reader->spans, 0);
 	g_array_set_size(reader->headers, 0);
-	g_byte_array_set_size(reader->body, 0);
+	clear_body(reader);
 	memset(&reader->message, 0, sizeof(reader->message));
 }
 
