stream, http-listener: release a long response as its caller reads it

Callers saw: nothing at first; an instance ran out of memory when many read long answers slowly. Cause: a response was copied into one buffer with its headers, and what the kernel did not accept into a second one, which kept its whole size until its last byte was sent and was moved to its front at each write. Change: unsent bytes are kept in chunks of at most 64 kB, each freed once it is sent; a body over 64 kB is written from where it is, without a copy.

--- a/source/net/http-listener.c
+++ b/source/net/http-listener.c
@@ -27,6 +27,8 @@
 #define BODY_TIMEOUT_FACTOR 4 /* a body may take this many header timeouts */
 /* A caller that does not read its response is disconnected after this time. */
 #define WRITE_TIMEOUT_US (10 * G_USEC_PER_SEC)
+/* Longer bodies are written separately from their headers. */
+#define MAX_JOINED_BODY_BYTES 65536
 /*
  * How long a connection stays after a rejection that leaves bytes unread, so
  * that the caller reads the response before a reset: a round trip and a margin.
@@ -161,25 +163,36 @@
 		finish_response(caller);
 }
 
+static bool write_bytes(struct rr_caller_conn *caller, const void *bytes,
+			size_t length)
+{
+	bool taken;
+
+	return rr_write_stream(caller->stream, bytes, length, &taken);
+}
+
 /* Sends a response; the connection may be freed afterwards. */
 static void send_response(struct rr_caller_conn *caller,
 			  const struct rr_http_response *response)
 {
 	bool bodiless = caller->is_head_request || response->status == 204 ||
 			response->status == 304;
-	GString *out = g_string_sized_new(512 + response->length);
-	bool taken;
+	/* A long body is not copied to save a write. */
+	bool is_joined = response->length <= MAX_JOINED_BODY_BYTES;
+	GString *out =
+		g_string_sized_new(512 + (is_joined ? response->length : 0));
 	bool sent;
 
 	append_headers(out, caller, response, !bodiless);
-	if (!bodiless && response->length)
+	if (!bodiless && is_joined && response->length)
 		g_string_append_len(out, (const char *)response->body,
 				    (gssize)response->length);
 	set_state(caller, CALLER_WRITING);
 	/* Frees the request, as the caller may take long to read. */
 	rr_reset_http_reader(caller->reader, false);
-	sent = rr_write_stream(caller->stream, (const uint8_t *)out->str,
-			       out->len, &taken);
+	sent = write_bytes(caller, out->str, out->len);
+	if (sent && !bodiless && !is_joined)
+		sent = write_bytes(caller, response->body, response->length);
 	g_string_free(out, TRUE);
 	if (!sent)
 		free_caller(caller);
--- a/source/net/stream.c
+++ b/source/net/stream.c
@@ -6,12 +6,14 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "net/native-address-private.h"
 
 #define READ_BYTES 16384
+#define MAX_CHUNK_BYTES 65536
 /*
  * A peer behind a partitioned network neither answers nor resets, so a
  * connection would hang for minutes. TCP keepalive detects this on an idle
@@ -24,12 +26,24 @@
 #define KEEPALIVE_PROBES 2
 #define USER_TIMEOUT_MS 2000
 
+/*
+ * Bytes that the kernel has not accepted yet. Chunks are freed as the peer
+ * reads, so that a slow one does not keep the memory of a long response until
+ * its end.
+ */
+struct chunk {
+	size_t start; /* bytes sent */
+	size_t length;
+	uint8_t bytes[];
+};
+
 struct rr_stream {
 	int refs; /* running callbacks, plus one for the owner */
 	struct rr_poller *poller;
 	struct rr_io_watcher watcher;
 	struct rr_stream_callbacks callbacks;
-	GByteArray *send_buffer; /* data that the kernel has not accepted yet */
+	GQueue unsent; /* struct chunk */
+	size_t n_unsent_bytes;
 	bool connecting;
 	bool paused;
 	bool has_unread;  /* reading stopped with data left */
@@ -61,7 +75,7 @@
 {
 	if (--stream->refs)
 		return;
-	g_byte_array_unref(stream->send_buffer);
+	g_queue_clear_full(&stream->unsent, g_free);
 	g_free(stream);
 }
 
@@ -127,19 +141,40 @@
 	return errno == EAGAIN || errno == EWOULDBLOCK;
 }
 
-static void flush_send_buffer(struct rr_stream *stream)
+static void append_unsent(struct rr_stream *stream, const uint8_t *bytes,
+			  size_t length)
+{
+	stream->n_unsent_bytes += length;
+	while (length) {
+		size_t n = MIN(length, MAX_CHUNK_BYTES);
+		struct chunk *chunk = g_malloc(sizeof(*chunk) + n);
+
+		chunk->start = 0;
+		chunk->length = n;
+		memcpy(chunk->bytes, bytes, n);
+		g_queue_push_tail(&stream->unsent, chunk);
+		bytes += n;
+		length -= n;
+	}
+}
+
+static void flush_unsent(struct rr_stream *stream)
 {
+	struct chunk *chunk;
 	size_t sent;
 
-	while (stream->send_buffer->len) {
-		if (!send_some(stream, stream->send_buffer->data,
-			       stream->send_buffer->len, &sent)) {
+	while ((chunk = g_queue_peek_head(&stream->unsent))) {
+		if (!send_some(stream, chunk->bytes + chunk->start,
+			       chunk->length - chunk->start, &sent)) {
 			report_end(stream, RR_STREAM_ERROR);
 			return;
 		}
 		if (!sent)
 			return;
-		g_byte_array_remove_range(stream->send_buffer, 0, (guint)sent);
+		chunk->start += sent;
+		stream->n_unsent_bytes -= sent;
+		if (chunk->start == chunk->length)
+			g_free(g_queue_pop_head(&stream->unsent));
 	}
 	if (stream->shutdown_pending)
 		shutdown(stream->watcher.fd, SHUT_WR);
@@ -179,8 +214,8 @@
 		    !finish_connect(stream))
 			goto done;
 	}
-	if ((events & EPOLLOUT) && stream->send_buffer->len)
-		flush_send_buffer(stream);
+	if ((events & EPOLLOUT) && stream->n_unsent_bytes)
+		flush_unsent(stream);
 	if (is_dropped(stream))
 		goto done;
 	if (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR))
@@ -202,7 +237,7 @@
 	stream->refs = 1;
 	stream->poller = poller;
 	stream->callbacks = *callbacks;
-	stream->send_buffer = g_byte_array_new();
+	g_queue_init(&stream->unsent);
 	stream->watcher.fd = fd;
 	stream->watcher.ready = on_events;
 	stream->watcher.data = stream;
@@ -276,26 +311,24 @@
 	size_t sent = 0;
 
 	*taken = true;
-	if (!stream->send_buffer->len && !stream->connecting &&
+	if (!stream->n_unsent_bytes && !stream->connecting &&
 	    !send_some(stream, bytes, length, &sent)) {
 		*taken = false;
 		return false;
 	}
-	if (sent < length)
-		g_byte_array_append(stream->send_buffer, bytes + sent,
-				    (guint)(length - sent));
+	append_unsent(stream, bytes + sent, length - sent);
 	return true;
 }
 
 size_t rr_unsent_bytes(const struct rr_stream *stream)
 {
-	return stream->send_buffer->len;
+	return stream->n_unsent_bytes;
 }
 
 void rr_shutdown_stream_write(struct rr_stream *stream)
 {
 	stream->shutdown_pending = true;
-	if (!stream->send_buffer->len)
+	if (!stream->n_unsent_bytes)
 		shutdown(stream->watcher.fd, SHUT_WR);
 }
 
