net: bound the memory that connections hold for requests and answers

Callers saw: a gateway was ended for its memory, with all its requests, when many clients did not read long answers, read them slowly, left out the end of long bodies, or sent long bodies to a replica that did not answer. Cause: each connection has limits of its own; nothing bounded their sum. Change: all connections of the process, of callers, replicas, the store and other instances, report what they hold (message, bytes received early, bytes not sent yet) to one budget, a quarter of the new setting memory_mb (default 160, in the deployments the machine's limits.memoryMb). At the limit, what is over 16 kB is no longer read until memory is free, so short messages pass at any time. One message at a time may exceed the limit, or incomplete ones would wait for each other. Each 50 ms the caller with the most bytes times time is closed until an eighth of the limit is free: 503 with Retry-After if its request is incomplete, which has not run, otherwise the connection ends. No request that was passed on is cut short, and none is closed in its first half second. Counter, gauge, and a log line caller-closed with the address. A throttled stream reports an orderly end only after the data before it.

--- a/include/ragwort/settings.h
+++ b/include/ragwort/settings.h
@@ -135,6 +135,7 @@
 	uint32_t extra_window_ms;
 	uint32_t stop_timeout_ms;
 	uint32_t max_connections; /* concurrent, of callers */
+	uint32_t memory_mb;
 	enum rr_log_level log_level;
 	enum rr_log_format log_format;
 	uint32_t log_max_lines_per_s;
--- a/source/gateway/gateway-callers.c
+++ b/source/gateway/gateway-callers.c
@@ -431,6 +431,8 @@
 	rr_update_process_gauges(gateway->ctx);
 	rr_set_gauge(gateway->ctx, RR_G_OPEN_QUERIES,
 		     rr_gate_count_requests(gateway->gate));
+	rr_set_gauge(gateway->ctx, RR_G_CALLER_BYTES,
+		     rr_held_memory_bytes(gateway->memory));
 	rr_format_metrics(gateway->ctx, text);
 	answer.body = (const uint8_t *)text->str;
 	answer.length = text->len;
--- a/source/gateway/gateway-private.h
+++ b/source/gateway/gateway-private.h
@@ -6,6 +6,7 @@
 
 #include "gateway/gateway.h"
 #include "net/http-listener.h"
+#include "net/memory-budget.h"
 #include "net/poller.h"
 #include "net/replica-client.h"
 #include "platform/platform.h"
@@ -65,6 +66,7 @@
 	const struct rr_gate_names *names;
 	GMainLoop *loop;
 	struct rr_poller *poller;
+	struct rr_memory_budget *memory;
 	struct tick_source *ticker;
 	struct rr_gate *gate;
 	struct rr_feed *feed;
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -29,6 +29,14 @@
 /* For the readiness and metrics addresses, which get few requests. */
 #define MAX_STATUS_CONNS 64
 
+#define BYTES_PER_MB (1024 * 1024)
+/*
+ * The part of the memory that requests and responses may use. The rest is for
+ * the state of the instance, for messages that pass at any time because they
+ * are short, and for copies.
+ */
+#define CALLER_MEMORY_SHARE 4
+
 int64_t rr_gateway_now_us(void)
 {
 	return g_get_monotonic_time();
@@ -126,6 +134,7 @@
 	rr_tick_http_listener(gateway->readiness_listener, now);
 	if (gateway->peer_listener)
 		rr_tick_http_listener(gateway->peer_listener, now);
+	rr_tick_memory_budget(gateway->memory);
 	check_stop(gateway);
 	if (gateway->log_flush_us && gateway->log_flush_us <= now) {
 		rr_flush_log();
@@ -161,6 +170,8 @@
 		     rr_replica_client_wake_us(gateway->coordinator_client));
 	due_us = MIN(due_us,
 		     rr_replica_client_wake_us(gateway->allowance_client));
+	if (rr_is_memory_short(gateway->memory))
+		due_us = MIN(due_us, rr_gateway_now_us() + RR_MEMORY_CHECK_US);
 	if (gateway->lifecycle.stop_requested_us)
 		due_us = MIN(due_us, gateway->stop_check_us);
 	if (rr_has_buffered_log_lines() && !gateway->log_flush_us)
@@ -340,6 +351,7 @@
 {
 	struct rr_replica_client_options replicas = {
 		.poller = gateway->poller,
+		.memory = gateway->memory,
 		.request_id_header = gateway->names->request_id,
 		.signature_header = gateway->names->signature,
 		.not_run_header = gateway->names->not_run,
@@ -351,6 +363,7 @@
 	};
 	struct rr_replica_client_options store = {
 		.poller = gateway->poller,
+		.memory = gateway->memory,
 		.replied = rr_handle_gateway_store_reply,
 		.idle_closed = rr_handle_store_disconnect,
 		.data = gateway,
@@ -358,6 +371,7 @@
 
 	struct rr_replica_client_options coordinators = {
 		.poller = gateway->poller,
+		.memory = gateway->memory,
 		.not_run_header = NOT_RUN_HEADER,
 		.replied = handle_reply,
 		.probed = handle_probe_result,
@@ -366,6 +380,7 @@
 
 	struct rr_replica_client_options allowances = {
 		.poller = gateway->poller,
+		.memory = gateway->memory,
 		.replied = rr_handle_allowance_reply,
 		.data = gateway,
 	};
@@ -384,6 +399,7 @@
 	const struct rr_gateway_settings *settings = gateway->settings;
 	struct rr_http_listener_options callers = {
 		.poller = gateway->poller,
+		.memory = gateway->memory,
 		.address = settings->caller_address,
 		.max_connections = settings->max_connections,
 		.request = rr_handle_caller_request,
@@ -393,6 +409,7 @@
 	};
 	struct rr_http_listener_options ready = {
 		.poller = gateway->poller,
+		.memory = gateway->memory,
 		.address = settings->ready_address,
 		.max_connections = MAX_STATUS_CONNS,
 		.request = rr_handle_readiness_request,
@@ -462,6 +479,9 @@
 		g_array_new(FALSE, FALSE, sizeof(struct watching_peer));
 	gateway->allowance_callers =
 		g_array_new(FALSE, FALSE, sizeof(struct allowance_caller));
+	gateway->memory =
+		rr_new_memory_budget((uint64_t)settings->memory_mb *
+				     BYTES_PER_MB / CALLER_MEMORY_SHARE);
 	gateway->poller = rr_new_poller(error);
 	if (!gateway->poller || !start_listeners(gateway, error)) {
 		rr_drop_gateway(gateway);
@@ -499,6 +519,7 @@
 	g_hash_table_unref(gateway->store_calls);
 	g_array_unref(gateway->watching_peers);
 	g_array_unref(gateway->allowance_callers);
+	rr_drop_memory_budget(gateway->memory);
 	rr_drop_poller(gateway->poller);
 	g_main_loop_unref(gateway->loop);
 	rr_drop_context(gateway->ctx);
--- a/source/net/http-listener.c
+++ b/source/net/http-listener.c
@@ -25,6 +25,11 @@
 #define INITIAL_HEADER_TIMEOUT_MS 3000
 #define INITIAL_IDLE_TIMEOUT_MS 15000
 #define BODY_TIMEOUT_FACTOR 4 /* a body may take this many header timeouts */
+/*
+ * Callers that have held memory for a shorter time are not closed to release
+ * it: a retransmission may be on its way.
+ */
+#define MIN_RECLAIM_AGE_US (500 * 1000)
 /* A caller that does not read its response is disconnected after this time. */
 #define WRITE_TIMEOUT_US (10 * G_USEC_PER_SEC)
 /* Longer bodies are written separately from their headers. */
@@ -55,6 +60,7 @@
 	/* Time of entry into `state` or of a request's first byte, if later. */
 	int64_t since_us;
 	uint64_t user_data;
+	struct rr_memory_user memory;
 	GList link;
 	uint64_t n_requests; /* read on this connection so far */
 };
@@ -67,6 +73,7 @@
 	struct rr_caller_limits limits;
 	GQueue callers; /* struct rr_caller_conn, in the order of accepting */
 	int64_t checked_us;
+	int64_t memory_checked_us;
 	bool draining;
 	bool at_connection_limit;
 };
@@ -79,6 +86,7 @@
 /* Closes and frees a connection that is not in the listener's list. */
 static void destroy_caller(struct rr_caller_conn *caller)
 {
+	rr_clear_memory_user(&caller->memory);
 	rr_drop_stream(caller->stream);
 	rr_drop_http_reader(caller->reader);
 	g_byte_array_unref(caller->pending);
@@ -101,6 +109,29 @@
 	free_caller(caller);
 }
 
+static void update_memory(struct rr_caller_conn *caller)
+{
+	rr_hold_memory(&caller->memory,
+		       rr_http_reader_bytes(caller->reader) +
+			       caller->pending->len +
+			       rr_unsent_bytes(caller->stream));
+}
+
+/* Stops reading a request until memory is available for the rest of it. */
+static void throttle_request(struct rr_caller_conn *caller)
+{
+	update_memory(caller);
+	if (rr_wait_for_memory(&caller->memory))
+		rr_set_stream_throttled(caller->stream, true);
+}
+
+static void resume_request(void *data)
+{
+	struct rr_caller_conn *caller = data;
+
+	rr_set_stream_throttled(caller->stream, false);
+}
+
 static void set_state(struct rr_caller_conn *caller, enum caller_state state)
 {
 	caller->state = state;
@@ -188,15 +219,20 @@
 		g_string_append_len(out, (const char *)response->body,
 				    (gssize)response->length);
 	set_state(caller, CALLER_WRITING);
+	rr_end_memory_wait(&caller->memory);
+	rr_set_stream_throttled(caller->stream, false);
 	/* Frees the request, as the caller may take long to read. */
 	rr_reset_http_reader(caller->reader, false);
 	sent = write_bytes(caller, out->str, out->len);
 	if (sent && !bodiless && !is_joined)
 		sent = write_bytes(caller, response->body, response->length);
 	g_string_free(out, TRUE);
-	if (!sent)
+	if (!sent) {
 		free_caller(caller);
-	else if (!rr_unsent_bytes(caller->stream))
+		return;
+	}
+	update_memory(caller);
+	if (!rr_unsent_bytes(caller->stream))
 		finish_response(caller);
 }
 
@@ -238,6 +274,8 @@
 	caller->n_requests++;
 	set_state(caller, CALLER_OPEN);
 	rr_set_stream_paused(caller->stream, true);
+	rr_end_memory_wait(&caller->memory);
+	update_memory(caller);
 	listener->options.request(listener->options.data, caller, message);
 }
 
@@ -269,6 +307,7 @@
 		if (!had_headers && rr_http_has_headers(caller->reader) &&
 		    rr_http_message(caller->reader)->expects_continue)
 			send_continue(caller);
+		throttle_request(caller);
 		return true;
 	}
 	if (result != RR_HTTP_COMPLETE) {
@@ -355,6 +394,8 @@
 	caller->reader = rr_new_http_reader(&reader_options);
 	caller->pending = g_byte_array_new();
 	caller->link.data = caller;
+	rr_init_memory_user(&caller->memory, listener->options.memory,
+			    resume_request, caller);
 	set_state(caller, CALLER_READING);
 	g_queue_push_tail_link(&listener->callers, &caller->link);
 	return true;
@@ -559,20 +600,98 @@
 	return timeout_ms ? caller->since_us + timeout_ms * 1000 : INT64_MAX;
 }
 
+/* Rejects an incomplete request, which has not been passed on. */
+static void reject_incomplete(struct rr_caller_conn *caller, uint16_t status)
+{
+	static const struct rr_http_header retry_after = { "Retry-After", "1" };
+	struct rr_http_response response = {
+		.status = status,
+		.headers = &retry_after,
+		.n_headers = status == 503,
+	};
+
+	caller->close = true;
+	rr_set_stream_paused(caller->stream, true);
+	send_response(caller, &response);
+}
+
 /* Closes a timed-out connection, with a 408 if it has started a request. */
 static void close_overdue(struct rr_caller_conn *caller)
 {
-	struct rr_http_response response = { .status = 408, .close = true };
-
 	rr_count(caller->listener->ctx, RR_N_CALLER_CONNS_TIMED_OUT, 1);
 	if (caller->state != CALLER_READING ||
 	    !rr_http_is_started(caller->reader)) {
 		free_caller(caller);
 		return;
 	}
-	caller->close = true;
-	rr_set_stream_paused(caller->stream, true);
-	send_response(caller, &response);
+	reject_incomplete(caller, 408);
+}
+
+/*
+ * Returns how strongly a caller should be closed to release memory: the bytes
+ * it holds times the time for which it has held them; 0 for never.
+ */
+static double get_memory_cost(struct rr_caller_conn *caller, int64_t now_us)
+{
+	int64_t age_us = now_us - caller->since_us;
+
+	if (caller->state != CALLER_WRITING &&
+	    (caller->state != CALLER_READING ||
+	     !rr_http_is_started(caller->reader)))
+		return 0;
+	if (age_us < MIN_RECLAIM_AGE_US)
+		return 0;
+	update_memory(caller);
+	if (caller->memory.held_bytes <= RR_SHORT_MESSAGE_BYTES)
+		return 0;
+	return (double)caller->memory.held_bytes * (double)age_us;
+}
+
+/* Returns the caller to close first to release memory, or NULL. */
+static struct rr_caller_conn *find_memory_hog(struct rr_http_listener *listener,
+					      int64_t now_us)
+{
+	struct rr_caller_conn *found = NULL;
+	double greatest = 0;
+
+	for (GList *l = listener->callers.head; l; l = l->next) {
+		double cost = get_memory_cost(l->data, now_us);
+
+		if (cost <= greatest)
+			continue;
+		greatest = cost;
+		found = l->data;
+	}
+	return found;
+}
+
+static void log_closed(struct rr_caller_conn *caller, const char *reason)
+{
+	char *ip = rr_stream_peer_ip(caller->stream);
+
+	rr_log(caller->listener->ctx, RR_LOG_WARNING, "caller-closed",
+	       RR_FIELD_STRING("reason", reason), RR_FIELD_STRING("caller", ip),
+	       RR_FIELD_STRING("state", caller->state == CALLER_WRITING ?
+						"response-unread" :
+						"request-incomplete"),
+	       RR_FIELD_U64("bytes", caller->memory.held_bytes),
+	       RR_FIELD_U64("requests", caller->n_requests));
+	g_free(ip);
+}
+
+static void release_memory(struct rr_http_listener *listener, int64_t now_us)
+{
+	struct rr_caller_conn *caller;
+
+	while (rr_memory_shortage_bytes(listener->options.memory) &&
+	       (caller = find_memory_hog(listener, now_us))) {
+		rr_count(listener->ctx, RR_N_CALLER_CONNS_RECLAIMED, 1);
+		log_closed(caller, "memory-short");
+		if (caller->state == CALLER_WRITING)
+			free_caller(caller);
+		else
+			reject_incomplete(caller, 503);
+	}
 }
 
 /* Period of the timeout check; the timeouts are of the order of seconds. */
@@ -582,6 +701,11 @@
 {
 	GList *next;
 
+	if (rr_is_memory_short(listener->options.memory) &&
+	    now_us >= listener->memory_checked_us + RR_MEMORY_CHECK_US) {
+		listener->memory_checked_us = now_us;
+		release_memory(listener, now_us);
+	}
 	if (now_us < listener->checked_us + CHECK_PERIOD_US)
 		return;
 	listener->checked_us = now_us;
--- a/source/net/http-listener.h
+++ b/source/net/http-listener.h
@@ -3,6 +3,11 @@
  *
  * Requests are read completely before they are passed on, one at a time per
  * connection, and responses are sent in the same order.
+ *
+ * While memory is short, callers that have held much of it for long are
+ * disconnected: those whose request is incomplete with status 503, those that
+ * do not read their response without a further one. A request that was passed
+ * on is never cut short.
  */
 #ifndef RAGWORT_NET_HTTP_LISTENER_H
 #define RAGWORT_NET_HTTP_LISTENER_H
@@ -12,6 +17,7 @@
 #include <stdint.h>
 
 #include "net/http-reader.h"
+#include "net/memory-budget.h"
 #include "net/poller.h"
 #include "ragwort/context.h"
 #include "ragwort/route.h"
@@ -25,7 +31,8 @@
 
 struct rr_http_listener_options {
 	struct rr_poller *poller;
-	const char *address; /* IP:PORT */
+	struct rr_memory_budget *memory; /* NULL: no limit */
+	const char *address;		 /* IP:PORT */
 	/*
 	 * Open connections; further ones stay in the kernel's backlog. 0: no
 	 * limit.
@@ -86,7 +93,7 @@
 void rr_close_idle_caller_conns(struct rr_http_listener *listener);
 size_t rr_count_caller_conns(const struct rr_http_listener *listener);
 
-/* Close connections that have timed out. */
+/* Close connections that have timed out or have to release memory. */
 void rr_tick_http_listener(struct rr_http_listener *listener, int64_t now_us);
 int64_t rr_http_listener_wake_us(const struct rr_http_listener *listener);
 
--- a/source/net/http-reader.c
+++ b/source/net/http-reader.c
@@ -389,6 +389,14 @@
 	return reader->has_headers;
 }
 
+size_t rr_http_reader_bytes(const struct rr_http_reader *reader)
+{
+	return reader->target->allocated_len + reader->reason->allocated_len +
+	       reader->text->allocated_len + reader->body->len +
+	       reader->spans->len * sizeof(struct span) +
+	       reader->headers->len * sizeof(struct rr_http_header);
+}
+
 const struct rr_http_message *rr_http_message(struct rr_http_reader *reader)
 {
 	return &reader->message;
--- a/source/net/http-reader.h
+++ b/source/net/http-reader.h
@@ -78,6 +78,8 @@
 bool rr_http_is_started(const struct rr_http_reader *reader);
 /* Return whether all headers of the message were read. */
 bool rr_http_has_headers(const struct rr_http_reader *reader);
+/* Return the memory that is used for the message so far. */
+size_t rr_http_reader_bytes(const struct rr_http_reader *reader);
 /* Return the message, valid until the next reset. */
 const struct rr_http_message *rr_http_message(struct rr_http_reader *reader);
 /* Return the first value of a header, ignoring case; NULL if absent. */
--- a/source/net/replica-client.c
+++ b/source/net/replica-client.c
@@ -58,6 +58,7 @@
 
 	client->ctx = rr_keep_context(ctx);
 	client->poller = options->poller;
+	client->memory = options->memory;
 	client->request_id_header = g_strdup(options->request_id_header);
 	client->signature_header = g_strdup(options->signature_header);
 	client->not_run_header = g_strdup(options->not_run_header);
@@ -248,6 +249,7 @@
 		if (rr_write_stream(conn->stream, bytes->data, bytes->len,
 				    &taken)) {
 			bind_attempt(conn, info, request);
+			rr_update_conn_memory(conn);
 			g_byte_array_unref(bytes);
 			return;
 		}
@@ -262,6 +264,7 @@
 	}
 	bind_attempt(conn, info, request);
 	conn->pending_request = bytes;
+	rr_update_conn_memory(conn);
 }
 
 void rr_cancel_replica_attempt(struct rr_replica_client *client,
--- a/source/net/replica-client.h
+++ b/source/net/replica-client.h
@@ -13,12 +13,14 @@
 #include <stdint.h>
 
 #include "net/http-reader.h"
+#include "net/memory-budget.h"
 #include "net/poller.h"
 #include "ragwort/context.h"
 #include "ragwort/gate.h"
 
 struct rr_replica_client_options {
 	struct rr_poller *poller;
+	struct rr_memory_budget *memory; /* NULL: no limit */
 	/*
 	 * Names of the headers that answers are checked by. NULL disables a
 	 * check: without signature_header, for example, answers need no
--- a/source/net/replica-conn.c
+++ b/source/net/replica-conn.c
@@ -39,6 +39,35 @@
 	conn->is_active = false;
 }
 
+void rr_update_conn_memory(struct rr_replica_conn *conn)
+{
+	size_t n = rr_http_reader_bytes(conn->reader) +
+		   rr_unsent_bytes(conn->stream);
+
+	if (conn->pending_request)
+		n += conn->pending_request->len;
+	rr_hold_memory(&conn->memory, n);
+}
+
+/*
+ * Stops reading an answer until memory is available for the rest of it. Its
+ * replica notices nothing but a slow connection, so nothing that has run is
+ * lost.
+ */
+static void throttle_answer(struct rr_replica_conn *conn)
+{
+	rr_update_conn_memory(conn);
+	if (rr_wait_for_memory(&conn->memory))
+		rr_set_stream_throttled(conn->stream, true);
+}
+
+static void resume_answer(void *data)
+{
+	struct rr_replica_conn *conn = data;
+
+	rr_set_stream_throttled(conn->stream, false);
+}
+
 /* Closes and frees a connection. */
 void rr_close_replica_conn(struct rr_replica_conn *conn)
 {
@@ -50,6 +79,7 @@
 	rr_remove_active_conn(conn);
 	if (conn->state == CONN_IDLE)
 		g_queue_remove(&pool->idle, conn);
+	rr_clear_memory_user(&conn->memory);
 	rr_drop_stream(conn->stream);
 	rr_drop_http_reader(conn->reader);
 	if (conn->pending_request)
@@ -151,6 +181,8 @@
 	conn->reuse_until_us = conn->client->now_us + keep_alive_us;
 	g_clear_pointer(&conn->request_id, g_free);
 	rr_reset_http_reader(conn->reader, false);
+	rr_end_memory_wait(&conn->memory);
+	rr_update_conn_memory(conn);
 	g_queue_push_head(&conn->pool->idle, conn);
 }
 
@@ -274,8 +306,10 @@
 			conn->reader, bytes + at, length - at, &used);
 
 		at += used;
-		if (result == RR_HTTP_INCOMPLETE)
+		if (result == RR_HTTP_INCOMPLETE) {
+			throttle_answer(conn);
 			return;
+		}
 		if (result != RR_HTTP_COMPLETE) {
 			rr_fail_replica_conn(conn, RR_GATE_BROKEN, "no-answer");
 			return;
@@ -360,6 +394,7 @@
 		return;
 	}
 	g_clear_pointer(&conn->pending_request, g_byte_array_unref);
+	rr_update_conn_memory(conn);
 }
 
 struct rr_replica_conn *rr_open_replica_conn(struct rr_replica_client *client,
@@ -390,6 +425,7 @@
 	conn->state = CONN_CONNECTING;
 	conn->connect_started_us = client->now_us;
 	conn->link.data = conn;
+	rr_init_memory_user(&conn->memory, client->memory, resume_answer, conn);
 	rr_add_active_conn(conn);
 	pool->n_conns++;
 	return conn;
--- a/source/net/replica-conn.h
+++ b/source/net/replica-conn.h
@@ -45,14 +45,16 @@
 	uint32_t n_mismatched;
 	char *request_id;
 	GByteArray *pending_request; /* sent once connected */
-	GList link;		     /* element of the client's `active` list */
+	struct rr_memory_user memory;
+	GList link; /* element of the client's `active` list */
 	bool is_active;
 };
 
 struct rr_replica_client {
 	struct rr_context *ctx;
 	struct rr_poller *poller;
-	char *request_id_header; /* header names; NULL: not checked */
+	struct rr_memory_budget *memory; /* NULL: no limit */
+	char *request_id_header;	 /* header names; NULL: not checked */
 	char *signature_header;
 	char *not_run_header;
 	char *load_header;
@@ -74,6 +76,8 @@
 /* Start to connect; NULL if that fails immediately. */
 struct rr_replica_conn *rr_open_replica_conn(struct rr_replica_client *client,
 					     struct rr_conn_pool *pool);
+/* Report what a connection holds for its request and its answer. */
+void rr_update_conn_memory(struct rr_replica_conn *conn);
 /* Mark a connection as busy, before the next request is sent on it. */
 void rr_mark_conn_busy(struct rr_replica_conn *conn);
 /*
--- a/source/net/stream.c
+++ b/source/net/stream.c
@@ -4,6 +4,7 @@
 #include "net/stream.h"
 
 #include <errno.h>
+#include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -46,6 +47,7 @@
 	size_t n_unsent_bytes;
 	bool connecting;
 	bool paused;
+	bool throttled;
 	bool has_unread;  /* reading stopped with data left */
 	bool hangup_seen; /* the poller reported a hangup or error */
 	bool ended;	  /* the owner was notified of the end */
@@ -99,7 +101,7 @@
 	while (!is_dropped(stream) && !stream->ended) {
 		ssize_t n;
 
-		if (stream->paused) {
+		if (stream->paused || stream->throttled) {
 			stream->has_unread = true;
 			return;
 		}
@@ -220,8 +222,10 @@
 		goto done;
 	if (events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR))
 		read_available(stream);
-	/* An end is reported even while paused. */
-	if (stream->paused && stream->hangup_seen && !is_dropped(stream))
+	/* An end is reported even while paused, an error in any case. */
+	if (((stream->paused && stream->hangup_seen) ||
+	     (stream->throttled && (events & EPOLLERR))) &&
+	    !is_dropped(stream))
 		report_end(stream, events & (EPOLLHUP | EPOLLERR) ?
 					   RR_STREAM_ERROR :
 					   RR_STREAM_EOF);
@@ -332,10 +336,10 @@
 		shutdown(stream->watcher.fd, SHUT_WR);
 }
 
-void rr_set_stream_paused(struct rr_stream *stream, bool paused)
+/* Reads what arrived while reading was stopped. */
+static void resume_reading(struct rr_stream *stream)
 {
-	stream->paused = paused;
-	if (paused || !stream->has_unread)
+	if (stream->paused || stream->throttled || !stream->has_unread)
 		return;
 	stream->has_unread = false;
 	stream->refs++;
@@ -343,6 +347,18 @@
 	unref_stream(stream);
 }
 
+void rr_set_stream_paused(struct rr_stream *stream, bool paused)
+{
+	stream->paused = paused;
+	resume_reading(stream);
+}
+
+void rr_set_stream_throttled(struct rr_stream *stream, bool throttled)
+{
+	stream->throttled = throttled;
+	resume_reading(stream);
+}
+
 bool rr_stream_has_input(const struct rr_stream *stream)
 {
 	uint8_t byte;
@@ -351,6 +367,20 @@
 	return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+char *rr_stream_peer_ip(const struct rr_stream *stream)
+{
+	struct sockaddr_storage address;
+	socklen_t length = sizeof(address);
+	char ip[NI_MAXHOST];
+
+	if (getpeername(stream->watcher.fd, (struct sockaddr *)&address,
+			&length) < 0 ||
+	    getnameinfo((struct sockaddr *)&address, length, ip, sizeof(ip),
+			NULL, 0, NI_NUMERICHOST))
+		return g_strdup("unknown");
+	return g_strdup(ip);
+}
+
 int64_t rr_stream_rtt_us(const struct rr_stream *stream)
 {
 	struct tcp_info info = { 0 };
--- a/source/net/stream.h
+++ b/source/net/stream.h
@@ -65,11 +65,18 @@
  * the kernel buffers; when they are full, TCP flow control stops the peer.
  */
 void rr_set_stream_paused(struct rr_stream *stream, bool paused);
+/*
+ * Stop or resume reading until more data may be stored. Unlike a pause, this
+ * also delays the report of an orderly end, which follows the unread data.
+ */
+void rr_set_stream_throttled(struct rr_stream *stream, bool throttled);
 /*
  * Return whether data or an end of stream is waiting to be read, which should
  * not be the case on an idle connection.
  */
 bool rr_stream_has_input(const struct rr_stream *stream);
+/* Return the peer's IP address, to be freed with g_free(). */
+char *rr_stream_peer_ip(const struct rr_stream *stream);
 /* Return the round-trip time measured by the kernel; 0 if not available. */
 int64_t rr_stream_rtt_us(const struct rr_stream *stream);
 
--- a/source/settings/settings-table.c
+++ b/source/settings/settings-table.c
@@ -400,6 +400,13 @@
 	  .unit = "connections",
 	  .help = "Maximum number of concurrent connections from callers; a "
 		  "further one waits until another one closes." },
+	{ "memory_mb", RR_SCOPE_GATEWAY, RR_TYPE_INTEGER, 16, MAX_COUNT,
+	  .default_if_invalid = true, .offset = GATEWAY_OFFSET(memory_mb),
+	  .unit = "MB",
+	  .help = "Memory that this instance may use. Requests and responses "
+		  "of callers may use a quarter of it; beyond that, callers "
+		  "that send or read long messages too slowly are "
+		  "disconnected, and other long messages wait." },
 	{ "log", RR_SCOPE_GATEWAY, RR_TYPE_MAPPING,
 	  .inner_scope = RR_SCOPE_GATEWAY_LOG, .no_field = true,
 	  .help = "Log settings; log lines are written to standard output." },
--- a/tests/test-gateway-settings.c
+++ b/tests/test-gateway-settings.c
@@ -51,6 +51,7 @@
 	{ "bounds.quotaWindowS", "allowance_window_s", "4" },
 	{ "bounds.quotaOverage", "allowance_overage", "0.1" },
 	{ "bounds.quotaSlack", "allowance_slack", "20" },
+	{ "limits.memoryMb", "memory_mb", "260" },
 };
 
 static char *replace(char *text, const char *from, const char *to)
