http-listener: move its limits to a file of their own

Functions used by both files get names with the prefix and are declared in http-listener-private.h; behaviour is unchanged.

--- a/source/net/http-listener.c
+++ b/source/net/http-listener.c
@@ -3,7 +3,7 @@
  * passes them to the owner of the listener and sends the responses.
  */
 #define _GNU_SOURCE /* accept4() */
-#include "net/http-listener.h"
+#include "net/http-listener-private.h"
 
 #include <errno.h>
 #include <glib.h>
@@ -14,7 +14,6 @@
 #include <unistd.h>
 
 #include "net/native-address-private.h"
-#include "net/stream.h"
 #include "ragwort/counters.h"
 #include "ragwort/log.h"
 
@@ -24,59 +23,8 @@
 #define INITIAL_BODY_BYTES 262144
 #define INITIAL_HEADER_TIMEOUT_MS 3000
 #define INITIAL_IDLE_TIMEOUT_MS 15000
-#define BODY_TIMEOUT_FACTOR 4 /* a body may take this many header timeouts */
-/*
- * Callers that have held memory for a shorter time are not closed to release
- * it: a retransmission may be on its way.
- */
-#define MIN_RECLAIM_AGE_US (500 * 1000)
-/* A caller that does not read its response is disconnected after this time. */
-#define WRITE_TIMEOUT_US (10 * G_USEC_PER_SEC)
 /* Longer bodies are written separately from their headers. */
 #define MAX_JOINED_BODY_BYTES 65536
-/*
- * How long a connection stays after a rejection that leaves bytes unread, so
- * that the caller reads the response before a reset: a round trip and a margin.
- */
-#define LINGER_US (200 * 1000)
-
-enum caller_state {
-	CALLER_READING, /* reading a request, or waiting for one */
-	CALLER_OPEN,	/* the owner is processing a request */
-	CALLER_WRITING, /* the response is not completely sent */
-	CALLER_CLOSING, /* response sent; waiting for the peer to close */
-};
-
-struct rr_caller_conn {
-	struct rr_http_listener *listener;
-	struct rr_stream *stream;
-	struct rr_http_reader *reader;
-	GByteArray *pending; /* bytes received after the current request */
-	enum caller_state state;
-	bool half_closed;
-	bool close; /* close after the current response */
-	bool http_1_0;
-	bool is_head_request; /* HEAD request: the response has no body */
-	/* Time of entry into `state` or of a request's first byte, if later. */
-	int64_t since_us;
-	uint64_t user_data;
-	struct rr_memory_user memory;
-	GList link;
-	uint64_t n_requests; /* read on this connection so far */
-};
-
-struct rr_http_listener {
-	struct rr_context *ctx;
-	struct rr_poller *poller;
-	struct rr_io_watcher watcher;
-	struct rr_http_listener_options options;
-	struct rr_caller_limits limits;
-	GQueue callers; /* struct rr_caller_conn, in the order of accepting */
-	int64_t checked_us;
-	int64_t memory_checked_us;
-	bool draining;
-	bool at_connection_limit;
-};
 
 static int64_t monotonic_now_us(void)
 {
@@ -93,7 +41,7 @@
 	g_free(caller);
 }
 
-static void free_caller(struct rr_caller_conn *caller)
+void rr_free_caller_conn(struct rr_caller_conn *caller)
 {
 	g_queue_unlink(&caller->listener->callers, &caller->link);
 	destroy_caller(caller);
@@ -106,10 +54,10 @@
 
 	if (caller->state == CALLER_OPEN && listener->options.disconnected)
 		listener->options.disconnected(listener->options.data, caller);
-	free_caller(caller);
+	rr_free_caller_conn(caller);
 }
 
-static void update_memory(struct rr_caller_conn *caller)
+void rr_update_caller_memory(struct rr_caller_conn *caller)
 {
 	rr_hold_memory(&caller->memory,
 		       rr_http_reader_bytes(caller->reader) +
@@ -120,7 +68,7 @@
 /* Stops reading a request until memory is available for the rest of it. */
 static void throttle_request(struct rr_caller_conn *caller)
 {
-	update_memory(caller);
+	rr_update_caller_memory(caller);
 	if (rr_wait_for_memory(&caller->memory))
 		rr_set_stream_throttled(caller->stream, true);
 }
@@ -174,7 +122,7 @@
 		return;
 	}
 	if (caller->half_closed) {
-		free_caller(caller);
+		rr_free_caller_conn(caller);
 		return;
 	}
 	/*
@@ -228,10 +176,10 @@
 		sent = write_bytes(caller, response->body, response->length);
 	g_string_free(out, TRUE);
 	if (!sent) {
-		free_caller(caller);
+		rr_free_caller_conn(caller);
 		return;
 	}
-	update_memory(caller);
+	rr_update_caller_memory(caller);
 	if (!rr_unsent_bytes(caller->stream))
 		finish_response(caller);
 }
@@ -264,6 +212,22 @@
 	send_response(caller, &response);
 }
 
+/* Rejects an incomplete request, which has not been passed on. */
+void rr_reject_incomplete_request(struct rr_caller_conn *caller,
+				  uint16_t status)
+{
+	static const struct rr_http_header retry_after = { "Retry-After", "1" };
+	struct rr_http_response response = {
+		.status = status,
+		.headers = &retry_after,
+		.n_headers = status == 503,
+	};
+
+	caller->close = true;
+	rr_set_stream_paused(caller->stream, true);
+	send_response(caller, &response);
+}
+
 static void pass_request(struct rr_caller_conn *caller)
 {
 	struct rr_http_listener *listener = caller->listener;
@@ -275,7 +239,7 @@
 	set_state(caller, CALLER_OPEN);
 	rr_set_stream_paused(caller->stream, true);
 	rr_end_memory_wait(&caller->memory);
-	update_memory(caller);
+	rr_update_caller_memory(caller);
 	listener->options.request(listener->options.data, caller, message);
 }
 
@@ -401,21 +365,19 @@
 	return true;
 }
 
-static bool is_below_connection_limit(const struct rr_http_listener *listener)
+bool rr_is_below_connection_limit(const struct rr_http_listener *listener)
 {
 	return !listener->options.max_connections ||
 	       listener->callers.length < listener->options.max_connections;
 }
 
-static void accept_callers(void *data, uint32_t events)
+void rr_accept_callers(struct rr_http_listener *listener)
 {
-	struct rr_http_listener *listener = data;
-
 	for (;;) {
 		int fd;
 
 		listener->at_connection_limit =
-			!is_below_connection_limit(listener);
+			!rr_is_below_connection_limit(listener);
 		if (listener->at_connection_limit)
 			return;
 		fd = accept4(listener->watcher.fd, NULL, NULL,
@@ -435,6 +397,11 @@
 	}
 }
 
+static void on_connection(void *data, uint32_t events)
+{
+	rr_accept_callers(data);
+}
+
 static bool start_listening(struct rr_http_listener *listener, GError **error)
 {
 	struct rr_native_address address;
@@ -460,7 +427,7 @@
 		return false;
 	}
 	listener->watcher.fd = fd;
-	listener->watcher.ready = accept_callers;
+	listener->watcher.ready = on_connection;
 	listener->watcher.data = listener;
 	return rr_add_io_watcher(listener->poller, &listener->watcher);
 }
@@ -565,7 +532,7 @@
 
 		next = l->next;
 		if (is_idle(caller) || caller->state == CALLER_CLOSING)
-			free_caller(caller);
+			rr_free_caller_conn(caller);
 	}
 }
 
@@ -573,163 +540,3 @@
 {
 	return listener->callers.length;
 }
-
-/* Returns when the connection's state times out, INT64_MAX for never. */
-static int64_t get_deadline(const struct rr_caller_conn *caller)
-{
-	const struct rr_caller_limits *limits = &caller->listener->limits;
-	int64_t timeout_ms = 0;
-
-	switch (caller->state) {
-	case CALLER_READING:
-		if (!rr_http_is_started(caller->reader))
-			timeout_ms = limits->idle_timeout_ms;
-		else if (!rr_http_has_headers(caller->reader))
-			timeout_ms = limits->header_timeout_ms;
-		else
-			timeout_ms = (int64_t)limits->header_timeout_ms *
-				     BODY_TIMEOUT_FACTOR;
-		break;
-	case CALLER_OPEN:
-		break;
-	case CALLER_WRITING:
-		return caller->since_us + WRITE_TIMEOUT_US;
-	case CALLER_CLOSING:
-		return caller->since_us + LINGER_US;
-	}
-	return timeout_ms ? caller->since_us + timeout_ms * 1000 : INT64_MAX;
-}
-
-/* Rejects an incomplete request, which has not been passed on. */
-static void reject_incomplete(struct rr_caller_conn *caller, uint16_t status)
-{
-	static const struct rr_http_header retry_after = { "Retry-After", "1" };
-	struct rr_http_response response = {
-		.status = status,
-		.headers = &retry_after,
-		.n_headers = status == 503,
-	};
-
-	caller->close = true;
-	rr_set_stream_paused(caller->stream, true);
-	send_response(caller, &response);
-}
-
-/* Closes a timed-out connection, with a 408 if it has started a request. */
-static void close_overdue(struct rr_caller_conn *caller)
-{
-	rr_count(caller->listener->ctx, RR_N_CALLER_CONNS_TIMED_OUT, 1);
-	if (caller->state != CALLER_READING ||
-	    !rr_http_is_started(caller->reader)) {
-		free_caller(caller);
-		return;
-	}
-	reject_incomplete(caller, 408);
-}
-
-/*
- * Returns how strongly a caller should be closed to release memory: the bytes
- * it holds times the time for which it has held them; 0 for never.
- */
-static double get_memory_cost(struct rr_caller_conn *caller, int64_t now_us)
-{
-	int64_t age_us = now_us - caller->since_us;
-
-	if (caller->state != CALLER_WRITING &&
-	    (caller->state != CALLER_READING ||
-	     !rr_http_is_started(caller->reader)))
-		return 0;
-	if (age_us < MIN_RECLAIM_AGE_US)
-		return 0;
-	update_memory(caller);
-	if (caller->memory.held_bytes <= RR_SHORT_MESSAGE_BYTES)
-		return 0;
-	return (double)caller->memory.held_bytes * (double)age_us;
-}
-
-/* Returns the caller to close first to release memory, or NULL. */
-static struct rr_caller_conn *find_memory_hog(struct rr_http_listener *listener,
-					      int64_t now_us)
-{
-	struct rr_caller_conn *found = NULL;
-	double greatest = 0;
-
-	for (GList *l = listener->callers.head; l; l = l->next) {
-		double cost = get_memory_cost(l->data, now_us);
-
-		if (cost <= greatest)
-			continue;
-		greatest = cost;
-		found = l->data;
-	}
-	return found;
-}
-
-static void log_closed(struct rr_caller_conn *caller, const char *reason)
-{
-	char *ip = rr_stream_peer_ip(caller->stream);
-
-	rr_log(caller->listener->ctx, RR_LOG_WARNING, "caller-closed",
-	       RR_FIELD_STRING("reason", reason), RR_FIELD_STRING("caller", ip),
-	       RR_FIELD_STRING("state", caller->state == CALLER_WRITING ?
-						"response-unread" :
-						"request-incomplete"),
-	       RR_FIELD_U64("bytes", caller->memory.held_bytes),
-	       RR_FIELD_U64("requests", caller->n_requests));
-	g_free(ip);
-}
-
-static void release_memory(struct rr_http_listener *listener, int64_t now_us)
-{
-	struct rr_caller_conn *caller;
-
-	while (rr_memory_shortage_bytes(listener->options.memory) &&
-	       (caller = find_memory_hog(listener, now_us))) {
-		rr_count(listener->ctx, RR_N_CALLER_CONNS_RECLAIMED, 1);
-		log_closed(caller, "memory-short");
-		if (caller->state == CALLER_WRITING)
-			free_caller(caller);
-		else
-			reject_incomplete(caller, 503);
-	}
-}
-
-/* Period of the timeout check; the timeouts are of the order of seconds. */
-#define CHECK_PERIOD_US (250 * 1000)
-
-void rr_tick_http_listener(struct rr_http_listener *listener, int64_t now_us)
-{
-	GList *next;
-
-	if (rr_is_memory_short(listener->options.memory) &&
-	    now_us >= listener->memory_checked_us + RR_MEMORY_CHECK_US) {
-		listener->memory_checked_us = now_us;
-		release_memory(listener, now_us);
-	}
-	if (now_us < listener->checked_us + CHECK_PERIOD_US)
-		return;
-	listener->checked_us = now_us;
-	for (GList *l = listener->callers.head; l; l = next) {
-		struct rr_caller_conn *caller = l->data;
-
-		next = l->next;
-		if (get_deadline(caller) <= now_us)
-			close_overdue(caller);
-	}
-	if (listener->at_connection_limit &&
-	    is_below_connection_limit(listener))
-		accept_callers(listener, EPOLLIN);
-}
-
-int64_t rr_http_listener_wake_us(const struct rr_http_listener *listener)
-{
-	int64_t wake_us = INT64_MAX;
-
-	for (GList *l = listener->callers.head; l; l = l->next)
-		wake_us = MIN(wake_us, get_deadline(l->data));
-	if (listener->at_connection_limit)
-		wake_us = MIN(wake_us, listener->checked_us + CHECK_PERIOD_US);
-	return wake_us == INT64_MAX ?
-		       wake_us :
-		       MAX(wake_us, listener->checked_us + CHECK_PERIOD_US);
-}
