http-listener: replace idle connections when callers wait at the limit

Callers saw: no answer while other clients held all connections, silent or with a part of a request; the platform saw none from the readiness address, where 64 connections are enough. Cause: at the limit nothing more was accepted until a connection timed out, and a client can open the next one at that moment. Change: if a connection waits at the limit, the oldest one that was never used is closed, or the one that has been idle for longest, unless it has been so for less than 250 ms or has input. Only if there is none, incomplete requests that began more than a second ago are answered 408, which have not run. Requests that were passed on keep their connections. When accept fails for want of descriptors it is tried again at the next check: the poller reports no connection twice, so those that waited stayed until another came.

--- a/include/ragwort/counter-list.h
+++ b/include/ragwort/counter-list.h
@@ -15,7 +15,7 @@
 RR_COUNTER(RR_N_CALLS_OVER_RATE, "calls_over_rate_total", "calls rejected because their source address exceeded caller_rate_per_s")
 RR_COUNTER(RR_N_CALLER_CONNS_TIMED_OUT, "caller_connections_timed_out_total", "caller connections closed after caller_idle_ms without a complete request or with the answer unread")
 RR_COUNTER(RR_N_CALLER_CONNS_REJECTED, "caller_connections_refused_total", "caller connections over caller_max_connections, rejected with an answer or closed at once")
-RR_COUNTER(RR_N_CALLER_CONNS_RECLAIMED, "caller_connections_reclaimed_total", "caller connections closed because memory was short and their request was incomplete or their answer unread")
+RR_COUNTER(RR_N_CALLER_CONNS_RECLAIMED, "caller_connections_reclaimed_total", "idle or slow caller connections closed to release memory, or because others waited at the limit of connections")
 RR_COUNTER(RR_N_ATTEMPTS, "attempts_total", "attempts sent to upstreams")
 RR_COUNTER(RR_N_HEDGES, "hedges_total", "attempts sent as hedges")
 RR_COUNTER(RR_N_RETRIES, "retries_total", "attempts sent as retries")
--- a/source/net/http-listener-limits.c
+++ b/source/net/http-listener-limits.c
@@ -22,6 +22,12 @@
  * it: a retransmission may be on its way.
  */
 #define MIN_RECLAIM_AGE_US (500 * 1000)
+/*
+ * Connections that may be replaced while callers wait to be accepted: idle ones
+ * on which no request can be on its way, and requests that arrive slowly.
+ */
+#define MIN_REPLACED_IDLE_US (250 * 1000)
+#define MIN_REPLACED_REQUEST_US G_USEC_PER_SEC
 
 /* Returns when the connection's state times out, INT64_MAX for never. */
 static int64_t get_deadline(const struct rr_caller_conn *caller)
@@ -99,15 +105,24 @@
 	return found;
 }
 
-static void log_closed(struct rr_caller_conn *caller, const char *reason)
+/* Returns the text of a connection's state for the log. */
+static const char *describe_state(const struct rr_caller_conn *caller)
+{
+	if (rr_is_idle_caller(caller))
+		return "idle";
+	return caller->state == CALLER_WRITING ? "response-unread" :
+						 "request-incomplete";
+}
+
+static void report_closed(struct rr_caller_conn *caller, const char *reason)
 {
+	struct rr_context *ctx = caller->listener->ctx;
 	char *ip = rr_stream_peer_ip(caller->stream);
 
-	rr_log(caller->listener->ctx, RR_LOG_WARNING, "caller-closed",
+	rr_count(ctx, RR_N_CALLER_CONNS_RECLAIMED, 1);
+	rr_log(ctx, RR_LOG_WARNING, "caller-closed",
 	       RR_FIELD_STRING("reason", reason), RR_FIELD_STRING("caller", ip),
-	       RR_FIELD_STRING("state", caller->state == CALLER_WRITING ?
-						"response-unread" :
-						"request-incomplete"),
+	       RR_FIELD_STRING("state", describe_state(caller)),
 	       RR_FIELD_U64("bytes", caller->memory.held_bytes),
 	       RR_FIELD_U64("requests", caller->n_requests));
 	g_free(ip);
@@ -119,8 +134,7 @@
 
 	while (rr_memory_shortage_bytes(listener->options.memory) &&
 	       (caller = find_memory_hog(listener, now_us))) {
-		rr_count(listener->ctx, RR_N_CALLER_CONNS_RECLAIMED, 1);
-		log_closed(caller, "memory-short");
+		report_closed(caller, "memory-short");
 		if (caller->state == CALLER_WRITING)
 			rr_free_caller_conn(caller);
 		else
@@ -128,6 +142,63 @@
 	}
 }
 
+/*
+ * Returns an idle connection to replace: the oldest one that was never used, or
+ * else the one that has been idle for longest; NULL if there is none.
+ */
+static struct rr_caller_conn *
+find_idle_caller(const struct rr_http_listener *listener, int64_t now_us)
+{
+	struct rr_caller_conn *found = NULL;
+
+	for (GList *l = listener->callers.head; l; l = l->next) {
+		struct rr_caller_conn *caller = l->data;
+
+		if (!rr_is_idle_caller(caller) ||
+		    now_us - caller->since_us < MIN_REPLACED_IDLE_US ||
+		    (found && found->since_us <= caller->since_us) ||
+		    rr_stream_has_input(caller->stream))
+			continue;
+		found = caller;
+		if (!caller->n_requests)
+			break;
+	}
+	return found;
+}
+
+/* Rejects requests that arrive slowly; their connections close soon. */
+static void reject_slow_requests(struct rr_http_listener *listener,
+				 int64_t now_us)
+{
+	GList *next;
+
+	for (GList *l = listener->callers.head; l; l = next) {
+		struct rr_caller_conn *caller = l->data;
+
+		next = l->next;
+		if (caller->state != CALLER_READING ||
+		    rr_is_idle_caller(caller) ||
+		    now_us - caller->since_us < MIN_REPLACED_REQUEST_US)
+			continue;
+		report_closed(caller, "connection-limit");
+		rr_reject_incomplete_request(caller, 408);
+	}
+}
+
+bool rr_make_room_for_caller(struct rr_http_listener *listener)
+{
+	int64_t now_us = g_get_monotonic_time();
+	struct rr_caller_conn *caller = find_idle_caller(listener, now_us);
+
+	if (!caller) {
+		reject_slow_requests(listener, now_us);
+		return false;
+	}
+	report_closed(caller, "connection-limit");
+	rr_free_caller_conn(caller);
+	return true;
+}
+
 void rr_tick_http_listener(struct rr_http_listener *listener, int64_t now_us)
 {
 	GList *next;
@@ -147,8 +218,7 @@
 		if (get_deadline(caller) <= now_us)
 			close_overdue(caller);
 	}
-	if (listener->at_connection_limit &&
-	    rr_is_below_connection_limit(listener))
+	if (listener->must_retry_accept)
 		rr_accept_callers(listener);
 }
 
@@ -158,7 +228,7 @@
 
 	for (GList *l = listener->callers.head; l; l = l->next)
 		wake_us = MIN(wake_us, get_deadline(l->data));
-	if (listener->at_connection_limit)
+	if (listener->must_retry_accept)
 		wake_us = MIN(wake_us, listener->checked_us + CHECK_PERIOD_US);
 	return wake_us == INT64_MAX ?
 		       wake_us :
--- a/source/net/http-listener-private.h
+++ b/source/net/http-listener-private.h
@@ -43,7 +43,7 @@
 	int64_t checked_us;
 	int64_t memory_checked_us;
 	bool draining;
-	bool at_connection_limit;
+	bool must_retry_accept; /* connections may be waiting */
 };
 
 /* http-listener.c */
@@ -55,8 +55,17 @@
 /* Reject an incomplete request, which has not been passed on, and close. */
 void rr_reject_incomplete_request(struct rr_caller_conn *caller,
 				  uint16_t status);
-/* Accept the connections that are waiting, up to the limit. */
+/* Accept the connections that are waiting, as far as there is room for them. */
 void rr_accept_callers(struct rr_http_listener *listener);
-bool rr_is_below_connection_limit(const struct rr_http_listener *listener);
+bool rr_is_idle_caller(const struct rr_caller_conn *caller);
+
+/* http-listener-limits.c */
+
+/*
+ * Close an idle connection, so that another one can be accepted, or if there is
+ * none, those with requests that arrive slowly. Returns false if there is no
+ * room yet.
+ */
+bool rr_make_room_for_caller(struct rr_http_listener *listener);
 
 #endif
--- a/source/net/http-listener.c
+++ b/source/net/http-listener.c
@@ -9,6 +9,7 @@
 #include <glib.h>
 #include <http_parser.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -365,10 +366,20 @@
 	return true;
 }
 
-bool rr_is_below_connection_limit(const struct rr_http_listener *listener)
+static bool is_at_connection_limit(const struct rr_http_listener *listener)
 {
-	return !listener->options.max_connections ||
-	       listener->callers.length < listener->options.max_connections;
+	return listener->options.max_connections &&
+	       listener->callers.length >= listener->options.max_connections;
+}
+
+static bool has_waiting_connection(const struct rr_http_listener *listener)
+{
+	struct pollfd listening = {
+		.fd = listener->watcher.fd,
+		.events = POLLIN,
+	};
+
+	return poll(&listening, 1, 0) > 0;
 }
 
 void rr_accept_callers(struct rr_http_listener *listener)
@@ -376,20 +387,24 @@
 	for (;;) {
 		int fd;
 
-		listener->at_connection_limit =
-			!rr_is_below_connection_limit(listener);
-		if (listener->at_connection_limit)
+		listener->must_retry_accept =
+			is_at_connection_limit(listener) &&
+			(!has_waiting_connection(listener) ||
+			 !rr_make_room_for_caller(listener));
+		if (listener->must_retry_accept)
 			return;
 		fd = accept4(listener->watcher.fd, NULL, NULL,
 			     SOCK_NONBLOCK | SOCK_CLOEXEC);
 		if (fd < 0) {
 			if (errno == EINTR || errno == ECONNABORTED)
 				continue;
-			if (errno != EAGAIN && errno != EWOULDBLOCK)
-				rr_log(listener->ctx, RR_LOG_WARNING,
-				       "accept-failed",
-				       RR_FIELD_STRING("reason",
-						       g_strerror(errno)));
+			if (errno == EAGAIN || errno == EWOULDBLOCK)
+				return;
+			rr_log(listener->ctx, RR_LOG_WARNING, "accept-failed",
+			       RR_FIELD_STRING("reason", g_strerror(errno)));
+			/* There is no event for connections that wait. */
+			listener->must_retry_accept = true;
+			rr_make_room_for_caller(listener);
 			return;
 		}
 		if (!add_caller(listener, fd))
@@ -463,7 +478,7 @@
 	rr_remove_io_watcher(listener->poller, &listener->watcher);
 	close(listener->watcher.fd);
 	listener->watcher.fd = -1;
-	listener->at_connection_limit = false;
+	listener->must_retry_accept = false;
 }
 
 void rr_drop_http_listener(struct rr_http_listener *listener)
@@ -517,7 +532,7 @@
 	listener->draining = true;
 }
 
-static bool is_idle(const struct rr_caller_conn *caller)
+bool rr_is_idle_caller(const struct rr_caller_conn *caller)
 {
 	return caller->state == CALLER_READING &&
 	       !rr_http_is_started(caller->reader);
@@ -531,7 +546,8 @@
 		struct rr_caller_conn *caller = l->data;
 
 		next = l->next;
-		if (is_idle(caller) || caller->state == CALLER_CLOSING)
+		if (rr_is_idle_caller(caller) ||
+		    caller->state == CALLER_CLOSING)
 			rr_free_caller_conn(caller);
 	}
 }
--- a/source/net/http-listener.h
+++ b/source/net/http-listener.h
@@ -34,8 +34,9 @@
 	struct rr_memory_budget *memory; /* NULL: no limit */
 	const char *address;		 /* IP:PORT */
 	/*
-	 * Open connections; further ones stay in the kernel's backlog. 0: no
-	 * limit.
+	 * Open connections; 0: no limit. A further one replaces an idle one or
+	 * requests that arrive slowly, otherwise it stays in the kernel's
+	 * backlog.
 	 */
 	uint32_t max_connections;
 	/*
--- a/source/settings/settings-table.c
+++ b/source/settings/settings-table.c
@@ -398,8 +398,10 @@
 	{ "max_connections", RR_SCOPE_GATEWAY, RR_TYPE_INTEGER, 1, MAX_COUNT,
 	  .default_if_invalid = true, .offset = GATEWAY_OFFSET(max_connections),
 	  .unit = "connections",
-	  .help = "Maximum number of concurrent connections from callers; a "
-		  "further one waits until another one closes." },
+	  .help = "Maximum number of concurrent connections from callers. A "
+		  "further one replaces an idle one or, after a second, "
+		  "incomplete requests, which are answered 408; otherwise it "
+		  "waits." },
 	{ "memory_mb", RR_SCOPE_GATEWAY, RR_TYPE_INTEGER, 16, MAX_COUNT,
 	  .default_if_invalid = true, .offset = GATEWAY_OFFSET(memory_mb),
 	  .unit = "MB",
