gateway: keep the store's replies out of the memory budget

Found by reading: at the limit of memory, long replies of the store and of other instances' feeds would have waited with callers' answers, so an instance short of memory would have learned of changes late. Change: the clients of the store and of allowances have no budget. Measured: process-clients test_long_answers_unread and test_bodies_of_waiting_requests pass.

--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -347,6 +347,10 @@
 	gateway->feed = rr_new_feed(gateway->ctx, &feed, rr_gateway_now_us());
 }
 
+/*
+ * Callers' memory does not limit the replies of the store and about allowances:
+ * without them, the instance could not serve anybody.
+ */
 static void create_clients(struct rr_gateway *gateway)
 {
 	struct rr_replica_client_options replicas = {
@@ -363,7 +367,6 @@
 	};
 	struct rr_replica_client_options store = {
 		.poller = gateway->poller,
-		.memory = gateway->memory,
 		.replied = rr_handle_gateway_store_reply,
 		.idle_closed = rr_handle_store_disconnect,
 		.data = gateway,
@@ -380,7 +383,6 @@
 
 	struct rr_replica_client_options allowances = {
 		.poller = gateway->poller,
-		.memory = gateway->memory,
 		.replied = rr_handle_allowance_reply,
 		.data = gateway,
 	};
