gateway: keep file descriptors for replicas and the store

Callers saw: no answer while silent connections held all descriptors. Cause: max_connections (2,000 by default) was not compared with the limit of the process, so callers could hold what connections to replicas, the store and other instances need. Change: callers may use half of the descriptors, the readiness and metrics addresses a 32nd each; a warning at the start names the limit if it is lower than the setting. With the machines' 4,100 descriptors nothing changes.

--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -8,6 +8,7 @@
 
 #include <glib-unix.h>
 #include <signal.h>
+#include <sys/resource.h>
 
 #include "gateway/log-writer.h"
 #include "platform/platform.h"
@@ -28,6 +29,9 @@
 #define MIN_STALL_US (10 * 1000)
 /* For the readiness and metrics addresses, which get few requests. */
 #define MAX_STATUS_CONNS 64
+/* Parts of the file descriptors that the connections of a listener may use. */
+#define CALLER_DESCRIPTOR_DIVISOR 2
+#define STATUS_DESCRIPTOR_DIVISOR 32
 
 #define BYTES_PER_MB (1024 * 1024)
 /*
@@ -396,14 +400,30 @@
 	gateway->store_client = rr_new_replica_client(gateway->ctx, &store);
 }
 
+/*
+ * Limit the connections of a listener to a part of the file descriptors, so that
+ * some are left for replicas, the store and the other listeners.
+ */
+static uint32_t limit_connections(uint32_t max_connections, uint32_t divisor)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) < 0 ||
+	    limit.rlim_cur / divisor >= max_connections)
+		return max_connections;
+	return MAX((uint32_t)limit.rlim_cur / divisor, 1);
+}
+
 static bool start_listeners(struct rr_gateway *gateway, GError **error)
 {
 	const struct rr_gateway_settings *settings = gateway->settings;
+	uint32_t max_connections = limit_connections(settings->max_connections,
+						     CALLER_DESCRIPTOR_DIVISOR);
 	struct rr_http_listener_options callers = {
 		.poller = gateway->poller,
 		.memory = gateway->memory,
 		.address = settings->caller_address,
-		.max_connections = settings->max_connections,
+		.max_connections = max_connections,
 		.request = rr_handle_caller_request,
 		.half_closed = rr_handle_caller_half_close,
 		.disconnected = rr_handle_caller_disconnect,
@@ -413,13 +433,19 @@
 		.poller = gateway->poller,
 		.memory = gateway->memory,
 		.address = settings->ready_address,
-		.max_connections = MAX_STATUS_CONNS,
+		.max_connections = limit_connections(MAX_STATUS_CONNS,
+						     STATUS_DESCRIPTOR_DIVISOR),
 		.request = rr_handle_readiness_request,
 		.data = gateway,
 	};
 	struct rr_http_listener_options metrics = ready;
 	struct rr_http_listener_options peers = callers;
 
+	if (max_connections < settings->max_connections)
+		rr_log(gateway->ctx, RR_LOG_WARNING, "connections-limited",
+		       RR_FIELD_STRING("reason", "half of the file descriptors "
+						 "are for callers"),
+		       RR_FIELD_U64("max_connections", max_connections));
 	gateway->caller_listener =
 		rr_new_http_listener(gateway->ctx, &callers, error);
 	if (!gateway->caller_listener)
--- a/source/settings/settings-table.c
+++ b/source/settings/settings-table.c
@@ -398,7 +398,8 @@
 	{ "max_connections", RR_SCOPE_GATEWAY, RR_TYPE_INTEGER, 1, MAX_COUNT,
 	  .default_if_invalid = true, .offset = GATEWAY_OFFSET(max_connections),
 	  .unit = "connections",
-	  .help = "Maximum number of concurrent connections from callers. A "
+	  .help = "Maximum number of concurrent connections from callers, at "
+		  "most half of the process's file descriptors. A "
 		  "further one replaces an idle one or, after a second, "
 		  "incomplete requests, which are answered 408; otherwise it "
 		  "waits." },
