gateway: check the time limits of connections to the metrics address

Operators saw: no metrics while silent connections held the 64 that the address accepts; none of them ever timed out. Cause: the listener of the metrics address was left out of the timers. Change: it is checked like the others. Measured: process-clients test_silent_connections_to_metrics_address (100 silent connections) fails 3 of 3 without and passes 3 of 3 with the change.

--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -136,6 +136,8 @@
 	update_isolation(gateway);
 	rr_tick_http_listener(gateway->caller_listener, now);
 	rr_tick_http_listener(gateway->readiness_listener, now);
+	if (gateway->metrics_listener)
+		rr_tick_http_listener(gateway->metrics_listener, now);
 	if (gateway->peer_listener)
 		rr_tick_http_listener(gateway->peer_listener, now);
 	rr_tick_memory_budget(gateway->memory);
@@ -164,6 +166,9 @@
 		MIN(due_us, rr_http_listener_wake_us(gateway->caller_listener));
 	due_us = MIN(due_us,
 		     rr_http_listener_wake_us(gateway->readiness_listener));
+	if (gateway->metrics_listener)
+		due_us = MIN(due_us, rr_http_listener_wake_us(
+					     gateway->metrics_listener));
 	if (gateway->peer_listener)
 		due_us = MIN(due_us,
 			     rr_http_listener_wake_us(gateway->peer_listener));
--- a/tests/test-process-clients.c
+++ b/tests/test-process-clients.c
@@ -423,19 +423,43 @@
 	stop_fixture(fixture);
 }
 
+/* A request to one of the gateway's own addresses, which few clients use. */
+static void check_beside_silent_connections(struct fixture *fixture,
+					    const char *address,
+					    const char *request)
+{
+	struct raw_peer *client;
+
+	add_crowd(fixture, 100, address, "");
+	client = raw_connect(address);
+	raw_send(client, request);
+	raw_expect(client, "HTTP/1.1 200 ");
+	raw_drop(client);
+	check_gateway(fixture);
+	stop_fixture(fixture);
+}
+
 /* Guards against silent clients that block the platform's readiness checks. */
 static void test_silent_connections_to_ready_address(void **state)
 {
 	struct fixture *fixture = start_fixture("", MACHINE_DESCRIPTORS);
-	struct raw_peer *platform;
 
-	add_crowd(fixture, 100, fixture->ready_address, "");
-	platform = raw_connect(fixture->ready_address);
-	raw_send(platform, "GET /v1/ready HTTP/1.1\r\nHost: h\r\n\r\n");
-	raw_expect(platform, "HTTP/1.1 200 ");
-	raw_drop(platform);
-	check_gateway(fixture);
-	stop_fixture(fixture);
+	check_beside_silent_connections(
+		fixture, fixture->ready_address,
+		"GET /v1/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+}
+
+/* Guards against silent clients that block the reading of metrics. */
+static void test_silent_connections_to_metrics_address(void **state)
+{
+	char *address = test_reserve_address();
+	char *settings = g_strdup_printf("metrics_address: \"%s\"\n", address);
+
+	check_beside_silent_connections(
+		start_fixture(settings, MACHINE_DESCRIPTORS), address,
+		"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+	g_free(settings);
+	g_free(address);
 }
 
 /* The first argument is the name of a single test to run. */
@@ -451,6 +475,7 @@
 		cmocka_unit_test(test_incomplete_headers),
 		cmocka_unit_test(test_silent_connections_hold_descriptors),
 		cmocka_unit_test(test_silent_connections_to_ready_address),
+		cmocka_unit_test(test_silent_connections_to_metrics_address),
 	};
 
 	if (argc > 1)
