ragwortd: bound the memory for bodies of requests and for answers

Callers saw: ragwortd ended for its memory when many clients sent long bodies without the last byte. Cause: max_body_bytes and caller_max_connections are limits of their own; nothing bounded their product, nor the answers that callers do not read. Change: ragwortd has the setting memory_mb as well (default 160), a quarter of which is for bodies, counted by their Content-Length when the headers have been read, and for answers until they are written. Beyond it, a body over 16 KB is rejected with 503 and Retry-After before it is read. Connections with an incomplete request or an unread answer that hold most for longest are closed, by the same measure as in the gateway, now in memory-budget.

--- a/include/ragwort/net-caller.h
+++ b/include/ragwort/net-caller.h
@@ -29,6 +29,12 @@
 	 * limit.
 	 */
 	uint32_t max_connections;
+	/*
+	 * Memory for the bodies of requests and for answers, over all
+	 * connections. Beyond it long bodies are rejected, and callers that
+	 * send or read too slowly are disconnected. 0: no limit.
+	 */
+	uint64_t max_memory_bytes;
 	const char *tls_certificate_file; /* NULL: plain HTTP */
 	const char *tls_key_file;
 	/*
--- a/include/ragwort/settings.h
+++ b/include/ragwort/settings.h
@@ -83,6 +83,7 @@
 	uint32_t caller_idle_ms; /* limit to send a request or read an answer */
 	uint32_t caller_rate_per_s; /* for each address; 0: no limit */
 	uint32_t caller_max_connections;
+	uint32_t memory_mb;
 };
 
 /*
@@ -142,6 +143,12 @@
 	uint32_t log_request_lines_per_s;
 };
 
+/*
+ * Return how much of an instance's memory requests and responses of callers may
+ * use.
+ */
+uint64_t rr_caller_memory_bytes(uint32_t memory_mb);
+
 /*
  * Parse a gateway's start file; errors as for rr_parse_config().  An invalid
  * value of a setting marked default_if_invalid does not keep a gateway from
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -33,14 +33,6 @@
 #define CALLER_DESCRIPTOR_DIVISOR 2
 #define STATUS_DESCRIPTOR_DIVISOR 32
 
-#define BYTES_PER_MB (1024 * 1024)
-/*
- * The part of the memory that requests and responses may use. The rest is for
- * the state of the instance, for messages that pass at any time because they
- * are short, and for copies.
- */
-#define CALLER_MEMORY_SHARE 4
-
 int64_t rr_gateway_now_us(void)
 {
 	return g_get_monotonic_time();
@@ -512,9 +504,8 @@
 		g_array_new(FALSE, FALSE, sizeof(struct watching_peer));
 	gateway->allowance_callers =
 		g_array_new(FALSE, FALSE, sizeof(struct allowance_caller));
-	gateway->memory =
-		rr_new_memory_budget((uint64_t)settings->memory_mb *
-				     BYTES_PER_MB / CALLER_MEMORY_SHARE);
+	gateway->memory = rr_new_memory_budget(
+		rr_caller_memory_bytes(settings->memory_mb));
 	gateway->poller = rr_new_poller(error);
 	if (!gateway->poller || !start_listeners(gateway, error)) {
 		rr_drop_gateway(gateway);
--- a/source/net/caller-connections.c
+++ b/source/net/caller-connections.c
@@ -1,9 +1,10 @@
 /*
- * caller-connections.c - limits on the number of caller connections and on the
- * time they may stay idle.
+ * caller-connections.c - limits on the number of caller connections, on the time
+ * they may stay idle and on the memory for their requests and replies.
  */
 #include "net/caller-connections.h"
 
+#include "net/memory-budget.h"
 #include "ragwort/counters.h"
 #include "ragwort/log.h"
 
@@ -21,6 +22,7 @@
 	SoupServer *server;
 	int64_t idle_us;
 	uint32_t max_connections; /* 0: no limit */
+	struct rr_memory_budget *memory;
 	guint timeout_source;
 	GHashTable *open; /* set of struct connection */
 };
@@ -33,6 +35,8 @@
 	bool shut_down;
 	bool over_limit;  /* opened above max_connections */
 	int64_t since_us; /* when the wait for the caller started */
+	struct rr_memory_user memory;
+	int64_t held_since_us; /* since when it holds memory */
 };
 
 static struct connection *get_connection(SoupServerMessage *message)
@@ -53,9 +57,19 @@
 	connection->since_us = g_get_monotonic_time();
 }
 
-void rr_mark_reply_ready(SoupServerMessage *message)
+static void hold_memory(struct connection *connection, size_t n_bytes)
 {
+	connection->held_since_us = g_get_monotonic_time();
+	rr_hold_memory(&connection->memory, n_bytes);
+}
+
+void rr_mark_reply_ready(SoupServerMessage *message, size_t n_bytes)
+{
+	struct connection *connection = get_connection(message);
+
 	set_in_progress(message, false);
+	if (connection)
+		hold_memory(connection, n_bytes);
 }
 
 static void on_request_read(SoupServer *server, SoupServerMessage *message,
@@ -69,18 +83,32 @@
 static void on_request_finished(SoupServer *server, SoupServerMessage *message,
 				gpointer data)
 {
+	struct connection *connection = get_connection(message);
+
 	set_in_progress(message, false);
+	if (connection)
+		rr_hold_memory(&connection->memory, 0);
 }
 
 static void free_connection(gpointer data)
 {
 	struct connection *connection = data;
 
-	if (connection->owner)
+	if (connection->owner) {
 		g_hash_table_remove(connection->owner->open, connection);
+		rr_clear_memory_user(&connection->memory);
+	}
 	g_free(connection);
 }
 
+/* The connection is closed, or no longer tracked. */
+static void detach_connection(struct connection *connection)
+{
+	rr_clear_memory_user(&connection->memory);
+	connection->memory.budget = NULL;
+	connection->owner = NULL;
+}
+
 /* libsoup notices the shutdown and frees the connection. */
 static void shut_down_connection(struct connection *connection)
 {
@@ -104,11 +132,71 @@
 
 		if (!g_socket_is_closed(connection->socket))
 			continue;
-		connection->owner = NULL;
+		detach_connection(connection);
 		g_hash_table_iter_remove(&iter);
 	}
 }
 
+/* Returns the connection to close first to release memory, or NULL. */
+static struct connection *find_memory_hog(struct rr_caller_connections *callers)
+{
+	int64_t now_us = g_get_monotonic_time();
+	struct connection *found = NULL;
+	double greatest = 0;
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, callers->open);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct connection *connection = key;
+		double cost =
+			rr_memory_cost(&connection->memory,
+				       now_us - connection->held_since_us);
+
+		if (connection->in_progress || connection->shut_down ||
+		    cost <= greatest)
+			continue;
+		greatest = cost;
+		found = connection;
+	}
+	return found;
+}
+
+/*
+ * Closes connections whose request is incomplete, and has therefore not run, or
+ * whose reply is unread.
+ */
+static void release_memory(struct rr_caller_connections *callers)
+{
+	struct connection *connection;
+
+	while (rr_memory_shortage_bytes(callers->memory) &&
+	       (connection = find_memory_hog(callers))) {
+		rr_count(callers->ctx, RR_N_CALLER_CONNS_RECLAIMED, 1);
+		rr_log(callers->ctx, RR_LOG_WARNING, "caller-closed",
+		       RR_FIELD_STRING("reason", "memory-short"),
+		       RR_FIELD_U64("bytes", connection->memory.held_bytes));
+		rr_clear_memory_user(&connection->memory);
+		shut_down_connection(connection);
+	}
+}
+
+bool rr_reserve_body_memory(SoupServerMessage *message, size_t n_bytes)
+{
+	struct connection *connection = get_connection(message);
+
+	if (!connection || !connection->owner)
+		return true;
+	hold_memory(connection, n_bytes);
+	if (n_bytes <= RR_SHORT_MESSAGE_BYTES)
+		return true;
+	release_memory(connection->owner);
+	if (!rr_is_memory_short(connection->owner->memory))
+		return true;
+	rr_hold_memory(&connection->memory, 0);
+	return false;
+}
+
 /*
  * Closes connections that callers keep open without using them: those that
  * never complete a request, and those that do not read their answer. The limit
@@ -123,6 +211,7 @@
 	gpointer key;
 
 	remove_closed(callers);
+	release_memory(callers);
 	g_hash_table_iter_init(&iter, callers->open);
 	while (g_hash_table_iter_next(&iter, &key, NULL)) {
 		struct connection *connection = key;
@@ -185,6 +274,7 @@
 	connection->owner = callers;
 	connection->socket = socket;
 	connection->since_us = g_get_monotonic_time();
+	rr_init_memory_user(&connection->memory, callers->memory, NULL, NULL);
 	g_object_set_data_full(G_OBJECT(socket), CONNECTION_KEY, connection,
 			       free_connection);
 	g_hash_table_add(callers->open, connection);
@@ -193,15 +283,18 @@
 
 struct rr_caller_connections *
 rr_new_caller_connections(struct rr_context *ctx, SoupServer *server,
-			  uint32_t idle_ms, uint32_t max_connections)
+			  const struct rr_caller_server_options *options)
 {
 	struct rr_caller_connections *callers =
 		g_new0(struct rr_caller_connections, 1);
 
 	callers->ctx = rr_keep_context(ctx);
 	callers->server = server;
-	callers->idle_us = (int64_t)idle_ms * 1000;
-	callers->max_connections = max_connections;
+	callers->idle_us = (int64_t)options->io_timeout_ms * 1000;
+	callers->max_connections = options->max_connections;
+	if (options->max_memory_bytes)
+		callers->memory =
+			rr_new_memory_budget(options->max_memory_bytes);
 	callers->open = g_hash_table_new(NULL, NULL);
 	g_signal_connect(server, "request-started",
 			 G_CALLBACK(on_request_started), callers);
@@ -224,9 +317,11 @@
 	g_source_remove(callers->timeout_source);
 	g_signal_handlers_disconnect_by_data(callers->server, callers);
 	g_hash_table_iter_init(&iter, callers->open);
-	while (g_hash_table_iter_next(&iter, &key, NULL))
-		((struct connection *)key)->owner = NULL;
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		detach_connection(key);
+	}
 	g_hash_table_destroy(callers->open);
+	rr_drop_memory_budget(callers->memory);
 	rr_drop_context(callers->ctx);
 	g_free(callers);
 }
--- a/source/net/caller.c
+++ b/source/net/caller.c
@@ -23,6 +23,8 @@
 #define RATE_LIMIT_RETRY_MS 1000
 /* Twice the period at which closed connections are removed. */
 #define CONNECTION_LIMIT_RETRY_MS 2000
+/* Connections that hold memory are closed sooner than that. */
+#define MEMORY_RETRY_MS 1000
 #define JSON_TYPE "application/json"
 #define METRICS_TYPE "text/plain; version=0.0.4"
 
@@ -65,7 +67,7 @@
 		soup_message_headers_replace(
 			soup_server_message_get_response_headers(message),
 			"Connection", "close");
-	rr_mark_reply_ready(message);
+	rr_mark_reply_ready(message, length);
 	soup_server_message_set_status(message, status, NULL);
 	soup_server_message_set_response(message, type, SOUP_MEMORY_TAKE,
 					 g_string_free(text, FALSE), length);
@@ -362,6 +364,13 @@
 		*reason = "the body is over max_body_bytes";
 		return SOUP_STATUS_REQUEST_ENTITY_TOO_LARGE;
 	}
+	if (!rr_reserve_body_memory(
+		    message,
+		    (size_t)soup_message_headers_get_content_length(headers))) {
+		set_retry_after(message, MEMORY_RETRY_MS);
+		*reason = "the memory for requests and answers is used up";
+		return SOUP_STATUS_SERVICE_UNAVAILABLE;
+	}
 	return 0;
 }
 
@@ -450,9 +459,8 @@
 		server->rate = rr_new_caller_rate_limiter(options->rate_per_s);
 	server->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 	server->soup_server = soup_server_new("server-header", "ragwort", NULL);
-	server->connections = rr_new_caller_connections(
-		ctx, server->soup_server, options->io_timeout_ms,
-		options->max_connections);
+	server->connections =
+		rr_new_caller_connections(ctx, server->soup_server, options);
 	soup_server_add_early_handler(server->soup_server, NULL, handle_headers,
 				      server, NULL);
 	soup_server_add_handler(server->soup_server, NULL, handle_request,
--- a/source/net/http-listener-limits.c
+++ b/source/net/http-listener-limits.c
@@ -17,11 +17,6 @@
  * that the caller reads the response before a reset: a round trip and a margin.
  */
 #define LINGER_US (200 * 1000)
-/*
- * Callers that have held memory for a shorter time are not closed to release
- * it: a retransmission may be on its way.
- */
-#define MIN_RECLAIM_AGE_US (500 * 1000)
 /*
  * Connections that may be replaced while callers wait to be accepted: idle ones
  * on which no request can be on its way, and requests that arrive slowly.
@@ -67,24 +62,14 @@
 	rr_reject_incomplete_request(caller, 408);
 }
 
-/*
- * Returns how strongly a caller should be closed to release memory: the bytes
- * it holds times the time for which it has held them; 0 for never.
- */
+/* Returns rr_memory_cost() of a caller that may be closed, otherwise 0. */
 static double get_memory_cost(struct rr_caller_conn *caller, int64_t now_us)
 {
-	int64_t age_us = now_us - caller->since_us;
-
 	if (caller->state != CALLER_WRITING &&
-	    (caller->state != CALLER_READING ||
-	     !rr_http_is_started(caller->reader)))
-		return 0;
-	if (age_us < MIN_RECLAIM_AGE_US)
+	    (caller->state != CALLER_READING || rr_is_idle_caller(caller)))
 		return 0;
 	rr_update_caller_memory(caller);
-	if (caller->memory.held_bytes <= RR_SHORT_MESSAGE_BYTES)
-		return 0;
-	return (double)caller->memory.held_bytes * (double)age_us;
+	return rr_memory_cost(&caller->memory, now_us - caller->since_us);
 }
 
 /* Returns the caller to close first to release memory, or NULL. */
--- a/source/net/memory-budget.c
+++ b/source/net/memory-budget.c
@@ -4,6 +4,7 @@
  */
 #include "net/memory-budget.h"
 
+#define MIN_RECLAIM_AGE_US (500 * 1000)
 /* Parts of the limit: freed before waiting users read on, and its excess. */
 #define RELEASED_SHARE 8
 #define EXCESS_SHARE 8
@@ -105,6 +106,14 @@
 		       0;
 }
 
+double rr_memory_cost(const struct rr_memory_user *user, int64_t age_us)
+{
+	if (age_us < MIN_RECLAIM_AGE_US ||
+	    user->held_bytes <= RR_SHORT_MESSAGE_BYTES)
+		return 0;
+	return (double)user->held_bytes * (double)age_us;
+}
+
 static void resume_next(struct rr_memory_budget *budget, bool exempt)
 {
 	struct rr_memory_user *user = g_queue_peek_head(&budget->waiting);
--- a/source/net/memory-budget.h
+++ b/source/net/memory-budget.h
@@ -27,7 +27,10 @@
 	struct rr_memory_budget *budget; /* NULL: no limit */
 	size_t held_bytes;
 	bool is_waiting;
-	/* Reads on; may clear any user. Called by rr_tick_memory_budget(). */
+	/*
+	 * Reads on; may clear any user. Called by rr_tick_memory_budget(), NULL
+	 * for a user that never waits.
+	 */
 	void (*resume)(void *data);
 	void *data;
 	GList link; /* element of the budget's queue, while waiting */
@@ -61,6 +64,12 @@
  * for some time; 0 unless memory is short.
  */
 uint64_t rr_memory_shortage_bytes(const struct rr_memory_budget *budget);
+/*
+ * Return how strongly a user's connection should be closed to release memory:
+ * the bytes that it holds times the time for which it has held them. 0 if they
+ * are few, or held so shortly that a retransmission may be on its way.
+ */
+double rr_memory_cost(const struct rr_memory_user *user, int64_t age_us);
 /* Let waiting users read on, in the order of waiting. */
 void rr_tick_memory_budget(struct rr_memory_budget *budget);
 
--- a/source/settings/gateway-settings.c
+++ b/source/settings/gateway-settings.c
@@ -18,8 +18,6 @@
 #define DEFAULT_DRAIN_MS 3000
 /* Half of the file descriptors that a small instance may open. */
 #define DEFAULT_MAX_CONNECTIONS 2000
-/* A small instance. */
-#define DEFAULT_MEMORY_MB 160
 #define DEFAULT_MAX_LINES_PER_S 400
 /* Logging this many lines takes about 1 % of a small instance's CPU time. */
 #define DEFAULT_REQUEST_LINES_PER_S 100
@@ -39,7 +37,7 @@
 		.news_bound_ms = DEFAULT_NEWS_BOUND_MS,
 		.drain_ms = DEFAULT_DRAIN_MS,
 		.max_connections = DEFAULT_MAX_CONNECTIONS,
-		.memory_mb = DEFAULT_MEMORY_MB,
+		.memory_mb = RR_DEFAULT_MEMORY_MB,
 		.log_level = RR_LOG_INFO,
 		.log_format = RR_LOG_KEY_VALUE,
 		.log_max_lines_per_s = DEFAULT_MAX_LINES_PER_S,
--- a/source/settings/settings-table.c
+++ b/source/settings/settings-table.c
@@ -244,6 +244,13 @@
 	  .help = "Maximum number of concurrent connections from callers. A "
 		  "request on a connection above the limit is rejected with "
 		  "status 503; connections far above it are closed at once." },
+	{ "memory_mb", RR_SCOPE_START, RR_TYPE_INTEGER, 16, MAX_COUNT,
+	  .needs_restart = true, .offset = START_OFFSET(memory_mb),
+	  .unit = "MB",
+	  .help = "Memory that this instance may use. Bodies of requests and "
+		  "answers may use a quarter of it; beyond that, bodies over "
+		  "16 KB are rejected with status 503, and callers that send "
+		  "or read long messages too slowly are disconnected." },
 	{ "tls", RR_SCOPE_START, RR_TYPE_MAPPING,
 	  .inner_scope = RR_SCOPE_START_TLS, .no_field = true,
 	  .help = "TLS for callers; plain HTTP if omitted." },
--- a/source/settings/settings-table.h
+++ b/source/settings/settings-table.h
@@ -72,6 +72,9 @@
 	const char *help;
 };
 
+/* Memory of a small instance. */
+#define RR_DEFAULT_MEMORY_MB 160
+
 extern const struct rr_setting rr_settings[];
 extern const size_t rr_n_settings;
 
--- a/source/settings/start-settings.c
+++ b/source/settings/start-settings.c
@@ -10,6 +10,18 @@
 /* The same as the gateway's limit.  A caller needs one or two connections. */
 #define DEFAULT_MAX_CALLER_CONNECTIONS 2000
 
+#define BYTES_PER_MB (1024 * 1024)
+/*
+ * The rest of the memory is for the state of the instance, for messages that
+ * pass at any time because they are short, and for copies.
+ */
+#define CALLER_MEMORY_DIVISOR 4
+
+uint64_t rr_caller_memory_bytes(uint32_t memory_mb)
+{
+	return (uint64_t)memory_mb * BYTES_PER_MB / CALLER_MEMORY_DIVISOR;
+}
+
 void rr_init_start_settings(struct rr_start_settings *settings)
 {
 	*settings = (struct rr_start_settings){
@@ -22,6 +34,7 @@
 		.max_body_bytes = DEFAULT_MAX_BODY_BYTES,
 		.caller_idle_ms = DEFAULT_CALLER_IDLE_MS,
 		.caller_max_connections = DEFAULT_MAX_CALLER_CONNECTIONS,
+		.memory_mb = RR_DEFAULT_MEMORY_MB,
 	};
 }
 
