http-reader: an invalid status is no answer

Callers saw: after a replica's answer with status 000, 099 or 101 and no body, the bytes behind it taken for their answer, or none until their time was up; a status of 600 to 999 was passed on to them. Cause: any status under 200 was taken for an interim response, which is skipped, and none over 599 was rejected. Change: an answer with a status outside 100 to 599, or with 101, is malformed wherever answers are read: from replicas, the store and other instances. The attempt counts as one that may have run and its connection closes. ragwortd's upstreams are read by libsoup, and only status 200 is taken for an answer. A status with leading zeros, such as 0200, is still read as its number.

--- a/source/net/http-reader.c
+++ b/source/net/http-reader.c
@@ -164,6 +164,18 @@
 	       (status < 200 || status == 204 || status == 304);
 }
 
+/*
+ * Returns whether a message may have its status (RFC 9110, 15). One under 100 is
+ * no interim response, and 101 would answer an Upgrade that is never sent.
+ */
+static bool has_valid_status(const struct rr_http_reader *reader)
+{
+	unsigned int status = reader->parser.status_code;
+
+	return reader->type != HTTP_RESPONSE ||
+	       (status >= 100 && status < 600 && status != 101);
+}
+
 static int on_headers_complete(struct http_parser *parser)
 {
 	struct rr_http_reader *reader = get_reader(parser);
@@ -173,6 +185,10 @@
 #ifndef RR_MUTANT_READER_ANY_NAME
 	if (!has_valid_names(reader))
 		return -1;
+#endif
+#ifndef RR_MUTANT_READER_ANY_STATUS
+	if (!has_valid_status(reader))
+		return -1;
 #endif
 	if (reader->target->len + reader->text->len >
 	    reader->max_header_bytes) {
--- a/tests/test-replica-client.c
+++ b/tests/test-replica-client.c
@@ -197,6 +197,35 @@
 	}
 }
 
+/*
+ * Guards against an answer with an invalid status that is passed on, or skipped
+ * like an interim one, so that what follows it is taken for the answer.
+ */
+static void test_invalid_statuses(void **state)
+{
+	static const char *const statuses[] = { "000", "099", "101",  "20",
+						"600", "999", "1000", "2x0" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		struct replica_fixture *fixture = replica_new_fixture();
+		struct raw_peer *peer = replica_send_and_accept(fixture);
+		char *text = g_strdup_printf(
+			"HTTP/1.1 %s Odd\r\nId: one\r\nSeal: s\r\n"
+			"Content-Length: 0\r\n\r\n" REPLICA_OK "\r\nab",
+			statuses[i]);
+
+		raw_send(peer, text);
+		raw_run_until(&fixture->replies, 1);
+		if (fixture->outcome != RR_GATE_BROKEN)
+			fail_msg("status %s is accepted as %u", statuses[i],
+				 fixture->status);
+		raw_expect_end(peer);
+		g_free(text);
+		raw_drop(peer);
+		replica_drop_fixture(fixture);
+	}
+}
+
 static void test_rejections(void **state)
 {
 	static const struct {
@@ -323,6 +352,7 @@
 		cmocka_unit_test(test_bytes_after_an_answer),
 		cmocka_unit_test(test_bytes_on_an_idle_connection),
 		cmocka_unit_test(test_invalid_answers),
+		cmocka_unit_test(test_invalid_statuses),
 		cmocka_unit_test(test_rejections),
 		cmocka_unit_test(test_503_without_not_run_header),
 		cmocka_unit_test(test_nothing_is_sent_twice),
