http-reader: a status has three digits

Change: the start of a status line is kept and checked. Measured: replica-client test_invalid_statuses has 0200 as well, and passes; http-reader, http-listener, replica-pool and process-gateway pass.

--- a/source/net/http-reader.c
+++ b/source/net/http-reader.c
@@ -12,6 +12,9 @@
  */
 #define MAX_HEADERS 200
 #define NO_LIMIT UINT32_MAX
+/* "HTTP/1.1 200 ": the start of a response, up to what follows its status. */
+#define STATUS_START 9
+#define STATUS_END 12
 /* Larger buffers are freed between messages, since a connection may be idle. */
 #define MAX_IDLE_BUFFER_BYTES 4096
 
@@ -33,6 +36,8 @@
 	bool in_value; /* the last callback was for a value */
 	bool in_trailer;
 	uint32_t n_header_bytes;
+	char line_start[STATUS_END + 1]; /* of a response */
+	uint32_t n_line_start;
 	enum rr_http_result error_result;
 	GString *target;
 	GString *reason;
@@ -164,16 +169,34 @@
 	       (status < 200 || status == 204 || status == 304);
 }
 
+/* Keeps the start of a status line; http_parser skips empty lines before it. */
+static void keep_line_start(struct rr_http_reader *reader, const uint8_t *bytes,
+			    size_t length)
+{
+	for (size_t i = 0;
+	     i < length && reader->n_line_start < sizeof(reader->line_start);
+	     i++) {
+		if (!reader->n_line_start &&
+		    (bytes[i] == '\r' || bytes[i] == '\n'))
+			continue;
+		reader->line_start[reader->n_line_start++] = (char)bytes[i];
+	}
+}
+
 /*
  * Returns whether a message may have its status (RFC 9110, 15). One under 100 is
  * no interim response, and 101 would answer an Upgrade that is never sent.
+ * http_parser accepts any number of digits.
  */
 static bool has_valid_status(const struct rr_http_reader *reader)
 {
 	unsigned int status = reader->parser.status_code;
 
-	return reader->type != HTTP_RESPONSE ||
-	       (status >= 100 && status < 600 && status != 101);
+	if (reader->type != HTTP_RESPONSE)
+		return true;
+	return reader->line_start[STATUS_START] != '0' &&
+	       !g_ascii_isdigit(reader->line_start[STATUS_END]) &&
+	       status >= 100 && status < 600 && status != 101;
 }
 
 static int on_headers_complete(struct http_parser *parser)
@@ -318,6 +341,7 @@
 	reader->in_value = false;
 	reader->in_trailer = false;
 	reader->n_header_bytes = 0;
+	reader->n_line_start = 0;
 	reader->error_result = RR_HTTP_MALFORMED;
 	clear_text(&reader->target);
 	clear_text(&reader->reason);
@@ -358,11 +382,15 @@
 {
 	*used = 0;
 	while (*used < length) {
-		size_t n = http_parser_execute(&reader->parser, &callbacks,
-					       (const char *)bytes + *used,
-					       length - *used);
-		enum http_errno error = HTTP_PARSER_ERRNO(&reader->parser);
+		enum http_errno error;
+		size_t n;
 
+		if (!reader->has_headers)
+			keep_line_start(reader, bytes + *used, length - *used);
+		n = http_parser_execute(&reader->parser, &callbacks,
+					(const char *)bytes + *used,
+					length - *used);
+		error = HTTP_PARSER_ERRNO(&reader->parser);
 		*used += n;
 		if (!reader->has_headers)
 			reader->n_header_bytes += (uint32_t)n;
--- a/tests/test-replica-client.c
+++ b/tests/test-replica-client.c
@@ -203,8 +203,9 @@
  */
 static void test_invalid_statuses(void **state)
 {
-	static const char *const statuses[] = { "000", "099", "101",  "20",
-						"600", "999", "1000", "2x0" };
+	static const char *const statuses[] = { "000",	"099", "101",
+						"20",	"600", "999",
+						"1000", "2x0", "0200" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
 		struct replica_fixture *fixture = replica_new_fixture();
