ragwortd: let a request replace an idle connection at the limit

Callers saw: 503 at every request, or a connection closed unread, while silent clients, or clients with a part of a request, held caller_max_connections; each for up to caller_idle_ms (60 s). Cause: whoever came first kept its connection, whether it used it or not. Change: a request above the limit is served in place of the oldest connection that was never used, else the longest idle one, else one whose body has been arriving for over a second. Only if there is none it gets 503 as before.

--- a/source/net/caller-connections.c
+++ b/source/net/caller-connections.c
@@ -10,10 +10,13 @@
 
 #define CONNECTION_KEY "ragwort-connection"
 #define TIMEOUT_CHECK_PERIOD_S 1
+/* A request whose body arrives for this long may be replaced by another one. */
+#define MIN_REPLACED_BODY_US G_USEC_PER_SEC
 /*
  * Maximum number of connections above the limit that are kept open until their
- * request has arrived. The request is then rejected with an answer that reports
- * that it was not run. Further connections are closed immediately.
+ * request has arrived. The request then replaces an idle connection, or is
+ * rejected with an answer that reports that it was not run. Further connections
+ * replace an idle one or are closed immediately.
  */
 #define MAX_REJECTED_CONNECTIONS 64
 
@@ -33,8 +36,10 @@
 	GSocket *socket;
 	bool in_progress; /* request read, reply not started */
 	bool shut_down;
-	bool over_limit;  /* opened above max_connections */
-	int64_t since_us; /* when the wait for the caller started */
+	bool over_limit; /* opened above max_connections */
+	bool is_reading_body;
+	uint64_t n_requests; /* read so far */
+	int64_t since_us;    /* when the wait for the caller started */
 	struct rr_memory_user memory;
 	int64_t held_since_us; /* since when it holds memory */
 };
@@ -75,6 +80,12 @@
 static void on_request_read(SoupServer *server, SoupServerMessage *message,
 			    gpointer data)
 {
+	struct connection *connection = get_connection(message);
+
+	if (connection) {
+		connection->is_reading_body = false;
+		connection->n_requests++;
+	}
 	/* A request may have been rejected before its body was read. */
 	if (!soup_server_message_get_status(message))
 		set_in_progress(message, true);
@@ -187,6 +198,7 @@
 
 	if (!connection || !connection->owner)
 		return true;
+	connection->is_reading_body = true;
 	hold_memory(connection, n_bytes);
 	if (n_bytes <= RR_SHORT_MESSAGE_BYTES)
 		return true;
@@ -225,15 +237,82 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/* Returns whether a connection waits for the headers of a request. */
+static bool is_idle(const struct connection *connection)
+{
+	return !connection->in_progress && !connection->shut_down &&
+	       !connection->is_reading_body && !connection->memory.held_bytes;
+}
+
+/* Returns whether a body has been arriving for so long that it is abandoned. */
+static bool is_slow_body(const struct connection *connection, int64_t now_us)
+{
+	return connection->is_reading_body && !connection->shut_down &&
+	       now_us - connection->held_since_us >= MIN_REPLACED_BODY_US;
+}
+
+/* Returns whether replacing `a` harms callers less than replacing `b`. */
+static bool is_used_less(const struct connection *a, const struct connection *b)
+{
+	if (is_idle(a) != is_idle(b))
+		return is_idle(a);
+	if (!a->n_requests != !b->n_requests)
+		return !a->n_requests;
+	return a->since_us < b->since_us;
+}
+
 /*
- * Rejects connections above the limit. A caller or script that opens
- * connections without end would use up descriptors and memory until accept()
- * fails for all callers.
+ * Returns the connection to close in place of `connection`: an idle one, if
+ * possible one that was never used, or one whose request arrives slowly, of each
+ * kind the oldest; NULL if there is none. Counts the connections within the
+ * limit in *n_regular, which are the only ones considered if `regular` is true.
+ */
+static struct connection *
+find_replaceable(const struct rr_caller_connections *callers,
+		 const struct connection *connection, bool regular,
+		 uint32_t *n_regular)
+{
+	int64_t now_us = g_get_monotonic_time();
+	struct connection *found = NULL;
+	GHashTableIter iter;
+	gpointer key;
+
+	*n_regular = 0;
+	g_hash_table_iter_init(&iter, callers->open);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		struct connection *other = key;
+
+		if (other == connection || other->shut_down ||
+		    (regular && other->over_limit))
+			continue;
+		*n_regular += !other->over_limit;
+		if ((is_idle(other) || is_slow_body(other, now_us)) &&
+		    (!found || is_used_less(other, found)))
+			found = other;
+	}
+	return found;
+}
+
+static void replace_connection(struct rr_caller_connections *callers,
+			       struct connection *connection)
+{
+	rr_count(callers->ctx, RR_N_CALLER_CONNS_RECLAIMED, 1);
+	rr_log(callers->ctx, RR_LOG_WARNING, "caller-closed",
+	       RR_FIELD_STRING("reason", "connection-limit"),
+	       RR_FIELD_U64("requests", connection->n_requests));
+	shut_down_connection(connection);
+}
+
+/*
+ * Limits the connections. A caller or script that opens connections without end
+ * would use up descriptors and memory until accept() fails for all callers.
  */
 static void check_connection_limit(struct rr_caller_connections *callers,
 				   struct connection *connection)
 {
 	guint open = g_hash_table_size(callers->open);
+	struct connection *replaced;
+	uint32_t n_regular;
 
 	if (!callers->max_connections || open <= callers->max_connections)
 		return;
@@ -247,15 +326,29 @@
 	       RR_FIELD_U64("connections", open),
 	       RR_FIELD_U64("caller_max_connections",
 			    callers->max_connections));
-	if (open > callers->max_connections + MAX_REJECTED_CONNECTIONS)
-		shut_down_connection(connection);
+	if (open <= callers->max_connections + MAX_REJECTED_CONNECTIONS)
+		return;
+	replaced = find_replaceable(callers, connection, false, &n_regular);
+	replace_connection(callers, replaced ? replaced : connection);
 }
 
 bool rr_is_over_connection_limit(SoupServerMessage *message)
 {
-	const struct connection *connection = get_connection(message);
-
-	return connection && connection->over_limit;
+	struct connection *connection = get_connection(message);
+	struct connection *replaced;
+	uint32_t n_regular;
+
+	if (!connection || !connection->over_limit || !connection->owner)
+		return false;
+	replaced = find_replaceable(connection->owner, connection, true,
+				    &n_regular);
+	if (n_regular >= connection->owner->max_connections) {
+		if (!replaced)
+			return true;
+		replace_connection(connection->owner, replaced);
+	}
+	connection->over_limit = false;
+	return false;
 }
 
 /*
--- a/source/net/caller-connections.h
+++ b/source/net/caller-connections.h
@@ -24,7 +24,10 @@
 /* Stop tracking; the connections belong to the server. NULL is allowed. */
 void rr_drop_caller_connections(struct rr_caller_connections *callers);
 
-/* Return whether a message arrived on a connection above the limit. */
+/*
+ * Return whether a message arrived on a connection above the limit that can't
+ * replace an idle one.
+ */
 bool rr_is_over_connection_limit(SoupServerMessage *message);
 
 /*
