stream: bound what the kernel buffers for a peer that does not read

Cause: the kernel takes megabytes for each connection whose peer does not read, memory of the machine that no count of the process includes. Change: TCP_NOTSENT_LOWAT of 128 kB on all streams. What the kernel takes no more stays in the process, where the budget bounds it.

--- a/source/net/stream.c
+++ b/source/net/stream.c
@@ -26,6 +26,12 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
 #define USER_TIMEOUT_MS 2000
+/*
+ * Data that the kernel accepts beyond what the peer's window admits. Its own
+ * limit is of the order of megabytes a connection, which are not counted as
+ * memory of the process.
+ */
+#define MAX_UNSENT_KERNEL_BYTES 131072
 
 /*
  * Bytes that the kernel has not accepted yet. Chunks are freed as the peer
@@ -71,6 +77,7 @@
 	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
 	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
 	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
+	set_option(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, MAX_UNSENT_KERNEL_BYTES);
 }
 
 static void unref_stream(struct rr_stream *stream)
