ragwortd: log the address of a caller that is disconnected

One function closes connections for memory and at the limit, counts and logs it, with the caller's address as in the gateway. A rejected body no longer counts as arriving once its request is finished.

--- a/source/net/caller-connections.c
+++ b/source/net/caller-connections.c
@@ -97,8 +97,10 @@
 	struct connection *connection = get_connection(message);
 
 	set_in_progress(message, false);
-	if (connection)
-		rr_hold_memory(&connection->memory, 0);
+	if (!connection)
+		return;
+	connection->is_reading_body = false;
+	rr_hold_memory(&connection->memory, 0);
 }
 
 static void free_connection(gpointer data)
@@ -127,6 +129,37 @@
 	g_socket_shutdown(connection->socket, TRUE, TRUE, NULL);
 }
 
+/* Returns the caller's IP address, to be freed with g_free(). */
+static char *describe_caller(const struct connection *connection)
+{
+	GSocketAddress *address =
+		g_socket_get_remote_address(connection->socket, NULL);
+	char *ip = NULL;
+
+	if (G_IS_INET_SOCKET_ADDRESS(address))
+		ip = g_inet_address_to_string(g_inet_socket_address_get_address(
+			G_INET_SOCKET_ADDRESS(address)));
+	g_clear_object(&address);
+	return ip ? ip : g_strdup("unknown");
+}
+
+/* Closes a connection so that other callers can be served. */
+static void reclaim_connection(struct connection *connection,
+			       const char *reason)
+{
+	struct rr_context *ctx = connection->owner->ctx;
+	char *ip = describe_caller(connection);
+
+	rr_count(ctx, RR_N_CALLER_CONNS_RECLAIMED, 1);
+	rr_log(ctx, RR_LOG_WARNING, "caller-closed",
+	       RR_FIELD_STRING("reason", reason), RR_FIELD_STRING("caller", ip),
+	       RR_FIELD_U64("bytes", connection->memory.held_bytes),
+	       RR_FIELD_U64("requests", connection->n_requests));
+	g_free(ip);
+	rr_clear_memory_user(&connection->memory);
+	shut_down_connection(connection);
+}
+
 /*
  * Removes connections whose socket is closed from the set. libsoup may keep the
  * object of a socket for a while after closing it, so they would still count as
@@ -182,14 +215,8 @@
 	struct connection *connection;
 
 	while (rr_memory_shortage_bytes(callers->memory) &&
-	       (connection = find_memory_hog(callers))) {
-		rr_count(callers->ctx, RR_N_CALLER_CONNS_RECLAIMED, 1);
-		rr_log(callers->ctx, RR_LOG_WARNING, "caller-closed",
-		       RR_FIELD_STRING("reason", "memory-short"),
-		       RR_FIELD_U64("bytes", connection->memory.held_bytes));
-		rr_clear_memory_user(&connection->memory);
-		shut_down_connection(connection);
-	}
+	       (connection = find_memory_hog(callers)))
+		reclaim_connection(connection, "memory-short");
 }
 
 bool rr_reserve_body_memory(SoupServerMessage *message, size_t n_bytes)
@@ -293,16 +320,6 @@
 	return found;
 }
 
-static void replace_connection(struct rr_caller_connections *callers,
-			       struct connection *connection)
-{
-	rr_count(callers->ctx, RR_N_CALLER_CONNS_RECLAIMED, 1);
-	rr_log(callers->ctx, RR_LOG_WARNING, "caller-closed",
-	       RR_FIELD_STRING("reason", "connection-limit"),
-	       RR_FIELD_U64("requests", connection->n_requests));
-	shut_down_connection(connection);
-}
-
 /*
  * Limits the connections. A caller or script that opens connections without end
  * would use up descriptors and memory until accept() fails for all callers.
@@ -329,7 +346,8 @@
 	if (open <= callers->max_connections + MAX_REJECTED_CONNECTIONS)
 		return;
 	replaced = find_replaceable(callers, connection, false, &n_regular);
-	replace_connection(callers, replaced ? replaced : connection);
+	reclaim_connection(replaced ? replaced : connection,
+			   "connection-limit");
 }
 
 bool rr_is_over_connection_limit(SoupServerMessage *message)
@@ -345,7 +363,7 @@
 	if (n_regular >= connection->owner->max_connections) {
 		if (!replaced)
 			return true;
-		replace_connection(connection->owner, replaced);
+		reclaim_connection(replaced, "connection-limit");
 	}
 	connection->over_limit = false;
 	return false;
