tests: a single long request is served with little memory

A body of 4 MB and its answer of 7.5 MB pass through a gateway whose budget for requests and responses is 4 MB (memory_mb 16): messages longer than the limit are served one at a time.

--- a/tests/test-process-clients.c
+++ b/tests/test-process-clients.c
@@ -15,6 +15,7 @@
 #include <signal.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 
 #include "support/crowd.h"
 #include "support/port.h"
@@ -301,6 +302,49 @@
 	stop_fixture(fixture);
 }
 
+/* Read a response with a long answer. */
+static void expect_long_answer(struct raw_peer *caller)
+{
+	int64_t deadline_us = g_get_monotonic_time() + TEST_CROWD_TIMEOUT_US;
+	char bytes[65536];
+	size_t left = 0;
+	ssize_t n;
+
+	while ((n = recv(caller->fd, bytes, sizeof(bytes), MSG_DONTWAIT)) < 0) {
+		assert_true(g_get_monotonic_time() < deadline_us);
+		raw_run_for(1000);
+	}
+	assert_true(g_str_has_prefix(bytes, "HTTP/1.1 200 "));
+	left = (size_t)(g_strstr_len(bytes, n, "\r\n\r\n") + 4 - bytes) +
+	       LONG_ANSWER_BYTES - (size_t)n;
+	while (left) {
+		n = recv(caller->fd, bytes, MIN(left, sizeof(bytes)),
+			 MSG_DONTWAIT);
+		assert_true(n && g_get_monotonic_time() < deadline_us);
+		if (n < 0)
+			raw_run_for(1000);
+		else
+			left -= (size_t)n;
+	}
+}
+
+/*
+ * Guards against the rejection of a single request whose body, or answer, is
+ * longer than the memory for all of them.
+ */
+static void test_single_long_messages(void **state)
+{
+	struct fixture *fixture =
+		start_fixture("memory_mb: 16\n", MACHINE_DESCRIPTORS);
+	char *text = format_long_request("/long/a", 0);
+
+	test_add_crowd(&fixture->crowd, 1, fixture->caller_address, text);
+	expect_long_answer(fixture->crowd.peers[0]);
+	check_gateway(fixture);
+	g_free(text);
+	stop_fixture(fixture);
+}
+
 /* Guards against memory that idle connections keep after long requests. */
 static void test_idle_after_long_bodies(void **state)
 {
@@ -397,6 +441,7 @@
 		cmocka_unit_test(test_long_answers_read_slowly),
 		cmocka_unit_test(test_bodies_without_last_byte),
 		cmocka_unit_test(test_bodies_of_waiting_requests),
+		cmocka_unit_test(test_single_long_messages),
 		cmocka_unit_test(test_idle_after_long_bodies),
 		cmocka_unit_test(test_silent_connections),
 		cmocka_unit_test(test_incomplete_headers),
