--- a/source/net/memory-budget.c
+++ b/source/net/memory-budget.c
@@ -64,9 +64,12 @@
 	struct rr_memory_budget *budget = user->budget;
 
 	if (!budget || budget->held_bytes < budget->limit_bytes ||
-	    user->held_bytes <= RR_SHORT_MESSAGE_BYTES ||
 	    user == budget->exempt)
 		return false;
+#ifndef RR_MUTANT_MEMORY_SHORT_WAIT
+	if (user->held_bytes <= RR_SHORT_MESSAGE_BYTES)
+		return false;
+#endif
 	if (!user->is_waiting)
 		g_queue_push_tail_link(&budget->waiting, &user->link);
 	user->is_waiting = true;
