--- a/source/net/http-listener-limits.c
+++ b/source/net/http-listener-limits.c
@@ -127,6 +127,15 @@
 	}
 }
 
+/* Returns whether replacing `a` harms callers less than replacing `b`. */
+static bool is_used_less(const struct rr_caller_conn *a,
+			 const struct rr_caller_conn *b)
+{
+	if (!a->n_requests != !b->n_requests)
+		return !a->n_requests;
+	return a->since_us < b->since_us;
+}
+
 /*
  * Returns an idle connection to replace: the oldest one that was never used, or
  * else the one that has been idle for longest; NULL if there is none.
@@ -141,7 +150,7 @@
 
 		if (!rr_is_idle_caller(caller) ||
 		    now_us - caller->since_us < MIN_REPLACED_IDLE_US ||
-		    (found && found->since_us <= caller->since_us) ||
+		    (found && !is_used_less(caller, found)) ||
 		    rr_stream_has_input(caller->stream))
 			continue;
 		found = caller;
--- a/tests/test-http-listener.c
+++ b/tests/test-http-listener.c
@@ -180,6 +180,33 @@
 	stop_fixture(fixture);
 }
 
+/*
+ * Guards against silent connections that displace one that is used: of idle
+ * connections, those that were never used are closed first.
+ */
+static void test_used_connection_is_kept(void **state)
+{
+	struct fixture *fixture = start_fixture(2);
+	struct raw_peer *used = raw_connect(fixture->address);
+	struct raw_peer *silent;
+	struct raw_peer *next;
+
+	raw_send(used, GET("a"));
+	raw_run_until(&fixture->requests, 1);
+	send_answer(fixture, 200, "1");
+	raw_expect(used, "\r\n\r\n1");
+	silent = raw_connect(fixture->address);
+	raw_run_for(300000);
+	next = raw_connect(fixture->address);
+	raw_expect_end(silent);
+	raw_send(used, GET("b"));
+	raw_run_until(&fixture->requests, 2);
+	raw_drop(next);
+	raw_drop(silent);
+	raw_drop(used);
+	stop_fixture(fixture);
+}
+
 static void test_fragmented_body(void **state)
 {
 	struct fixture *fixture = start_fixture(0);
@@ -462,6 +489,7 @@
 		cmocka_unit_test(test_request_and_answer),
 		cmocka_unit_test(test_pipelined_requests_in_order),
 		cmocka_unit_test(test_pipelined_request_in_two_pieces),
+		cmocka_unit_test(test_used_connection_is_kept),
 		cmocka_unit_test(test_fragmented_body),
 		cmocka_unit_test(test_malformed_requests),
 		cmocka_unit_test(test_long_headers),
